Add project set-up, world types, interfaces and document checks

Cause: every part needs the same typed data and protocols before it can be built apart from the others.

--- /dev/null
+++ b/src/sesameport/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m sesameport``."""
+
+from sesameport.commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sesameport/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the command line."""
--- /dev/null
+++ b/src/sesameport/interfaces/__init__.py
@@ -0,0 +1,62 @@
+"""Define the protocols behind which everything outside the decision code stands."""
+
+from sesameport.interfaces.engine import (
+    CacheEvent,
+    CacheEvents,
+    DecodeCall,
+    Engine,
+    EngineError,
+    EngineErrorKind,
+    Hold,
+    HoldKind,
+    KvHandle,
+    LoadReport,
+    Order,
+    OrderKind,
+    PlainAnswer,
+    PlainService,
+    PrefillCall,
+    TokenEvent,
+    TokenStream,
+)
+from sesameport.interfaces.peers import PeerLink, Sender
+from sesameport.interfaces.platform import (
+    HostList,
+    ObjectList,
+    Platform,
+    PlatformError,
+    PlatformErrorKind,
+    StoredObject,
+    WatchBatch,
+)
+from sesameport.interfaces.timers import Timers
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "DecodeCall",
+    "Engine",
+    "EngineError",
+    "EngineErrorKind",
+    "Hold",
+    "HoldKind",
+    "HostList",
+    "KvHandle",
+    "LoadReport",
+    "ObjectList",
+    "Order",
+    "OrderKind",
+    "PeerLink",
+    "PlainAnswer",
+    "PlainService",
+    "Platform",
+    "PlatformError",
+    "PlatformErrorKind",
+    "PrefillCall",
+    "Sender",
+    "StoredObject",
+    "Timers",
+    "TokenEvent",
+    "TokenStream",
+    "WatchBatch",
+]
