--- a/src/sesameport/fleet/leases.py
+++ b/src/sesameport/fleet/leases.py
@@ -136,6 +136,7 @@
     _sent: dict[str, tuple[float, int]] = attrs.field(factory=dict)
     _must_read: bool = True
     _release: bool = False
+    _release_body: str = ""
 
     def is_held(self, now: float) -> bool:
         """Tell whether this host holds the lease now."""
@@ -178,8 +179,9 @@
             self._lose()
 
     def release(self, now: float) -> None:
-        """Give up the hold; the next `tick` returns the write that says so."""
+        """Give up the hold; the next `tick` writes that, with the present `body`."""
         self._release = self.is_held(now)
+        self._release_body = self.body
         if self._release:
             self.state = LeaseState.NOT_HELD
             self._held_until = 0.0
@@ -265,6 +267,7 @@
         if self.record is None or self.record.incarnation != self.incarnation:
             return None
         self._must_read = True
+        self.body = self._release_body
         return self._write(now, self.epoch, released=True)
 
     def _tick_held(self, now: float, urgent: bool) -> PlatformIntent | None:
