--- /dev/null
+++ b/src/sesameport/bench/share_fleet.py
@@ -0,0 +1,278 @@
+"""Run the rate shares of one service and region on virtual hosts."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from sesameport.bench.virtual_world import (
+    Clock,
+    EventQueue,
+    PlatformCaller,
+    SimPlatform,
+)
+from sesameport.fleet.share_limits import Limit, ShareSettings
+from sesameport.fleet.share_node import ShareNode
+from sesameport.fleet.shares import Admitted, LotsNeeded, Receipt
+from sesameport.interfaces import Sender
+
+__all__ = ["ReferenceBucket", "ShareFleet", "ShareHost", "Withdrawal"]
+
+_TICK_S = 0.25
+# Hosts that contend for the pool lease.
+_CANDIDATES = 2
+
+
+@attrs.define
+class Withdrawal:
+    """Record tokens withdrawn at one real time; refunds lower the number."""
+
+    time: float
+    workspace: str
+    tokens: float
+
+
+@attrs.define
+class ReferenceBucket:
+    """Judge withdrawals against one bucket of the whole rate and burst.
+
+    The level stays at or above 0 exactly if every window of ``t`` seconds holds at most
+    ``rate * t + burst`` tokens.
+    """
+
+    rate_per_s: float
+    burst: float
+    level: float = attrs.field(init=False)
+    time: float = 0.0
+
+    def __attrs_post_init__(self):
+        self.level = self.burst
+
+    def advance(self, time: float) -> None:
+        """Add the tokens earned until a time."""
+        earned = self.rate_per_s * (time - self.time)
+        self.level = min(self.burst, self.level + earned)
+        self.time = time
+
+    def withdraw(self, time: float, tokens: float) -> float:
+        """Withdraw tokens and return the level after it, which may be negative."""
+        self.advance(time)
+        self.level -= tokens
+        return self.level
+
+
+class Network:
+    """Carry messages with delay, loss, repetition and cut directions."""
+
+    def __init__(self, queue: EventQueue, rng: random.Random, delay_s: float = 0.001):
+        self.queue = queue
+        self.rng = rng
+        self.delay_s = delay_s
+        self.hosts: dict[str, ShareHost] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.late = 0.0
+        self.messages = 0
+        self.on_send: Callable[[Any], None] = lambda message: None
+
+    def send(self, sender: Sender, target: str, message: Any) -> None:
+        """Send a message; faults are drawn from the seeded source."""
+        self.messages += 1
+        self.on_send(message)
+        copies = 1 + (self.rng.random() < self.repeat)
+        for _ in range(copies):
+            if (sender.host, target) in self.cut or self.rng.random() < self.loss:
+                continue
+            delay = self.delay_s * self.rng.uniform(0.8, 1.5)
+            if self.rng.random() < self.late:
+                delay += self.rng.choice((0.1, 1.0, 6.0, 12.0))
+            host = self.hosts.get(target)
+            if host is not None:
+                self.queue.at(
+                    self.queue.now + delay,
+                    lambda host=host: host.receive(sender, message),
+                )
+
+
+class ShareHost:
+    """Run one host process; ``generation`` tells restarted processes apart."""
+
+    def __init__(self, fleet: "ShareFleet", name: str, data_centre: str):
+        self.fleet = fleet
+        self.name = name
+        self.data_centre = data_centre
+        self.clock = Clock(fleet.rng, fleet.cfg.drift if fleet.clocks_drift else 0.0)
+        self.caller = PlatformCaller(fleet.queue, fleet.platform, fleet.rng)
+        self.limits = dict(fleet.limits)
+        self.generation = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start a new process."""
+        self.generation += 1
+        self.alive = True
+        self.paused_until = 0.0
+        self.waiting: list[tuple[float, str, float, Callable]] = []
+        sender = Sender(self.name, f"{self.name}.{self.generation}", self.data_centre)
+        fleet = self.fleet
+        self.node = ShareNode("svc", "region", sender, fleet.cfg, fleet.rng)
+        self.node.set_limits(self.limits, self.now)
+        self._later(self.generation, fleet.rng.uniform(0.0, _TICK_S), self._tick)
+
+    @property
+    def now(self) -> float:
+        """Return the time of this host's clock, seconds."""
+        return self.clock.local(self.fleet.queue.now)
+
+    def set_limits(self, limits: dict[str, Limit]) -> None:
+        """Put new limits in force."""
+        self.limits = dict(limits)
+        self.node.set_limits(limits, self.now)
+
+    def charge(
+        self,
+        workspace: str,
+        tokens: float,
+        wait_s: float = 0.05,
+        done: Callable[[Receipt | None], None] = lambda receipt: None,
+    ) -> None:
+        """Charge a request; ``done`` gets its receipt, or None for a refusal."""
+        if not self.alive or self.fleet.queue.now < self.paused_until:
+            return
+        deadline = self.fleet.queue.now + wait_s
+        if not self._try(workspace, tokens, True, done):
+            self.waiting.append((deadline, workspace, tokens, done))
+            self._send(self.node.flush(self.now))
+            self._retry()
+            self._later(self.generation, wait_s, lambda _: self._retry())
+
+    def settle(self, receipt: Receipt, used: float, entry: Withdrawal) -> None:
+        """Settle a request and correct its withdrawal."""
+        entry.tokens -= self.node.shares.settle(receipt, used, self.now)
+
+    def receive(self, sender: Sender, message: Any) -> None:
+        """Take a message from the network."""
+        if not self.alive:
+            return
+        if self.fleet.queue.now < self.paused_until:
+            self._later(
+                self.generation,
+                self.paused_until - self.fleet.queue.now,
+                lambda _: self.receive(sender, message),
+            )
+            return
+        self._send(self.node.receive(sender, message, self.now))
+        self._retry()
+
+    def _try(self, workspace, tokens, may_wait, done) -> bool:
+        share = self.node.shares.workspaces.get(workspace)
+        debt = share.debt if share is not None else 0.0
+        answer = self.node.shares.charge(workspace, tokens, self.now, may_wait)
+        if isinstance(answer, LotsNeeded):
+            return False
+        if isinstance(answer, Admitted):
+            self.fleet.note(workspace, tokens, debt, answer.receipt)
+            done(answer.receipt)
+        else:
+            done(None)
+        return True
+
+    def _retry(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for deadline, workspace, tokens, done in waiting:
+            may_wait = self.fleet.queue.now < deadline - 1e-9
+            if not self._try(workspace, tokens, may_wait, done):
+                self.waiting.append((deadline, workspace, tokens, done))
+        if self.waiting:
+            self._send(self.node.flush(self.now))
+
+    def _tick(self, generation: int) -> None:
+        pool = self.fleet.candidates()
+        intent, out = self.node.tick(self.now, self.name in pool)
+        near, far = self.fleet.peers_of(self)
+        self.node.shares.set_peers(pool, near, far)
+        self._send(out)
+        if intent is not None:
+            self.caller.call(
+                intent,
+                lambda i, a: self._later(generation, 0.0, lambda _: self._answer(i, a)),
+            )
+        self._later(generation, _TICK_S, self._tick)
+
+    def _answer(self, intent, answer) -> None:
+        self._send(self.node.answered(intent, answer, self.now))
+
+    def _send(self, out: list[tuple[str, Any]]) -> None:
+        for target, message in out:
+            self.fleet.network.send(self.node.sender, target, message)
+
+    def _later(self, generation: int, delay: float, callback) -> None:
+        def run():
+            if generation != self.generation or not self.alive:
+                return
+            if self.fleet.queue.now < self.paused_until:
+                self.fleet.queue.at(self.paused_until, run)
+                return
+            callback(generation)
+
+        self.fleet.queue.at(self.fleet.queue.now + delay, run)
+
+
+class ShareFleet:
+    """Run hosts of one region that share the rates of one service."""
+
+    def __init__(
+        self,
+        limits: dict[str, Limit],
+        cfg: ShareSettings,
+        hosts: int,
+        data_centres: int,
+        seed: int,
+        clocks_drift: bool = False,
+    ):
+        self.rng = random.Random(seed)
+        self.cfg = cfg
+        self.limits = dict(limits)
+        self.clocks_drift = clocks_drift
+        self.queue = EventQueue()
+        self.platform = SimPlatform()
+        self.network = Network(self.queue, self.rng)
+        self.withdrawals: list[Withdrawal] = []
+        self.last: Withdrawal | None = None
+        self.hosts: list[ShareHost] = []
+        for i in range(hosts):
+            host = ShareHost(self, f"h{i}", f"dc{i % data_centres}")
+            self.hosts.append(host)
+            self.network.hosts[host.name] = host
+
+    def candidates(self) -> tuple[str, ...]:
+        """Return the hosts that contend for the pool: the first live ones."""
+        live = [host.name for host in self.hosts if host.alive]
+        return tuple(live[:_CANDIDATES])
+
+    def peers_of(self, host: ShareHost) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the live peers in the same and in other data centres."""
+        near, far = [], []
+        for peer in self.hosts:
+            if not peer.alive or peer is host:
+                continue
+            group = near if peer.data_centre == host.data_centre else far
+            group.append(peer.name)
+        return tuple(near), tuple(far)
+
+    def note(self, workspace: str, tokens: float, debt: float, receipt) -> None:
+        """Record the tokens that an admitted request withdrew."""
+        if debt > 0.0:
+            self.withdrawals.append(Withdrawal(self.queue.now, workspace, debt))
+        self.last = Withdrawal(self.queue.now, workspace, tokens)
+        self.withdrawals.append(self.last)
+
+    def overdraft(self, workspace: str, rate: float, burst: float) -> float:
+        """Return the most tokens by which any window exceeded its bound."""
+        bucket, worst = ReferenceBucket(rate, burst), 0.0
+        for entry in self.withdrawals:
+            if entry.workspace == workspace:
+                worst = min(worst, bucket.withdraw(entry.time, entry.tokens))
+        return -worst
--- a/src/sesameport/fleet/tests/test_leases.py
+++ b/src/sesameport/fleet/tests/test_leases.py
@@ -9,15 +9,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from sesameport.fleet.leases import Lease, LeaseState, decode_lease
-from sesameport.fleet.tests.simulation import (
-    DRIFT,
+from sesameport.bench.virtual_world import (
     Clock,
     EventQueue,
     PlatformCaller,
     SimPlatform,
-    fuzz_settings,
 )
+from sesameport.fleet.leases import Lease, LeaseState, decode_lease
+from sesameport.fleet.tests.simulation import DRIFT, fuzz_settings
 
 TICK_S = 0.3
 # Every rule runs on for a while, because a rule that only prepares a fault leaves most
@@ -31,7 +30,7 @@
 
     def __init__(self, name, queue, platform, rng, on_start=lambda host: None):
         self.name, self.queue, self.platform, self.rng = name, queue, platform, rng
-        self.clock = Clock(rng)
+        self.clock = Clock(rng, DRIFT)
         self.caller = PlatformCaller(queue, platform, rng)
         self.generation = 0
         self.on_start = on_start
--- /dev/null
+++ b/src/sesameport/fleet/tests/test_shares.py
@@ -0,0 +1,140 @@
+"""Check that all hosts together stay within rate and burst whatever fails.
+
+``SESAMEPORT_FUZZ=20 pytest .../test_shares.py`` runs 20 times as many examples with a
+fresh seed, which hypothesis prints for a failure; pass it as ``--hypothesis-seed``.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from sesameport.bench.share_fleet import ShareFleet
+from sesameport.fleet.share_limits import Limit, ShareSettings
+from sesameport.fleet.tests.simulation import DRIFT, fuzz_settings
+
+RATE, BURST = 1000.0, 5000.0
+# The long lease is short here, so that examples reach its end.
+CFG = ShareSettings(drift=DRIFT, standing_lease_s=40.0, standing_ask_s=4.0)
+RUNS = st.sampled_from((0.0, 0.3, 2.0, 5.0, 12.0, 30.0))
+# Index 3 means the host that owns the pool now.
+HOSTS = st.sampled_from((3, 3, 0, 1, 2))
+
+
+class ShareMachine(RuleBasedStateMachine):
+    """Oracle: one bucket of the whole rate and burst is never overdrawn."""
+
+    @initialize(seed=st.integers(0, 2**32), load=st.sampled_from((0.5, 1.0, 4.0)))
+    def build(self, seed, load):
+        self.fleet = ShareFleet({"w": Limit(RATE, BURST)}, CFG, 3, 2, seed, True)
+        self.queue, self.rng = self.fleet.queue, self.fleet.rng
+        self.load, self.hot = load, 0
+        self.rate, self.burst = RATE, BURST
+        self.arrive()
+
+    def arrive(self):
+        """Send requests for ever, most of them to one host."""
+        index = self.hot if self.rng.random() < 0.7 else self.rng.randrange(3)
+        size = self.rng.choice((20.0, 200.0, 200.0, 1500.0))
+        host = self.fleet.hosts[index]
+        host.charge("w", size, 0.05, lambda receipt: self.admitted(host, receipt))
+        self.after(self.rng.expovariate(self.load * RATE / 480.0), self.arrive)
+
+    def admitted(self, host, receipt):
+        if receipt is None:
+            return
+        used = receipt.tokens * self.rng.uniform(0.3, 1.5)
+        generation, entry = host.generation, self.fleet.last
+
+        def settle():
+            if generation == host.generation and host.alive:
+                host.settle(receipt, used, entry)
+
+        self.after(self.rng.choice((0.1, 3.0, 9.0)), settle)
+
+    def after(self, seconds, callback):
+        self.queue.at(self.queue.now + seconds, callback)
+
+    def host_at(self, index):
+        if index < 3:
+            return self.fleet.hosts[index]
+        owners = (h for h in self.fleet.hosts if h.node.owner.is_owner(h.now))
+        return next(owners, self.fleet.hosts[0])
+
+    @rule(seconds=RUNS, hot=st.integers(0, 2))
+    def run(self, seconds, hot):
+        self.hot = hot
+        self.queue.run_until(self.queue.now + seconds)
+        over = self.fleet.overdraft("w", self.rate, self.burst)
+        assert over <= 1e-3, f"{over:g} tokens above rate * t + burst"
+        recorded = [
+            sum(millionths for _, millionths in h.node.owner.records.shares().values())
+            for h in self.fleet.hosts
+            if h.node.owner.is_owner(h.now)
+        ]
+        assert all(total <= 1_000_000 for total in recorded)
+
+    @rule(index=HOSTS, seconds=st.sampled_from((3.0, 9.0, 15.0, 45.0)), then=RUNS)
+    def pause(self, index, seconds, then):
+        self.host_at(index).paused_until = self.queue.now + seconds
+        self.run(then, self.hot)
+
+    @rule(index=HOSTS, seconds=st.sampled_from((0.1, 3.0, 14.0, 50.0)), then=RUNS)
+    def kill_and_restart(self, index, seconds, then):
+        host = self.host_at(index)
+        host.alive = False
+        generation = host.generation
+        self.after(seconds, lambda: generation == host.generation and host.start())
+        self.run(then, self.hot)
+
+    @rule(index=HOSTS, seconds=st.sampled_from((3.0, 14.0)), then=RUNS)
+    def leave_and_restart(self, index, seconds, then):
+        host = self.host_at(index)
+        for target, message in host.node.leave(host.now):
+            self.fleet.network.send(host.node.sender, target, message)
+        generation = host.generation
+        self.after(seconds, lambda: generation == host.generation and host.start())
+        self.run(then, self.hot)
+
+    @rule(index=HOSTS, there=st.booleans(), back=st.booleans(), then=RUNS)
+    def partition(self, index, there, back, then):
+        """Cut one host off from the others, in one direction or both."""
+        name = self.host_at(index).name
+        for other in self.fleet.hosts:
+            if there:
+                self.fleet.network.cut.add((name, other.name))
+            if back:
+                self.fleet.network.cut.add((other.name, name))
+        self.run(then, self.hot)
+
+    @rule(index=HOSTS, there=st.booleans(), then=RUNS)
+    def platform_outage(self, index, there, then):
+        caller = self.host_at(index).caller
+        caller.reachable, caller.answers_reach = there, False
+        self.run(then, self.hot)
+
+    @rule(then=RUNS)
+    def heal(self, then):
+        self.fleet.network.cut.clear()
+        for host in self.fleet.hosts:
+            host.caller.reachable = host.caller.answers_reach = True
+        self.run(then, self.hot)
+
+    @rule(
+        loss=st.sampled_from((0.0, 0.3)),
+        repeat=st.sampled_from((0.0, 0.5)),
+        late=st.sampled_from((0.0, 0.3)),
+        then=RUNS,
+    )
+    def disturb_messages(self, loss, repeat, late, then):
+        network = self.fleet.network
+        network.loss, network.repeat, network.late = loss, repeat, late
+        self.run(then, self.hot)
+
+    @rule(index=HOSTS, lost=st.integers(0, 2), slow=st.integers(0, 2), then=RUNS)
+    def disturb_calls(self, index, lost, slow, then):
+        caller = self.host_at(index).caller
+        caller.lose_answers, caller.slow_calls = lost, slow
+        self.run(then, self.hot)
+
+
+TestShares = ShareMachine.TestCase
+TestShares.settings = fuzz_settings(examples=80)
