--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -30,6 +30,9 @@
 _ROUNDING = 1e-6
 # Unanswered asks in a row after which the owner counts as unreachable.
 _MISSES = 2
+# Longest times without a new ask after a lender had too little, seconds.
+_LONGEST_OWNER_WAIT_S = 0.5
+_LONGEST_PEER_WAIT_S = 3.0
 # Part of the burst up to which tokens paid in excess offset later debt.
 _CREDIT_PART = 0.05
 # Numbers of standing lots start here, so that they differ from the numbers of pool lots
@@ -83,6 +86,7 @@
     missing: float = 0.0
     owner_short_until: float = 0.0
     peers_short_until: float = 0.0
+    peers_backoff_s: float = 0.0
     retry_after_s: float = 1.0
 
     def available(self, now: float) -> float:
@@ -306,15 +310,18 @@
             if share is None:
                 continue
             if ask.from_standing:
-                share.peers_short_until = now + self.cfg.retry_s
-            else:
-                share.owner_short_until = now + self.cfg.retry_s
-                share.retry_after_s = short.retry_after_s
+                share.peers_short_until = now + share.peers_backoff_s
+                continue
+            wait = min(_LONGEST_OWNER_WAIT_S, short.retry_after_s)
+            share.owner_short_until = now + max(self.cfg.retry_s, wait)
+            share.retry_after_s = short.retry_after_s
         for lot in grant.lots:
             share = self.workspaces.get(lot.workspace)
             expires_at = ask.sent_at + lot.lifetime_s
             if share is None or expires_at <= now or self.is_leaving:
                 continue
+            if ask.from_standing:
+                share.peers_backoff_s = 0.0
             share.lots.append(
                 Lot(
                     sender.host,
@@ -440,7 +447,8 @@
             return
         for name in ask.workspaces:
             if name in self.workspaces:
-                self.workspaces[name].peers_short_until = now + self.cfg.retry_s
+                share = self.workspaces[name]
+                share.peers_short_until = now + share.peers_backoff_s
 
     def _ask_owner(
         self, wanting: list[tuple[str, _WorkspaceShare]], now: float
@@ -471,6 +479,11 @@
                 continue
             wants.append(LotWant(name, share.missing))
             share.missing = 0.0
+            # Rounds without a lot are spaced further apart, so that a workspace above
+            # its rate does not make every host ask all its peers all the time.
+            share.peers_backoff_s = min(
+                _LONGEST_PEER_WAIT_S, max(self.cfg.retry_s, 2 * share.peers_backoff_s)
+            )
         if not wants:
             return []
         return [
