--- a/src/sesameport/fleet/keys.py
+++ b/src/sesameport/fleet/keys.py
@@ -63,8 +63,8 @@
     access. A digest may stand in several services, once in each.
     """
 
-    _entries: dict[tuple[str, str], str] = attrs.field(factory=dict)
-    _digests: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    _owners: dict[str, tuple[KeyOwner, ...]] = attrs.field(factory=dict)
+    _workspaces: dict[str, dict[str, str]] = attrs.field(factory=dict)
 
     def replace(self, service: str, doc: ServiceDocument | None) -> frozenset[str]:
         """Put the keys of a document version in force; None removes the service.
@@ -73,29 +73,38 @@
         -------
         frozenset of str
             Digests that are withdrawn or moved to another workspace. Their open
-            streams are to be ended.
+            streams of this service are to be ended.
         """
-        old = {
-            digest: self._entries.pop((service, digest))
-            for digest in self._digests.pop(service, frozenset())
-        }
+        old = self._workspaces.get(service, {})
         workspaces = doc.workspaces if doc is not None else ()
         new = {
             digest: workspace.name
             for workspace in workspaces
             for digest in workspace.keys
         }
-        for digest, workspace in new.items():
-            self._entries[service, digest] = workspace
-        self._digests[service] = frozenset(new)
+        for digest in old.keys() | new.keys():
+            owners = [
+                item for item in self._owners.pop(digest, ()) if item.service != service
+            ]
+            if digest in new:
+                owners.append(KeyOwner(service, new[digest]))
+            if owners:
+                self._owners[digest] = tuple(owners)
+        self._workspaces[service] = new
         return frozenset(
             digest for digest, name in old.items() if new.get(digest) != name
         )
 
+    def owners(self, digest: str) -> tuple[KeyOwner, ...]:
+        """Return the owners of a digest, one for each service that lists it."""
+        return self._owners.get(digest, ())
+
     def find(self, service: str, digest: str) -> KeyOwner | None:
         """Return the owner of a digest in one service."""
-        workspace = self._entries.get((service, digest))
-        return None if workspace is None else KeyOwner(service, workspace)
+        for owner in self._owners.get(digest, ()):
+            if owner.service == service:
+                return owner
+        return None
 
 
 def is_configuration_usable(
--- a/src/sesameport/fleet/tests/test_keys.py
+++ b/src/sesameport/fleet/tests/test_keys.py
@@ -90,5 +90,7 @@
     assert index.replace("svc", doc(w=["k1", "k3"])) == {"k2", "k3"}
     assert index.find("svc", "k2") is None
     assert index.find("svc", "k3") == KeyOwner("svc", "w")
+    assert index.replace("other", doc(x=["k3"])) == frozenset()
+    assert index.owners("k3") == (KeyOwner("svc", "w"), KeyOwner("other", "x"))
     assert index.replace("svc", None) == {"k1", "k3"}
     assert index.find("svc", "k1") is None
