Test orders of successive holders at servers without fencing

Cause: orders of two holders must not interleave, also at servers that ignore fencing numbers, while calls may lie in a buffer up to the bound and the holder is paused or cut off.

--- a/src/sesameport/fleet/tests/test_leases.py
+++ b/src/sesameport/fleet/tests/test_leases.py
@@ -28,12 +28,11 @@
 class LeaseHost:
     """One host that wants the lease; ``generation`` tells restarted processes apart."""
 
-    def __init__(self, name, queue, platform, rng, on_start=lambda host: None):
+    def __init__(self, name, queue, platform, rng):
         self.name, self.queue, self.platform, self.rng = name, queue, platform, rng
         self.clock = Clock(rng, DRIFT)
         self.caller = PlatformCaller(queue, platform, rng)
         self.generation = 0
-        self.on_start = on_start
         self.start()
 
     def start(self):
@@ -42,7 +41,6 @@
         self.lease = Lease(
             "lease", "a", self.name, f"{self.generation}", 10.0, DRIFT, self.rng
         )
-        self.on_start(self)
         self._schedule(self.generation, self.rng.uniform(0, TICK_S))
 
     @property
@@ -84,15 +82,15 @@
 class FaultMachine(RuleBasedStateMachine):
     """Rules that break hosts; subclasses add hosts and the oracle."""
 
-    host_class = LeaseHost
-
     @initialize(seed=st.integers(0, 2**32))
     def build(self, seed):
         self.rng = random.Random(seed)
         self.queue, self.platform = EventQueue(), SimPlatform()
-        self.hosts = [
-            self.host_class(f"h{i}", self.queue, self.platform, self.rng)
-            for i in range(3)
+        self.hosts = self.make_hosts()
+
+    def make_hosts(self):
+        return [
+            LeaseHost(f"h{i}", self.queue, self.platform, self.rng) for i in range(3)
         ]
 
     def holder_or(self, index):
@@ -189,6 +187,19 @@
     assert second.lease.epoch == first.lease.epoch + 1
 
 
+def test_earlier_holders_have_stopped_a_call_bound_after_the_acquiring_write():
+    queue, hosts = hosts_of(1)
+    lease, platform, now = hosts[0].lease, hosts[0].platform, 100.0
+    assert lease.earlier_holders_stopped_at(5.0) is None
+    while not lease.is_held(now):
+        now += 0.5
+        intent = lease.tick(now)
+        if intent is not None:
+            lease.answered(intent, platform.run(intent), now + 0.4)
+    longest = 5.0 * (1 + DRIFT) / (1 - DRIFT) + lease.margin_s
+    assert lease.earlier_holders_stopped_at(5.0) == now + longest
+
+
 def test_release_hands_over_without_the_wait():
     queue, hosts = hosts_of(2)
     queue.run_until(3.0)
