--- /dev/null
+++ b/src/sesameport/adapters/__init__.py
@@ -0,0 +1,14 @@
+"""Reach the outside: platform, engines, plain services, peers and time."""
+
+from sesameport.adapters.engine import HttpEngine, HttpTokenStream
+from sesameport.adapters.plain import HttpPlainService
+from sesameport.adapters.platform import HttpPlatform
+from sesameport.adapters.timers import TimerService
+
+__all__ = [
+    "HttpEngine",
+    "HttpPlainService",
+    "HttpPlatform",
+    "HttpTokenStream",
+    "TimerService",
+]
--- /dev/null
+++ b/src/sesameport/adapters/plain.py
@@ -0,0 +1,69 @@
+"""Reach plain services over HTTP."""
+
+import urllib3
+from result import Err, Ok, Result
+
+from sesameport.interfaces import EngineError, EngineErrorKind, PlainAnswer
+from sesameport.world import PlainRequest
+
+__all__ = ["HttpPlainService"]
+
+_CONNECT_S = 1.0
+_HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "server"}
+)
+
+
+class HttpPlainService:
+    """Call one server of a plain service; satisfies ``interfaces.PlainService``.
+
+    Calls that may not be repeated use a fresh connection each, because a pooled
+    connection may have gone silent without a sign.
+    """
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._pool = urllib3.HTTPConnectionPool(
+            host, self._port, maxsize=16, retries=False
+        )
+
+    def call(
+        self, req: PlainRequest, attempt_id: str, timeout_s: float
+    ) -> Result[PlainAnswer, EngineError]:
+        """Send one call and read the whole answer."""
+        pool = self._pool
+        if not req.repeatable:
+            pool = urllib3.HTTPConnectionPool(self._host, self._port, retries=False)
+        headers = {**dict(req.headers), "X-Request-Id": attempt_id}
+        try:
+            answer = pool.urlopen(
+                req.method,
+                req.path,
+                body=req.body or None,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=_CONNECT_S, read=timeout_s),
+                retries=False,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            return Err(EngineError(EngineErrorKind.UNREACHABLE, str(exc)))
+        except urllib3.exceptions.ReadTimeoutError as exc:
+            return Err(EngineError(EngineErrorKind.SILENT, str(exc)))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Err(EngineError(EngineErrorKind.BROKEN, str(exc)))
+        finally:
+            if pool is not self._pool:
+                pool.close()
+        if answer.status == 503:
+            return Err(EngineError(EngineErrorKind.BUSY, "status 503"))
+        kept = tuple(
+            (name, value)
+            for name, value in answer.headers.items()
+            if name.lower() not in _HOP_HEADERS
+        )
+        return Ok(PlainAnswer(answer.status, kept, answer.data))
--- /dev/null
+++ b/src/sesameport/adapters/timers.py
@@ -0,0 +1,84 @@
+"""Run the timer service on one thread."""
+
+import heapq
+import itertools
+import random
+import threading
+import time
+from collections.abc import Callable
+
+__all__ = ["TimerService"]
+
+
+class TimerService:
+    """Call subscribers at jittered periods of the monotonic clock.
+
+    Callbacks run on the timer's thread and have to return at once, for example by
+    telling an actor. An exception in a callback is passed to ``on_error`` and does not
+    stop the others.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random | None = None,
+        on_error: Callable[[str, Exception], None] | None = None,
+    ):
+        self._rng = rng or random.Random()
+        self._on_error = on_error or (lambda name, exc: None)
+        self._heap: list = []
+        self._numbers = itertools.count()
+        self._changed = threading.Condition()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
+
+    def start(self) -> "TimerService":
+        """Start the thread and return the service."""
+        self._thread.start()
+        return self
+
+    def stop(self) -> None:
+        """Stop calling subscribers."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify()
+
+    def now(self) -> float:
+        """Return the monotonic time, seconds."""
+        return time.monotonic()
+
+    def subscribe(
+        self,
+        name: str,
+        period_s: float,
+        callback: Callable[[float], None],
+        jitter: float = 0.1,
+    ) -> None:
+        """Call back every period, which varies by the share ``jitter``."""
+        with self._changed:
+            first = self.now() + period_s * self._rng.random()
+            entry = (first, next(self._numbers), name, period_s, callback, jitter)
+            heapq.heappush(self._heap, entry)
+            self._changed.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                if self._stopped:
+                    return
+                wait_s = self._heap[0][0] - self.now() if self._heap else None
+                if wait_s is None or wait_s > 0:
+                    self._changed.wait(wait_s)
+                    continue
+                entry = heapq.heappop(self._heap)
+            self._call(entry)
+
+    def _call(self, entry) -> None:
+        _, number, name, period_s, callback, jitter = entry
+        try:
+            callback(self.now())
+        except Exception as exc:
+            self._on_error(name, exc)
+        spread = 1.0 + jitter * (2.0 * self._rng.random() - 1.0)
+        due = self.now() + period_s * spread
+        with self._changed:
+            heapq.heappush(self._heap, (due, number, name, period_s, callback, jitter))
--- /dev/null
+++ b/src/sesameport/requests/__init__.py
@@ -0,0 +1,43 @@
+"""Follow requests through their attempts."""
+
+from sesameport.requests.lifecycle import (
+    Action,
+    CallerGone,
+    CancelHold,
+    DecodeEnded,
+    DecodeFailed,
+    Deliver,
+    EndAnswer,
+    Event,
+    Lifecycle,
+    Placed,
+    PrefillDone,
+    PrefillEnded,
+    PrefillFailed,
+    RefuseCall,
+    StartDecode,
+    StartPrefill,
+    Stopped,
+    TokenArrived,
+)
+
+__all__ = [
+    "Action",
+    "CallerGone",
+    "CancelHold",
+    "DecodeEnded",
+    "DecodeFailed",
+    "Deliver",
+    "EndAnswer",
+    "Event",
+    "Lifecycle",
+    "Placed",
+    "PrefillDone",
+    "PrefillEnded",
+    "PrefillFailed",
+    "RefuseCall",
+    "StartDecode",
+    "StartPrefill",
+    "Stopped",
+    "TokenArrived",
+]
--- /dev/null
+++ b/src/sesameport/standins/platform.py
@@ -0,0 +1,170 @@
+"""Stand in for the platform's versioned object API.
+
+``GET/PUT/DELETE /v1/objects/KIND/NAME`` with ``If-Match`` or ``If-None-Match: *``,
+``GET /v1/objects/KIND`` to list, with ``?watch=VERSION&timeout=S`` to watch, and
+``GET /v1/hosts`` for the lagging list. Values travel as base64 in JSON.
+"""
+
+import base64
+import collections
+import threading
+import time
+from urllib.parse import parse_qs, unquote
+
+import attrs
+
+from sesameport.standins.faults import FaultPlan
+from sesameport.standins.http import LoopbackServer, json_response, read_json
+from sesameport.world import BackendServer, Host
+
+__all__ = ["PlatformStandin"]
+
+_HISTORY = 1_000
+
+
+class PlatformStandin:
+    """Keep versioned objects in memory and serve them over HTTP.
+
+    Attributes
+    ----------
+    faults : FaultPlan
+        Faults to show.
+    list_lag_s : float
+        Time after which a change of hosts shows in the list, seconds.
+    calls : collections.Counter
+        Calls counted by method, for tests of the platform's rates.
+    """
+
+    def __init__(self, faults: FaultPlan | None = None, list_lag_s: float = 0.0):
+        self.faults = faults or FaultPlan()
+        self.list_lag_s = list_lag_s
+        self.calls: collections.Counter = collections.Counter()
+        self._objects: dict[tuple[str, str], dict] = {}
+        self._history: collections.deque = collections.deque(maxlen=_HISTORY)
+        self._version = 0
+        self._changed = threading.Condition()
+        self._host_lists: list[tuple[float, dict]] = [(0.0, _host_list((), ()))]
+        self._server: LoopbackServer | None = None
+
+    def start(self, threads: int = 48, port: int = 0) -> str:
+        """Serve on loopback and return the base URL."""
+        self._server = LoopbackServer(self._app, threads, port).start()
+        return f"http://{self._server.address}"
+
+    def stop(self) -> None:
+        """Stop serving; the objects stay."""
+        with self._changed:
+            self._changed.notify_all()
+        if self._server is not None:
+            self._server.stop()
+
+    def set_hosts(
+        self, hosts: tuple[Host, ...], servers: tuple[BackendServer, ...]
+    ) -> None:
+        """Replace the list of hosts; readers see it after the lag."""
+        with self._changed:
+            entry = (time.monotonic() + self.list_lag_s, _host_list(hosts, servers))
+            self._host_lists.append(entry)
+
+    def put(self, kind: str, name: str, value: bytes) -> int:
+        """Write an object from inside the process and return its version."""
+        with self._changed:
+            return self._write(kind, name, value)["version"]
+
+    def _write(self, kind: str, name: str, value: bytes, deleted: bool = False) -> dict:
+        self._version += 1
+        stored = {
+            "kind": kind,
+            "name": name,
+            "version": self._version,
+            "value": base64.b64encode(value).decode(),
+            "deleted": deleted,
+        }
+        self._objects[kind, name] = stored
+        self._history.append(stored)
+        self._changed.notify_all()
+        return stored
+
+    def _app(self, environ, start_response):
+        self.calls[environ["REQUEST_METHOD"]] += 1
+        if self.faults.before_call():
+            return json_response(start_response, 503, {"detail": "unavailable"})
+        status, body = self._answer(environ)
+        self.faults.after_call()
+        return json_response(start_response, status, body)
+
+    def _answer(self, environ) -> tuple[int, dict]:
+        parts = [unquote(part) for part in environ["PATH_INFO"].split("/")[1:]]
+        method = environ["REQUEST_METHOD"]
+        if parts == ["v1", "hosts"]:
+            return 200, self._current_hosts()
+        if parts[:2] != ["v1", "objects"] or len(parts) not in (3, 4):
+            return 404, {"detail": "no such path"}
+        if len(parts) == 3:
+            query = parse_qs(environ.get("QUERY_STRING", ""))
+            if "watch" in query:
+                timeout_s = float(query.get("timeout", ["10"])[0])
+                return self._watch(parts[2], int(query["watch"][0]), timeout_s)
+            return self._list(parts[2])
+        if method == "GET":
+            return self._get(parts[2], parts[3])
+        return self._change(method, parts[2], parts[3], environ)
+
+    def _get(self, kind: str, name: str) -> tuple[int, dict]:
+        with self._changed:
+            stored = self._objects.get((kind, name))
+        if stored is None or stored["deleted"]:
+            return 404, {"detail": "not found"}
+        return 200, stored
+
+    def _list(self, kind: str) -> tuple[int, dict]:
+        with self._changed:
+            found = [
+                stored
+                for (stored_kind, _), stored in self._objects.items()
+                if stored_kind == kind
+            ]
+            return 200, {"objects": found, "version": self._version}
+
+    def _change(self, method, kind, name, environ) -> tuple[int, dict]:
+        value = base64.b64decode(read_json(environ).get("value", ""))
+        with self._changed:
+            stored = self._objects.get((kind, name))
+            current = stored["version"] if stored else 0
+            if environ.get("HTTP_IF_NONE_MATCH") == "*":
+                if stored is not None and not stored["deleted"]:
+                    return 412, {"detail": "exists", "version": current}
+            elif environ.get("HTTP_IF_MATCH") != str(current) or stored is None:
+                return 409, {"detail": "version conflict", "version": current}
+            return 200, self._write(kind, name, value, deleted=method == "DELETE")
+
+    def _watch(self, kind: str, after: int, timeout_s: float) -> tuple[int, dict]:
+        end = time.monotonic() + timeout_s
+        with self._changed:
+            while True:
+                if self._history and self._history[0]["version"] > after + 1:
+                    oldest_lost = len(self._history) == _HISTORY
+                    if oldest_lost:
+                        return 410, {"detail": "version is no longer kept"}
+                found = [
+                    stored
+                    for stored in self._history
+                    if stored["version"] > after and stored["kind"] == kind
+                ]
+                remaining = end - time.monotonic()
+                if found or remaining <= 0 or self.faults.down:
+                    return 200, {"changes": found, "version": self._version}
+                self._changed.wait(min(remaining, 0.5))
+
+    def _current_hosts(self) -> dict:
+        now = time.monotonic()
+        with self._changed:
+            visible = [body for since, body in self._host_lists if since <= now]
+            return visible[-1]
+
+
+def _host_list(hosts, servers) -> dict:
+    return {
+        "hosts": [attrs.asdict(host) for host in hosts],
+        "servers": [attrs.asdict(server) for server in servers],
+    }
