Join the whole path: callers, router, prefill, transfer, decode, plain calls

Cause: nothing served a request from end to end. Before: no path. Known gap: a repeated order with the same Idempotency-Key books twice, because claims are not joined yet.

--- a/src/sesameport/commands/__init__.py
+++ b/src/sesameport/commands/__init__.py
@@ -1,1 +1,28 @@
-"""Hold the command line."""
+"""Hold the command line.
+
+Each subcommand has a module of its own; ``main`` is the entry point.
+"""
+
+import attrs
+import cappa
+
+from sesameport import __version__
+from sesameport.commands.check import Check
+from sesameport.commands.demo import Demo
+from sesameport.commands.serve import Serve
+
+__all__ = ["Sesameport", "main"]
+
+
+@cappa.command(name="sesameport")
+@attrs.frozen
+class Sesameport:
+    """Route requests between separate prefill and decode pools."""
+
+    command: cappa.Subcommands[Serve | Demo | Check]
+
+
+def main() -> None:
+    """Run the command line and exit with the command's code."""
+    code = cappa.invoke(Sesameport, version=__version__)
+    raise SystemExit(code)
--- /dev/null
+++ b/src/sesameport/commands/check.py
@@ -0,0 +1,51 @@
+"""Check settings and service documents."""
+
+import pathlib
+import sys
+from typing import Annotated
+
+import attrs
+import cappa
+
+from sesameport.documents import load_service, load_settings
+from sesameport.world import Finding, format_findings
+
+__all__ = ["Check", "check_files"]
+
+
+def check_files(paths) -> list[Finding]:
+    """Check files and return all findings; a file with ``[host]`` holds settings."""
+    findings = []
+    for path in paths:
+        try:
+            text = path.read_text()
+        except (OSError, UnicodeDecodeError) as exc:
+            findings.append(Finding(str(path), "file", str(exc)))
+            continue
+        is_settings = "[host]" in text
+        load = load_settings if is_settings else load_service
+        findings.extend(load(text, str(path))[1])
+    return findings
+
+
+def _check(command: "Check") -> int:
+    findings = check_files(command.documents)
+    if findings:
+        print(format_findings(findings), file=sys.stderr)
+        print(f"{len(findings)} findings", file=sys.stderr)
+        return 1
+    print(f"{len(command.documents)} checked, no findings")
+    return 0
+
+
+@cappa.command(name="check", invoke=_check)
+@attrs.frozen
+class Check:
+    """Check settings and service documents and report all findings together.
+
+    Exit code 0: no findings. 1: findings. 2: wrong usage.
+    """
+
+    documents: Annotated[
+        list[pathlib.Path], cappa.Arg(num_args=-1, help="TOML files", required=True)
+    ]
--- /dev/null
+++ b/src/sesameport/daemon/admission.py
@@ -0,0 +1,228 @@
+"""Check keys, routes and rates and start requests."""
+
+import hashlib
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from sesameport.daemon.caller_requests import (
+    CompletionBody,
+    check_prompt,
+    estimate_tokens,
+    prefix_digests,
+)
+from sesameport.daemon.completion_runner import CompletionRunner, RunnerServices
+from sesameport.daemon.directory import DirectoryHolder
+from sesameport.interfaces import PlainAnswer
+from sesameport.requests import Deliver, EndAnswer, RefuseCall
+from sesameport.world import (
+    CompletionRequest,
+    Execution,
+    PlainRequest,
+    Refusal,
+    RefusalType,
+    Route,
+    ServiceDocument,
+    Usage,
+    Workspace,
+)
+
+__all__ = ["AdmissionDesk", "RateGate", "UnlimitedRates"]
+
+_EXPECTED_OUTPUT_SHARE = 0.5
+
+
+class RateGate(Protocol):
+    """Charge requests against the rates of their workspaces."""
+
+    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
+        """Charge tokens, or return a refusal."""
+        ...
+
+    def settle(self, service: str, workspace: str, difference: float) -> None:
+        """Correct an earlier charge; a negative difference gives tokens back."""
+        ...
+
+
+class UnlimitedRates:
+    """Admit every charge."""
+
+    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
+        """Admit the charge."""
+        return None
+
+    def settle(self, service: str, workspace: str, difference: float) -> None:
+        """Ignore the correction."""
+
+
+class AdmissionDesk:
+    """Check and start the requests of one host."""
+
+    def __init__(
+        self,
+        directory: DirectoryHolder,
+        services: RunnerServices,
+        rates: RateGate,
+        incarnation: str,
+        call_plain: Callable[[PlainRequest, Route], PlainAnswer | Refusal],
+    ):
+        self._directory = directory
+        self._services = services
+        self._rates = rates
+        self._incarnation = incarnation
+        self._call_plain = call_plain
+        self._numbers = itertools.count(1)
+        self._rng = random.Random()
+        self.refusing = False
+        self.running: dict[str, CompletionRequest] = {}
+
+    def next_request_id(self) -> str:
+        """Return a new request id, ``<host>.<incarnation>.<sequence>``."""
+        return f"{self._incarnation}.{next(self._numbers)}"
+
+    def models(self) -> list[str]:
+        """List the names that callers may put into ``model``."""
+        return self._directory.current.models()
+
+    def start_completion(
+        self, request_id, path, body: CompletionBody, digest: str, is_gone
+    ) -> Iterator[Deliver | EndAnswer | RefuseCall] | Refusal:
+        """Check a completion and return the iterator of its outputs, or a refusal."""
+        if self.refusing:
+            return Refusal(RefusalType.SHUTTING_DOWN, retry_after_s=1.0)
+        checked = self._check_completion(request_id, path, body, digest)
+        if isinstance(checked, Refusal):
+            return checked
+        charge = checked.prompt_tokens + checked.expected_output_tokens
+        refusal = None
+        if checked.workspace:
+            refusal = self._rates.charge(checked.service, checked.workspace, charge)
+        if refusal is not None:
+            return refusal
+        runner = CompletionRunner(checked, request_id, self._services, is_gone)
+        outputs = self._follow(checked, runner, charge)
+        next(outputs)
+        return outputs
+
+    def _follow(self, req: CompletionRequest, runner, charge: float):
+        usage = Usage()
+        self.running[req.request_id] = req
+        delivered = 0
+        outputs = runner.run()
+        try:
+            # The first item starts the generator, so that its clean-up always runs.
+            yield None
+            for output in outputs:
+                if isinstance(output, Deliver):
+                    delivered += 1
+                if isinstance(output, EndAnswer):
+                    usage = output.usage
+                yield output
+        finally:
+            outputs.close()
+            self.running.pop(req.request_id, None)
+            used = usage.prompt_tokens + usage.output_tokens
+            if not used and delivered:
+                used = req.prompt_tokens + delivered
+            if req.workspace:
+                self._rates.settle(req.service, req.workspace, used - charge)
+
+    def _check_completion(
+        self, request_id, path, body, digest
+    ) -> CompletionRequest | Refusal:
+        directory = self._directory.current
+        found = directory.find_model(body.model)
+        if found is None:
+            return Refusal(RefusalType.UNKNOWN_MODEL, detail=f"model {body.model!r}")
+        doc, model, adapter = found
+        route = directory.find_model_route(doc, path, model.name)
+        if route is None:
+            return Refusal(RefusalType.UNKNOWN_ROUTE)
+        workspace = self._authenticate(doc, route, digest)
+        if isinstance(workspace, Refusal):
+            return workspace
+        prompt_tokens = estimate_tokens(body.prompt)
+        refusal = check_prompt(prompt_tokens, model)
+        if refusal is not None:
+            return refusal
+        max_tokens = min(
+            body.max_tokens or model.max_output_tokens, model.max_output_tokens
+        )
+        now = self._services.clock()
+        return CompletionRequest(
+            request_id=request_id,
+            service=doc.name,
+            workspace=workspace.name if workspace else "",
+            model=model.name,
+            adapter=adapter,
+            prompt=body.prompt,
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_tokens,
+            expected_output_tokens=max(1, int(max_tokens * _EXPECTED_OUTPUT_SHARE)),
+            urgency=route.urgency,
+            deadline=now + route.deadline_s,
+            digest=request_digest(model.name, body.prompt),
+            prefix_digests=prefix_digests(body.prompt),
+            key_digest=digest if workspace else "",
+            arrived=now,
+            kv_bytes=prompt_tokens * model.kv_bytes_per_token,
+        )
+
+    def _authenticate(
+        self, doc: ServiceDocument, route: Route, digest: str
+    ) -> Workspace | Refusal | None:
+        if route.open:
+            return None
+        workspace = None
+        if digest:
+            workspace = self._directory.current.find_workspace(doc.name, digest)
+        return workspace or Refusal(RefusalType.UNKNOWN_KEY)
+
+    def call_plain(
+        self, request_id, method, path, headers, body, idempotency_key, digest
+    ) -> PlainAnswer | Refusal:
+        """Check a call to a plain service, run it and return its answer."""
+        if self.refusing:
+            return Refusal(RefusalType.SHUTTING_DOWN, retry_after_s=1.0)
+        matches = self._directory.current.find_plain_routes(path.partition("?")[0])
+        if not matches:
+            return Refusal(RefusalType.UNKNOWN_ROUTE)
+        matches = [item for item in matches if method in item[1].methods]
+        if not matches:
+            return Refusal(RefusalType.METHOD_NOT_ALLOWED)
+        doc, route = matches[0]
+        workspace = self._authenticate(doc, route, digest)
+        if isinstance(workspace, Refusal):
+            return workspace
+        name = workspace.name if workspace else ""
+        if workspace and route.cost_tokens:
+            refusal = self._rates.charge(doc.name, name, route.cost_tokens)
+            if refusal is not None:
+                return refusal
+        req = PlainRequest(
+            request_id=request_id,
+            service=doc.name,
+            workspace=name,
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            repeatable=route.repeatable,
+            urgency=route.urgency,
+            deadline=self._services.clock() + route.deadline_s,
+            idempotency_key=idempotency_key,
+            key_digest=digest if workspace else "",
+        )
+        answer = self._call_plain(req, route)
+        gives_back = (
+            isinstance(answer, Refusal) and answer.execution == Execution.NOT_RUN
+        )
+        if gives_back and workspace:
+            self._rates.settle(doc.name, name, -route.cost_tokens)
+        return answer
+
+
+def request_digest(model: str, prompt: str) -> str:
+    """Return the SHA-256 by which a request is recognised, without its text."""
+    return hashlib.sha256(f"{model}\0{prompt}".encode()).hexdigest()
--- /dev/null
+++ b/src/sesameport/daemon/caller_requests.py
@@ -0,0 +1,175 @@
+"""Parse and bound what callers send, and build the answers they get."""
+
+import hashlib
+import json
+import time
+
+import attrs
+
+from sesameport.world import Model, Refusal, RefusalType
+
+__all__ = [
+    "CompletionBody",
+    "estimate_tokens",
+    "key_digest",
+    "parse_completion",
+    "prefix_digests",
+    "problem_body",
+    "stream_chunk",
+    "whole_answer",
+]
+
+_BYTES_PER_TOKEN = 4
+PREFIX_CHARS = 4_096
+
+
+@attrs.frozen
+class CompletionBody:
+    """Hold the parts of a completion body that the router uses.
+
+    Attributes
+    ----------
+    model : str
+        ``model`` or ``model:adapter``.
+    prompt : str
+        Prompt; chat messages are joined with their roles.
+    max_tokens : int or None
+        Bound that the caller asked for, tokens.
+    stream : bool
+        Whether the answer is sent as server-sent events.
+    chat : bool
+        Whether the chat shape is used.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int | None
+    stream: bool
+    chat: bool
+
+
+def parse_completion(data: bytes, chat: bool) -> CompletionBody | Refusal:
+    """Parse a completion body and return it, or a refusal that lists every problem."""
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        return Refusal(RefusalType.BAD_REQUEST, detail="the body is not JSON")
+    if not isinstance(body, dict):
+        return Refusal(RefusalType.BAD_REQUEST, detail="the body is not an object")
+    problems = []
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        problems.append("model: expected text")
+    prompt = _chat_prompt(body) if chat else body.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        field = "messages" if chat else "prompt"
+        problems.append(f"{field}: expected text that is not empty")
+    max_tokens = body.get("max_tokens", body.get("max_completion_tokens"))
+    if max_tokens is not None and not _is_count(max_tokens):
+        problems.append("max_tokens: expected a whole number above 0")
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        problems.append("stream: expected true or false")
+    if body.get("n", 1) != 1:
+        problems.append("n: only 1 is supported")
+    if problems:
+        return Refusal(RefusalType.BAD_REQUEST, detail="; ".join(problems))
+    return CompletionBody(model, prompt, max_tokens, stream, chat)
+
+
+def _is_count(value) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
+
+
+def _chat_prompt(body: dict) -> str | None:
+    messages = body.get("messages")
+    if not isinstance(messages, list):
+        return None
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict):
+            return None
+        role, content = message.get("role"), message.get("content")
+        if not isinstance(role, str) or not isinstance(content, str):
+            return None
+        lines.append(f"{role}: {content}")
+    return "\n".join(lines)
+
+
+def estimate_tokens(prompt: str) -> int:
+    """Estimate the length of a prompt in tokens, at four bytes a token."""
+    return max(1, len(prompt.encode()) // _BYTES_PER_TOKEN)
+
+
+def check_prompt(prompt_tokens: int, model: Model) -> Refusal | None:
+    """Return a refusal if the prompt exceeds the model's bound."""
+    if prompt_tokens <= model.max_prompt_tokens:
+        return None
+    detail = f"{prompt_tokens} tokens, at most {model.max_prompt_tokens}"
+    return Refusal(RefusalType.PROMPT_TOO_LONG, detail=detail)
+
+
+def key_digest(authorization: str) -> str:
+    """Return ``sha256:<hex>`` of a bearer key, or an empty text without one."""
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return ""
+    return "sha256:" + hashlib.sha256(key.strip().encode()).hexdigest()
+
+
+def prefix_digests(prompt: str) -> tuple[str, ...]:
+    """Return the digests of the prompt's prefixes, one per full piece."""
+    ends = range(PREFIX_CHARS, len(prompt) + 1, PREFIX_CHARS)
+    return tuple(hashlib.sha256(prompt[:end].encode()).hexdigest() for end in ends)
+
+
+def problem_body(refusal: Refusal, request_id: str) -> dict:
+    """Build the ``application/problem+json`` body of a refusal."""
+    body = {
+        "type": f"urn:sesameport:{refusal.type.slug}",
+        "title": refusal.type.title,
+        "status": refusal.type.status,
+        "execution": refusal.execution.value,
+        "request_id": request_id,
+    }
+    if refusal.detail:
+        body["detail"] = refusal.detail
+    return body
+
+
+def stream_chunk(body: CompletionBody, request_id: str, text: str, finish: str) -> dict:
+    """Build one event of a streamed answer in the OpenAI shape."""
+    choice: dict = {"index": 0, "finish_reason": finish or None}
+    if body.chat:
+        choice["delta"] = {"content": text} if text else {}
+    else:
+        choice["text"] = text
+    return {
+        "id": request_id,
+        "object": "chat.completion.chunk" if body.chat else "text_completion",
+        "created": int(time.time()),
+        "model": body.model,
+        "choices": [choice],
+    }
+
+
+def whole_answer(body: CompletionBody, request_id: str, text: str, end) -> dict:
+    """Build a whole answer in the OpenAI shape from its text and its end."""
+    choice: dict = {"index": 0, "finish_reason": end.finish_reason}
+    if body.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = end.usage
+    return {
+        "id": request_id,
+        "object": "chat.completion" if body.chat else "text_completion",
+        "created": int(time.time()),
+        "model": body.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": usage.prompt_tokens,
+            "completion_tokens": usage.output_tokens,
+            "total_tokens": usage.prompt_tokens + usage.output_tokens,
+        },
+    }
--- /dev/null
+++ b/src/sesameport/daemon/demo_hosts.py
@@ -0,0 +1,30 @@
+"""Start daemons for a deployment of stand-ins in this process."""
+
+from sesameport.daemon.host import Daemon
+from sesameport.documents import HostSettings, PlatformSettings, Settings
+from sesameport.world import DataCentre
+
+__all__ = ["host_settings", "start_hosts"]
+
+
+def host_settings(deployment, name: str, data_centre: str, **changes) -> Settings:
+    """Return the settings of a host in a deployment of stand-ins."""
+    centres = tuple(
+        DataCentre(centre, deployment.region) for centre in deployment.data_centres
+    )
+    return Settings(
+        HostSettings(name, data_centre, "127.0.0.1:0", threads=32),
+        PlatformSettings(deployment.url),
+        centres,
+        **changes,
+    )
+
+
+def start_hosts(deployment, per_data_centre: int = 1, **changes) -> list[Daemon]:
+    """Start daemons in each data centre of a deployment."""
+    daemons = []
+    for centre in deployment.data_centres:
+        for number in range(1, per_data_centre + 1):
+            cfg = host_settings(deployment, f"{centre}-{number}", centre, **changes)
+            daemons.append(Daemon(cfg).start())
+    return daemons
--- /dev/null
+++ b/src/sesameport/daemon/host.py
@@ -0,0 +1,133 @@
+"""Wire the parts of one daemon together."""
+
+import collections
+import random
+import secrets
+import threading
+import time
+
+from sesameport.adapters import HttpPlatform, TimerService
+from sesameport.daemon.admission import AdmissionDesk, UnlimitedRates
+from sesameport.daemon.caller_api import CallerApi
+from sesameport.daemon.completion_runner import RunnerServices
+from sesameport.daemon.directory import DirectoryHolder, build_directory
+from sesameport.daemon.dispatcher_actor import (
+    DirectoryChanged,
+    DispatcherActor,
+    Poll,
+)
+from sesameport.daemon.engines import Backends
+from sesameport.daemon.http_server import HttpServer
+from sesameport.daemon.plain_runner import PlainRunner
+from sesameport.documents import Settings, load_service
+from sesameport.routing import Router, RouterConfig
+
+__all__ = ["Daemon"]
+
+_POLL_PERIOD_S = 0.01
+_DIRECTORY_PERIOD_S = 0.5
+_CANCEL_TRIES = 8
+_STEPS_KEPT = 5_000
+
+
+class Daemon:
+    """Run one entry host.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Checked settings.
+    """
+
+    def __init__(self, cfg: Settings):
+        self.cfg = cfg
+        self.incarnation = secrets.token_hex(8)
+        self.directory = DirectoryHolder()
+        self._steps: collections.deque = collections.deque(maxlen=_STEPS_KEPT)
+        self.timers = TimerService()
+        self.platform = HttpPlatform(cfg.platform.url, cfg.platform.timeout_s)
+        self.backends = Backends(self.directory, cfg.requests.silent_s)
+        router = Router(
+            RouterConfig(cfg.host.data_centre, cfg.requests.max_waiting),
+            random.Random(),
+        )
+        self._dispatcher = DispatcherActor.start(router, time.monotonic)
+        services = RunnerServices(
+            self._dispatcher,
+            self.backends.find_engine,
+            self._cancel,
+            self._record,
+        )
+        plain = PlainRunner(self.directory, self.backends, time.monotonic)
+        identity = f"{cfg.host.name}.{self.incarnation}"
+        self.admission = AdmissionDesk(
+            self.directory, services, UnlimitedRates(), identity, plain.call
+        )
+        api = CallerApi(self.admission, cfg.requests.max_body_bytes)
+        self.http = HttpServer(
+            cfg.host.listen,
+            api,
+            cfg.host.threads,
+            cfg.requests.read_timeout_s,
+            cfg.requests.max_header_bytes,
+            cfg.requests.max_body_bytes,
+        )
+        self.directory.subscribe(self._directory_changed)
+
+    def start(self) -> "Daemon":
+        """Start serving and return the daemon."""
+        self._refresh(0.0)
+        self.timers.subscribe("poll", _POLL_PERIOD_S, self._poll)
+        self.timers.subscribe("directory", _DIRECTORY_PERIOD_S, self._refresh)
+        self.timers.start()
+        self.http.start()
+        return self
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.timers.stop()
+        self.http.stop()
+        self._dispatcher.stop(block=False)
+
+    def explain(self, request_id: str) -> list[str]:
+        """Return the recorded steps of a request, oldest first."""
+        return [text for name, text in list(self._steps) if name == request_id]
+
+    def _record(self, request_id: str, text: str) -> None:
+        self._steps.append((request_id, text))
+
+    def _poll(self, now: float) -> None:
+        self._dispatcher.tell(Poll())
+
+    def _directory_changed(self, directory) -> None:
+        documents = dict(directory.documents)
+        self._dispatcher.tell(DirectoryChanged(directory.servers, documents))
+
+    def _refresh(self, now: float) -> None:
+        listed = self.platform.list("ServiceDocument")
+        hosts = self.platform.hosts()
+        if listed.is_err() or hosts.is_err():
+            return
+        documents, versions = {}, {}
+        for stored in listed.unwrap().objects:
+            doc, findings = load_service(stored.value.decode(), stored.name)
+            if stored.deleted or doc is None:
+                continue
+            documents[doc.name] = doc
+            versions[doc.name] = stored.version
+        found = hosts.unwrap()
+        self.directory.replace(
+            build_directory(documents, versions, found.servers, found.hosts)
+        )
+
+    def _cancel(self, server: str, attempt_id: str) -> None:
+        threading.Thread(
+            target=self._cancel_now, args=(server, attempt_id), daemon=True
+        ).start()
+
+    def _cancel_now(self, server: str, attempt_id: str) -> None:
+        for attempt in range(_CANCEL_TRIES):
+            engine = self.backends.find_engine(server)
+            if engine is None or engine.cancel(attempt_id).is_ok():
+                return
+            time.sleep(0.1 * 2**attempt)
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -108,9 +108,9 @@
                 continue
             if server.can_prefill() and self._prefilling.get(server.name, 0) < 4:
                 prefills.append(server)
-            if server.can_decode():
-                if self._decoding.get(server.name, 0) < self._slots(server):
-                    decodes.append(server)
+            used = self._decoding.get(server.name, 0)
+            if server.can_decode() and used < self._slots(server):
+                decodes.append(server)
         if not prefills or not decodes:
             return None
         prefill = min(prefills, key=lambda s: self._prefilling.get(s.name, 0))
--- a/src/sesameport/standins/__init__.py
+++ b/src/sesameport/standins/__init__.py
@@ -1,5 +1,11 @@
 """Stand in for the platform, engines and plain services in tests and the demo."""
 
+from sesameport.standins.deployment import (
+    Deployment,
+    build_deployment,
+    demo_document,
+    demo_key,
+)
 from sesameport.standins.engine import (
     CRASH_MARK,
     EngineProfile,
@@ -12,11 +18,15 @@
 
 __all__ = [
     "CRASH_MARK",
+    "Deployment",
     "EngineProfile",
     "EngineStandin",
     "FaultPlan",
     "InjectedFault",
     "PlainStandin",
     "PlatformStandin",
+    "build_deployment",
+    "demo_document",
+    "demo_key",
     "expected_tokens",
 ]
--- /dev/null
+++ b/src/sesameport/standins/deployment.py
@@ -0,0 +1,105 @@
+"""Build a small deployment of stand-ins in one process."""
+
+import hashlib
+import pathlib
+
+import attrs
+
+from sesameport.standins.engine import EngineProfile, EngineStandin
+from sesameport.standins.plain import PlainStandin
+from sesameport.standins.platform import PlatformStandin
+from sesameport.world import BackendServer, Host, ServerRole
+
+__all__ = ["Deployment", "build_deployment", "demo_document", "demo_key"]
+
+_DOCUMENTS = pathlib.Path(__file__).parent / "documents"
+
+
+def demo_key(workspace: str) -> str:
+    """Return the key of a workspace in the demo documents."""
+    return f"sk-demo-{workspace}"
+
+
+def demo_document(name: str) -> str:
+    """Return the TOML text of a demo document, with the digests of the demo keys."""
+    text = (_DOCUMENTS / f"{name}.toml").read_text()
+    for workspace in ("tannery-north", "tannery-south", "dhol-makers"):
+        digest = hashlib.sha256(demo_key(workspace).encode()).hexdigest()
+        text = text.replace(f"sha256:{{{workspace}}}", f"sha256:{digest}")
+    return text
+
+
+@attrs.define
+class Deployment:
+    """Hold the stand-ins of a deployment.
+
+    Attributes
+    ----------
+    platform : PlatformStandin
+        The platform; ``url`` is its address.
+    engines : dict
+        Engine stand-ins by server name.
+    plain : dict
+        Plain stand-ins by server name.
+    servers : list of BackendServer
+        What the platform lists.
+    """
+
+    platform: PlatformStandin
+    url: str
+    data_centres: tuple[str, ...]
+    region: str
+    engines: dict[str, EngineStandin] = attrs.field(factory=dict)
+    plain: dict[str, PlainStandin] = attrs.field(factory=dict)
+    servers: list[BackendServer] = attrs.field(factory=list)
+    hosts: list[Host] = attrs.field(factory=list)
+
+    def publish(self) -> None:
+        """Write the current hosts and servers to the platform's list."""
+        self.platform.set_hosts(tuple(self.hosts), tuple(self.servers))
+
+    def stop(self) -> None:
+        """Stop every stand-in."""
+        for standin in (*self.engines.values(), *self.plain.values(), self.platform):
+            standin.stop()
+
+
+def build_deployment(
+    data_centres: tuple[str, ...] = ("rajkot-a", "jamnagar-b", "bhuj-c"),
+    region: str = "guj-west",
+    profile: EngineProfile | None = None,
+    threads: int = 32,
+) -> Deployment:
+    """Start a platform, one prefill and one decode engine and one plain server each.
+
+    The order-desk and assessor-llm documents are written to the platform.
+    """
+    platform = PlatformStandin()
+    deployment = Deployment(platform, platform.start(), data_centres, region)
+    for centre in data_centres:
+        for role in (ServerRole.PREFILL, ServerRole.DECODE):
+            _add_engine(deployment, centre, role, profile, threads)
+        _add_plain(deployment, centre, threads)
+    deployment.publish()
+    for name in ("assessor-llm", "order-desk"):
+        platform.put("ServiceDocument", name, demo_document(name).encode())
+    return deployment
+
+
+def _add_engine(deployment, centre, role, profile, threads) -> None:
+    name = f"{centre}-{role}-1"
+    engine = EngineStandin(name, role, profile)
+    address = engine.start(threads)
+    deployment.engines[name] = engine
+    server = BackendServer(name, "assessor-llm", role.value, centre, address, role)
+    deployment.servers.append(server)
+
+
+def _add_plain(deployment, centre, threads) -> None:
+    name = f"{centre}-desk-1"
+    standin = PlainStandin(name)
+    address = standin.start(threads)
+    deployment.plain[name] = standin
+    deployment.servers.append(
+        BackendServer(name, "order-desk", "desk", centre, address, ServerRole.PLAIN)
+    )
--- a/src/sesameport/standins/engine.py
+++ b/src/sesameport/standins/engine.py
@@ -83,7 +83,7 @@
     runs : dict
         Runs by kind and prompt digest, for checks from the outside.
     seen_headers : set
-        Names of all request headers seen, lower case, for the check that no key arrives.
+        Names of all request headers seen, lower case; a key must not be among them.
     """
 
     def __init__(
