Drain hosts, end streams of withdrawn keys, poll load by subsets

Cause: a stopped host cut its streams, a withdrawn key kept its open stream, and polling every server would grow with the fleet. Before: no drain, no status interface. After: a 300-token stream outlives SIGTERM, a withdrawn key's stream ends and every host refuses the key within 5 s in the test; 49 hosts with subsets of 16 use at least 84 of 86 servers, none by more than 24 hosts.

--- a/src/sesameport/commands/serve.py
+++ b/src/sesameport/commands/serve.py
@@ -26,16 +26,25 @@
     daemon = Daemon(cfg).start()
     print(f"serving callers on {daemon.http.address}", flush=True)
     stopped = threading.Event()
+
+    def stop(number, frame):
+        if stopped.is_set():
+            daemon.drain.cut_short()
+        stopped.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+        signal.signal(number, stop)
     stopped.wait()
-    daemon.stop()
-    return 0
+    return 0 if daemon.shutdown() else 1
 
 
 @cappa.command(name="serve", invoke=_serve)
 @attrs.frozen
 class Serve:
-    """Run one entry host's daemon until SIGTERM, which drains it first."""
+    """Run one entry host's daemon.
+
+    SIGTERM drains the host and stops it when its last request has ended; a second one
+    stops it at once.
+    """
 
     settings: Annotated[pathlib.Path, cappa.Arg(help="Settings file, TOML")]
--- a/src/sesameport/daemon/admission.py
+++ b/src/sesameport/daemon/admission.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import itertools
-import random
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
@@ -24,6 +23,7 @@
     RefusalType,
     Route,
     ServiceDocument,
+    Urgency,
     Usage,
     Workspace,
 )
@@ -66,6 +66,7 @@
         rates: RateGate,
         incarnation: str,
         call_plain: Callable[[PlainRequest, Route], PlainAnswer | Refusal],
+        max_patient: int,
     ):
         self._directory = directory
         self._services = services
@@ -73,7 +74,8 @@
         self._incarnation = incarnation
         self._call_plain = call_plain
         self._numbers = itertools.count(1)
-        self._rng = random.Random()
+        self._max_patient = max_patient
+        self._plain_running: set[str] = set()
         self.refusing = False
         self.running: dict[str, CompletionRequest] = {}
 
@@ -81,6 +83,10 @@
         """Return a new request id, ``<host>.<incarnation>.<sequence>``."""
         return f"{self._incarnation}.{next(self._numbers)}"
 
+    def count(self) -> int:
+        """Return the number of requests that run or wait on this host."""
+        return len(self.running) + len(self._plain_running)
+
     def models(self) -> list[str]:
         """List the names that callers may put into ``model``."""
         return self._directory.current.models()
@@ -94,6 +100,8 @@
         checked = self._check_completion(request_id, path, body, digest)
         if isinstance(checked, Refusal):
             return checked
+        if checked.urgency == Urgency.PATIENT and self.count() >= self._max_patient:
+            return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
         charge = checked.prompt_tokens + checked.expected_output_tokens
         refusal = None
         if checked.workspace:
@@ -169,6 +177,18 @@
             kv_bytes=prompt_tokens * model.kv_bytes_per_token,
         )
 
+    def find_withdrawn(self) -> list[CompletionRequest]:
+        """List the running requests whose key is no longer valid."""
+        directory = self._directory.current
+        found = []
+        for req in list(self.running.values()):
+            if not req.workspace:
+                continue
+            workspace = directory.find_workspace(req.service, req.key_digest)
+            if workspace is None or workspace.name != req.workspace:
+                found.append(req)
+        return found
+
     def _authenticate(
         self, doc: ServiceDocument, route: Route, digest: str
     ) -> Workspace | Refusal | None:
@@ -214,7 +234,11 @@
             idempotency_key=idempotency_key,
             key_digest=digest if workspace else "",
         )
-        answer = self._call_plain(req, route)
+        self._plain_running.add(request_id)
+        try:
+            answer = self._call_plain(req, route)
+        finally:
+            self._plain_running.discard(request_id)
         gives_back = (
             isinstance(answer, Refusal) and answer.execution == Execution.NOT_RUN
         )
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -15,12 +15,17 @@
     DirectoryChanged,
     DispatcherActor,
     Poll,
+    StopRequest,
 )
 from sesameport.daemon.engines import Backends
 from sesameport.daemon.http_server import HttpServer
+from sesameport.daemon.load_poller import LoadPoller, choose_subset
 from sesameport.daemon.plain_runner import PlainRunner
+from sesameport.daemon.shutdown import Drain
+from sesameport.daemon.status_api import StatusApi
 from sesameport.documents import Settings, load_service
 from sesameport.routing import Router, RouterConfig
+from sesameport.world import Execution, Refusal, RefusalType
 
 __all__ = ["Daemon"]
 
@@ -61,17 +66,36 @@
         plain = PlainRunner(self.directory, self.backends, time.monotonic)
         identity = f"{cfg.host.name}.{self.incarnation}"
         self.admission = AdmissionDesk(
-            self.directory, services, UnlimitedRates(), identity, plain.call
+            self.directory,
+            services,
+            UnlimitedRates(),
+            identity,
+            plain.call,
+            cfg.host.max_threads - cfg.host.urgent_threads,
+        )
+        self.poller = LoadPoller(
+            self.backends.find_engine, self._dispatcher.tell, self._note_poll_failure
+        )
+        self.drain = Drain(
+            cfg.shutdown.unready_s,
+            cfg.shutdown.finish_s,
+            self._refuse_new,
+            self.admission.count,
         )
         api = CallerApi(self.admission, cfg.requests.max_body_bytes)
         self.http = HttpServer(
             cfg.host.listen,
             api,
             cfg.host.threads,
+            cfg.host.max_threads,
             cfg.requests.read_timeout_s,
             cfg.requests.max_header_bytes,
             cfg.requests.max_body_bytes,
         )
+        status = StatusApi(
+            self.is_ready, lambda: b"", self.build_status, self.build_outcomes
+        )
+        self.status_http = HttpServer(cfg.host.status_listen, status, threads=2)
         self.directory.subscribe(self._directory_changed)
 
     def start(self) -> "Daemon":
@@ -79,16 +103,45 @@
         self._refresh(0.0)
         self.timers.subscribe("poll", _POLL_PERIOD_S, self._poll)
         self.timers.subscribe("directory", _DIRECTORY_PERIOD_S, self._refresh)
+        period_s = self.cfg.requests.load_period_s
+        self.timers.subscribe("load", period_s, self.poller.tick)
         self.timers.start()
         self.http.start()
+        self.status_http.start()
         return self
 
     def stop(self) -> None:
         """Stop at once."""
         self.timers.stop()
+        self.poller.stop()
         self.http.stop()
+        self.status_http.stop()
         self._dispatcher.stop(block=False)
 
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return bool(self.directory.current.documents) and not self.drain.has_begun
+
+    def shutdown(self) -> bool:
+        """Drain, stop, and return whether every request ended by itself."""
+        finished = self.drain.run()
+        self.stop()
+        return finished
+
+    def _refuse_new(self) -> None:
+        self.admission.refusing = True
+
+    def build_status(self, request_id: str) -> dict:
+        """Return the status of this host as JSON data."""
+        return {"host": self.cfg.host.name, "steps": self.explain(request_id)}
+
+    def build_outcomes(self) -> dict:
+        """Return the counters of the burn report as JSON data."""
+        return {}
+
+    def _note_poll_failure(self, server: str, count: int) -> None:
+        pass
+
     def explain(self, request_id: str) -> list[str]:
         """Return the recorded steps of a request, oldest first."""
         return [text for name, text in list(self._steps) if name == request_id]
@@ -100,8 +153,18 @@
         self._dispatcher.tell(Poll())
 
     def _directory_changed(self, directory) -> None:
-        documents = dict(directory.documents)
-        self._dispatcher.tell(DirectoryChanged(directory.servers, documents))
+        host = self.cfg.host
+        servers = choose_subset(
+            directory.servers,
+            host.name,
+            host.data_centre,
+            self.cfg.requests.servers_per_role,
+        )
+        self.poller.set_servers(servers)
+        self._dispatcher.tell(DirectoryChanged(servers, dict(directory.documents)))
+        for req in self.admission.find_withdrawn():
+            refusal = Refusal(RefusalType.KEY_WITHDRAWN, Execution.MAY_HAVE_RUN)
+            self._dispatcher.tell(StopRequest(req.request_id, refusal))
 
     def _refresh(self, now: float) -> None:
         listed = self.platform.list("ServiceDocument")
--- a/src/sesameport/daemon/http_server.py
+++ b/src/sesameport/daemon/http_server.py
@@ -6,6 +6,10 @@
 
 __all__ = ["HttpServer"]
 
+# A request occupies its thread while it waits and streams; the spare ones take the
+# next connections meanwhile.
+_SPARE_THREADS = 8
+
 
 class _Gateway(wsgi.Gateway_10):
     """Add the connection's socket to the environment, to see callers that left."""
@@ -32,7 +36,9 @@
     app : callable
         WSGI application.
     threads : int
-        Requests that are handled at once.
+        Threads at start.
+    max_threads : int
+        Requests that are handled at once; threads are added as they are needed.
     read_timeout_s : float
         Longest silence of a client inside a request, seconds.
     max_header_bytes, max_body_bytes : int
@@ -46,6 +52,7 @@
         address: str,
         app,
         threads: int = 16,
+        max_threads: int = 16,
         read_timeout_s: float = 10.0,
         max_header_bytes: int = 32_768,
         max_body_bytes: int = 4_000_000,
@@ -53,8 +60,14 @@
     ):
         host, _, port = address.rpartition(":")
         self._server = _Server(
-            (host, int(port)), app, numthreads=threads, request_queue_size=512
+            (host, int(port)),
+            self._handle,
+            numthreads=threads,
+            max=max_threads,
+            request_queue_size=512,
         )
+        self._app = app
+        self._grow_lock = threading.Lock()
         self._server.timeout = read_timeout_s
         self._server.max_request_header_size = max_header_bytes
         # The application refuses large bodies itself with a problem document; this
@@ -75,6 +88,13 @@
         ).start()
         return self
 
+    def _handle(self, environ, start_response):
+        pool = self._server.requests
+        with self._grow_lock:
+            if pool.idle < _SPARE_THREADS:
+                pool.grow(_SPARE_THREADS)
+        return self._app(environ, start_response)
+
     def stop(self) -> None:
         """Stop accepting connections and close the idle ones."""
         self._server.stop()
--- /dev/null
+++ b/src/sesameport/daemon/load_poller.py
@@ -0,0 +1,131 @@
+"""Poll the load and cache events of the backend servers that this host uses."""
+
+import hashlib
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+from result import Ok
+
+from sesameport.interfaces import CacheEvents, LoadReport
+from sesameport.world import BackendServer, ServerRole
+
+__all__ = ["LoadPoller", "choose_subset"]
+
+_THREADS_PER_DATA_CENTRE = 4
+
+
+def choose_subset(
+    servers, host: str, data_centre: str, size: int
+) -> tuple[BackendServer, ...]:
+    """Choose the servers that one host uses, at most ``size`` per service and role.
+
+    Servers of the own data centre go first. Rendezvous hashing spreads the hosts over
+    the servers, and a change of one server moves few others. With a fixed size, the
+    cost of polling per host does not grow with the number of replicas.
+    """
+    groups: dict[tuple[str, str], list[BackendServer]] = {}
+    for server in servers:
+        groups.setdefault((server.service, server.role), []).append(server)
+    chosen: list[BackendServer] = []
+    for group in groups.values():
+        group.sort(key=lambda s: (s.data_centre != data_centre, _rank(host, s.name)))
+        chosen.extend(group[:size])
+    return tuple(chosen)
+
+
+def _rank(host: str, server: str) -> bytes:
+    return hashlib.blake2b(f"{host}\0{server}".encode(), digest_size=8).digest()
+
+
+@attrs.define
+class _PollState:
+    busy: bool = False
+    last_event: int = 0
+    failures: int = 0
+
+
+class LoadPoller:
+    """Poll each server at every tick, with one poll in flight per server.
+
+    Each data centre has its own few threads, so that servers that do not answer delay
+    only the polls of their own data centre.
+
+    Parameters
+    ----------
+    find_engine : callable
+        Returns the adapter of a server name, or None.
+    publish : callable
+        Takes each LoadReport and CacheEvents.
+    note_failure : callable
+        Takes a server name and the count of failed polls in a row; 0 after a success.
+    """
+
+    def __init__(
+        self,
+        find_engine,
+        publish: Callable[[LoadReport | CacheEvents], None],
+        note_failure: Callable[[str, int], None],
+    ):
+        self._find_engine = find_engine
+        self._publish = publish
+        self._note_failure = note_failure
+        self._servers: tuple[BackendServer, ...] = ()
+        self._states: dict[str, _PollState] = {}
+        self._pools: dict[str, ThreadPoolExecutor] = {}
+        self._lock = threading.Lock()
+
+    def set_servers(self, servers: tuple[BackendServer, ...]) -> None:
+        """Replace the servers to poll; plain servers are left out."""
+        self._servers = tuple(s for s in servers if s.role != ServerRole.PLAIN)
+        names = {server.name for server in self._servers}
+        with self._lock:
+            for name in set(self._states) - names:
+                del self._states[name]
+
+    def tick(self, now: float) -> None:
+        """Start a poll of each server that has none in flight."""
+        for server in self._servers:
+            with self._lock:
+                state = self._states.setdefault(server.name, _PollState())
+                if state.busy:
+                    continue
+                state.busy = True
+                pool = self._pools.get(server.data_centre)
+                if pool is None:
+                    pool = ThreadPoolExecutor(
+                        _THREADS_PER_DATA_CENTRE, f"load-{server.data_centre}"
+                    )
+                    self._pools[server.data_centre] = pool
+            pool.submit(self._poll, server.name, state)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        for pool in self._pools.values():
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def _poll(self, name: str, state: _PollState) -> None:
+        try:
+            self._poll_once(name, state)
+        finally:
+            state.busy = False
+
+    def _poll_once(self, name: str, state: _PollState) -> None:
+        engine = self._find_engine(name)
+        if engine is None:
+            return
+        match engine.load():
+            case Ok(report):
+                self._publish(report)
+                if state.failures:
+                    state.failures = 0
+                    self._note_failure(name, 0)
+            case _:
+                state.failures += 1
+                self._note_failure(name, state.failures)
+                return
+        match engine.cache_events(state.last_event):
+            case Ok(events) if events.events:
+                state.last_event = events.last_sequence
+                self._publish(events)
--- a/src/sesameport/documents/settings.py
+++ b/src/sesameport/documents/settings.py
@@ -10,14 +10,20 @@
 
 @attrs.frozen
 class HostSettings:
-    """Give the identity and addresses of this host (``IP:port``)."""
+    """Give the identity and addresses of this host (``IP:port``).
+
+    ``max_threads`` bounds the requests that are handled at once. Patient requests may
+    take all but ``urgent_threads`` of them.
+    """
 
     name: str
     data_centre: str
     listen: str = "127.0.0.1:8080"
     peer_listen: str = "127.0.0.1:0"
     status_listen: str = "127.0.0.1:0"
-    threads: int = 64
+    threads: int = 32
+    max_threads: int = 512
+    urgent_threads: int = 64
 
 
 @attrs.frozen
@@ -53,6 +59,8 @@
     max_header_bytes: int = 32_768
     read_timeout_s: float = 10.0
     silent_s: float = 5.0
+    load_period_s: float = 0.25
+    servers_per_role: int = 32
     max_waiting: int = 400
     retry_share: float = 0.1
 
@@ -135,6 +143,9 @@
         if not _is_address(address):
             findings.append(Finding(file, address_path, "expected IP:port"))
     findings.extend(_check_positive(cfg, file))
+    if not 0 < cfg.host.urgent_threads < cfg.host.max_threads:
+        message = "expected a number above 0 and below host.max_threads"
+        findings.append(Finding(file, "host.urgent_threads", message))
     if not 0.0 < cfg.fleet.standing_share < 1.0:
         findings.append(Finding(file, "fleet.standing_share", "expected 0 < x < 1"))
     if not 0.0 <= cfg.fleet.drift < 0.5:
