--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -14,7 +14,6 @@
 from sesameport.standins import demo_document, expected_tokens
 from sesameport.world import BackendServer, ServerRole
 
-
 # The users' bound is "within seconds" on every host.
 SECONDS_TO_WITHDRAW = 5.0
 
