--- /dev/null
+++ b/src/sesameport/bench/daemon_cost.py
@@ -0,0 +1,180 @@
+"""Measure what one daemon adds to a request.
+
+Run it with ``python -m sesameport.bench.daemon_cost``. The stand-ins, the daemon and the callers run in three processes. Direct calls do the
+same prefill and decode at the same engines without the daemon, in the same run.
+"""
+
+import concurrent.futures
+import json
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Annotated
+
+import attrs
+import cappa
+import urllib3
+
+from sesameport.soak.processes import HostProcess, free_address, write_settings
+from sesameport.standins import demo_key
+from sesameport.world import Host
+
+__all__ = ["CostReport", "measure_cost"]
+
+_CENTRE = "rajkot-a"
+_TOKENS = 5
+
+
+@attrs.frozen
+class _Deployment:
+    urls: dict[str, str]
+    region: str = "guj-west"
+    data_centres: tuple[str, ...] = (_CENTRE,)
+
+
+@attrs.frozen
+class CostReport:
+    """Hold the result; times in milliseconds, memory in megabytes."""
+
+    direct_median_ms: float
+    direct_p99_ms: float
+    daemon_median_ms: float
+    daemon_p99_ms: float
+    requests_per_s: float
+    cpu_ms_per_request: float
+    memory_at_rest_mb: float
+    memory_after_mb: float
+    idle_cpu_share: float
+    threads_at_rest: int
+    start_s: float
+
+
+def measure_cost(requests: int = 400, concurrency: int = 8) -> CostReport:
+    """Measure one daemon against direct calls and return the report."""
+    command = [sys.executable, "-m", "sesameport.standins"]
+    command += ["--data-centres", _CENTRE, "--token-interval-s", "0.002"]
+    standins = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        addresses = json.loads(standins.stdout.readline())
+        with tempfile.TemporaryDirectory() as folder:
+            return _measure(addresses, pathlib.Path(folder), requests, concurrency)
+    finally:
+        standins.kill()
+        standins.wait()
+
+
+def _measure(addresses, folder, requests, concurrency) -> CostReport:
+    host = Host("rajkot-a-1", _CENTRE, free_address(), free_address())
+    status = free_address()
+    path = write_settings(
+        folder, host, status, _Deployment({_CENTRE: addresses["platform"]})
+    )
+    daemon = HostProcess(host, status, path, folder / "host.log")
+    started = time.monotonic()
+    daemon.start()
+    try:
+        daemon.wait_ready()
+        start_s = time.monotonic() - started
+        time.sleep(2.0)
+        rest_mb = daemon.memory_bytes() / 1e6
+        threads = len(list(pathlib.Path(f"/proc/{daemon.process.pid}/task").iterdir()))
+        idle = _idle_share(daemon)
+        http = urllib3.PoolManager(maxsize=concurrency, retries=False)
+        direct = _time_calls(lambda i: _direct(http, addresses, i), requests, 1)
+        routed = _time_calls(lambda i: _routed(http, host, i), requests, 1)
+        cpu = daemon.cpu_s()
+        begun = time.monotonic()
+        _time_calls(lambda i: _routed(http, host, i), requests, concurrency)
+        rate = requests / (time.monotonic() - begun)
+        cpu = (daemon.cpu_s() - cpu) / requests
+        return CostReport(
+            _median(direct),
+            _p99(direct),
+            _median(routed),
+            _p99(routed),
+            rate,
+            cpu * 1e3,
+            rest_mb,
+            daemon.memory_bytes() / 1e6,
+            idle,
+            threads,
+            start_s,
+        )
+    finally:
+        daemon.kill()
+
+
+def _idle_share(daemon: HostProcess, seconds: float = 5.0) -> float:
+    before = daemon.cpu_s()
+    time.sleep(seconds)
+    return (daemon.cpu_s() - before) / seconds
+
+
+def _time_calls(call, requests: int, concurrency: int) -> list[float]:
+    def timed(i: int) -> float:
+        begun = time.monotonic()
+        call(i)
+        return (time.monotonic() - begun) * 1e3
+
+    with concurrent.futures.ThreadPoolExecutor(concurrency) as pool:
+        return list(pool.map(timed, range(requests)))
+
+
+def _direct(http, addresses, number: int) -> None:
+    prompt = f"Grade hide {number} " * 5
+    body = {"model": "assessor", "prompt": prompt, "max_tokens": 1}
+    body["kv_transfer_params"] = {"do_remote_decode": True}
+    headers = {"X-Request-Id": f"direct.{number}"}
+    url = f"http://{addresses['engines'][_CENTRE + '-prefill-1']}/v1/completions"
+    answer = http.request("POST", url, body=json.dumps(body), headers=headers)
+    body["kv_transfer_params"] = answer.json()["kv_transfer_params"]
+    body["max_tokens"] = _TOKENS
+    url = f"http://{addresses['engines'][_CENTRE + '-decode-1']}/v1/completions"
+    answer = http.request("POST", url, body=json.dumps(body), headers=headers)
+    assert answer.status == 200, answer.data
+
+
+def _routed(http, host: Host, number: int) -> None:
+    body = {
+        "model": "assessor",
+        "prompt": f"Grade hide {number} " * 5,
+        "max_tokens": _TOKENS,
+    }
+    answer = http.request(
+        "POST",
+        f"http://{host.caller_address}/v1/completions",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {demo_key('tannery-north')}"},
+    )
+    assert answer.status == 200, answer.data
+
+
+def _median(values: list[float]) -> float:
+    return statistics.median(values)
+
+
+def _p99(values: list[float]) -> float:
+    return statistics.quantiles(values, n=100)[98]
+
+
+@cappa.command(name="daemon-cost")
+@attrs.frozen
+class DaemonCost:
+    """Measure the latency, throughput, processor time and memory of one daemon."""
+
+    requests: Annotated[int, cappa.Arg(long=True)] = 400
+    concurrency: Annotated[int, cappa.Arg(long=True)] = 8
+
+    def __call__(self) -> int:
+        """Measure and print one figure a line."""
+        report = measure_cost(self.requests, self.concurrency)
+        for field in attrs.fields(CostReport):
+            print(f"{field.name:20} {getattr(report, field.name):.3f}")
+        return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(cappa.invoke(DaemonCost))
--- a/src/sesameport/daemon/demo_hosts.py
+++ b/src/sesameport/daemon/demo_hosts.py
@@ -14,7 +14,7 @@
     )
     return Settings(
         HostSettings(name, data_centre, "127.0.0.1:0", threads=32),
-        PlatformSettings(deployment.url),
+        PlatformSettings(deployment.urls[data_centre]),
         centres,
         **changes,
     )
--- a/src/sesameport/soak/checks.py
+++ b/src/sesameport/soak/checks.py
@@ -11,6 +11,12 @@
 
 __all__ = ["Violation", "check_all", "check_rates"]
 
+# The users' bounds: "a few seconds" for a leaving server, "seconds" for a withdrawn
+# key. A key may also work while its host's configuration is younger than the staleness
+# bound of 8 s, so the check allows that bound and two seconds for the next look.
+LEAVING_BOUND_S = 4.0
+WITHDRAWN_BOUND_S = 10.0
+
 
 @attrs.frozen
 class Violation:
@@ -20,8 +26,8 @@
     detail: str
 
 
-def check_all(outcomes: list[Outcome], deployment) -> list[Violation]:
-    """Run every check that needs the outcomes and the stand-ins."""
+def check_all(outcomes: list[Outcome], deployment, schedule) -> list[Violation]:
+    """Run every check on the outcomes, the stand-ins and the faults."""
     return [
         *check_holds(deployment),
         *check_answers(outcomes),
@@ -29,9 +35,38 @@
         *check_orders(outcomes, deployment),
         *check_headers(deployment),
         *check_rates(outcomes),
+        *check_leaving(deployment, schedule),
+        *check_withdrawn(outcomes, schedule),
+        *[Violation("I9", text) for text in schedule.cut_by_drain],
     ]
 
 
+def check_leaving(deployment, schedule) -> list[Violation]:
+    """Check I8: a leaving server gets no new work after a few seconds."""
+    found = []
+    for name, since, until in schedule.left:
+        for run in deployment.engines[name].runs:
+            if since + LEAVING_BOUND_S < run.started < until:
+                detail = f"{run.attempt_id} on {name} {run.started - since:.1f} s later"
+                found.append(Violation("I8", detail))
+    return found
+
+
+def check_withdrawn(outcomes: list[Outcome], schedule) -> list[Violation]:
+    """Check I3: a withdrawn key stops within seconds, open streams too."""
+    found = []
+    for workspace, since, until in schedule.withdrawn:
+        bound = since + WITHDRAWN_BOUND_S
+        for item in outcomes:
+            if item.workspace != workspace or item.status != 200:
+                continue
+            if bound < item.sent < until or (
+                item.sent < until and bound < item.last_token < until
+            ):
+                found.append(Violation("I3", f"{item.request_id} ran on {item.host}"))
+    return found
+
+
 def check_holds(deployment) -> list[Violation]:
     """Check I1: no engine holds anything after all requests ended."""
     found = []
@@ -63,7 +98,7 @@
     """Check I6: a request that was refused as not run is known to no server."""
     ran = set()
     for engine in deployment.engines.values():
-        ran.update(attempt.rpartition(".")[0] for _, attempt, _ in engine.runs)
+        ran.update(run.attempt_id.rpartition(".")[0] for run in engine.runs)
     booked = _booked(deployment)
     found = []
     by_order = collections.Counter(item.order for item in outcomes if item.order)
--- a/src/sesameport/soak/faults.py
+++ b/src/sesameport/soak/faults.py
@@ -1,11 +1,13 @@
 """Apply a seeded sequence of faults to running hosts and stand-ins."""
 
+import hashlib
 import random
 import threading
 import time
 
 from sesameport.soak.processes import HostProcess
-from sesameport.standins import FaultPlan
+from sesameport.standins import FaultPlan, demo_document, demo_key
+from sesameport.world import ServerState
 
 __all__ = ["FaultSchedule"]
 
@@ -19,6 +21,13 @@
         Faults in their order.
     cut_by_drain : list of str
         Hosts whose drain did not end by itself.
+    left : list of tuple
+        Server name and the monotonic times from which and until which it left.
+    withdrawn : list of tuple
+        Workspace and the monotonic times from which and until which its key was
+        withdrawn.
+    versions : list of int
+        Object versions of the documents that were written.
     """
 
     def __init__(self, hosts: list[HostProcess], deployment, seed: int):
@@ -27,6 +36,10 @@
         self._rng = random.Random(f"faults-{seed}")
         self.applied: list[str] = []
         self.cut_by_drain: list[str] = []
+        self.left: list[tuple[str, float, float]] = []
+        self.withdrawn: list[tuple[str, float, float]] = []
+        self.versions: list[int] = []
+        self._document_lock = threading.Lock()
 
     def run(self, seconds: float, gap_s: float = 3.0) -> None:
         """Apply faults until the time is up, then wait until all hosts are ready."""
@@ -39,6 +52,9 @@
             self.stop_platform,
             self.lose_platform_answers,
             self.edit_document,
+            self.cut_data_centre,
+            self.let_server_leave,
+            self.withdraw_key,
         ]
         order: list = []
         end = time.monotonic() + seconds
@@ -123,8 +139,42 @@
 
     def edit_document(self) -> None:
         """Write a new version of a document that changes nothing but its version."""
-        from sesameport.standins import demo_document
-
         self.applied.append("edit assessor-llm")
-        text = demo_document("assessor-llm") + f"\n# edit {len(self.applied)}\n"
-        self._deployment.platform.put("ServiceDocument", "assessor-llm", text.encode())
+        with self._document_lock:
+            self._write(demo_document("assessor-llm"))
+
+    def cut_data_centre(self) -> None:
+        """Cut one data centre off from the platform for longer than keys may age."""
+        centre = self._rng.choice(list(self._deployment.cuts))
+        self.applied.append(f"cut {centre} off from the platform")
+        self._deployment.cuts[centre].down = True
+        time.sleep(self._rng.uniform(4.0, 14.0))
+        self._deployment.cuts[centre].down = False
+
+    def let_server_leave(self) -> None:
+        """List a backend server as leaving, then as live again."""
+        name = self._rng.choice(list(self._deployment.engines))
+        self.applied.append(f"{name} leaves")
+        since = time.monotonic()
+        self._deployment.set_server_state(name, ServerState.LEAVING)
+        time.sleep(8.0)
+        self.left.append((name, since, time.monotonic()))
+        self._deployment.set_server_state(name, ServerState.LIVE)
+
+    def withdraw_key(self) -> None:
+        """Withdraw the key of a workspace and give it back."""
+        self.applied.append("withdraw the key of tannery-south")
+        text = demo_document("assessor-llm")
+        digest = hashlib.sha256(demo_key("tannery-south").encode()).hexdigest()
+        with self._document_lock:
+            self._write(text.replace(digest, "0" * 64))
+            since = time.monotonic()
+            time.sleep(16.0)
+            self.withdrawn.append(("tannery-south", since, time.monotonic()))
+            self._write(text)
+
+    def _write(self, text: str) -> None:
+        text += f"\n# version {len(self.versions)}\n"
+        platform = self._deployment.platform
+        version = platform.put("ServiceDocument", "assessor-llm", text.encode())
+        self.versions.append(version)
--- a/src/sesameport/soak/load.py
+++ b/src/sesameport/soak/load.py
@@ -39,6 +39,8 @@
         Text of the answer.
     whole : bool
         Whether the answer came with its end mark.
+    last_token : float
+        Monotonic time at which the last part of the answer came, seconds.
     """
 
     kind: str
@@ -56,6 +58,7 @@
     text: str = ""
     whole: bool = False
     tokens: int = 0
+    last_token: float = 0.0
 
 
 class Load:
@@ -198,7 +201,7 @@
             )
             outcome.status = answer.status
             outcome.request_id = answer.headers.get("X-Request-Id", "")
-            data = _read(answer)
+            data = _read(answer, outcome)
         except (urllib3.exceptions.HTTPError, OSError):
             return b""
         if answer.headers.get("Content-Type") == "application/problem+json":
@@ -212,9 +215,11 @@
         return data
 
 
-def _read(answer) -> bytes:
+def _read(answer, outcome: Outcome) -> bytes:
     """Read an answer and keep what came before a break."""
     parts = []
     with contextlib.suppress(urllib3.exceptions.HTTPError, OSError):
-        parts.extend(answer.stream(8_192))
+        for part in answer.stream(8_192):
+            parts.append(part)
+            outcome.last_token = time.monotonic()
     return b"".join(parts)
--- a/src/sesameport/soak/processes.py
+++ b/src/sesameport/soak/processes.py
@@ -40,7 +40,11 @@
         f'listen = "{host.caller_address}"',
     ]
     lines += [f'peer_listen = "{host.peer_address}"', f'status_listen = "{status}"']
-    lines += ["[platform]", f'url = "{deployment.url}"', "watch_s = 5.0"]
+    lines += [
+        "[platform]",
+        f'url = "{deployment.urls[host.data_centre]}"',
+        "watch_s = 5.0",
+    ]
     for name, table in tables.items():
         lines.append(f"[{name}]")
         lines += [f"{key} = {_toml(value)}" for key, value in table.items()]
--- a/src/sesameport/soak/run.py
+++ b/src/sesameport/soak/run.py
@@ -101,8 +101,7 @@
         engine.held() for engine in deployment.engines.values()
     ):
         time.sleep(0.2)
-    violations = check_all(load.outcomes, deployment)
-    violations += [Violation("I9", text) for text in schedule.cut_by_drain]
+    violations = check_all(load.outcomes, deployment, schedule)
     results: collections.Counter = collections.Counter()
     for item in load.outcomes:
         name = item.problem.rpartition(":")[2] if item.problem else f"{item.status}"
--- a/src/sesameport/standins/deployment.py
+++ b/src/sesameport/standins/deployment.py
@@ -6,9 +6,10 @@
 import attrs
 
 from sesameport.standins.engine import EngineProfile, EngineStandin
+from sesameport.standins.faults import FaultPlan
 from sesameport.standins.plain import PlainStandin
 from sesameport.standins.platform import PlatformStandin
-from sesameport.world import BackendServer, Host, ServerRole
+from sesameport.world import BackendServer, Host, ServerRole, ServerState
 
 __all__ = ["Deployment", "build_deployment", "demo_document", "demo_key"]
 
@@ -37,6 +38,10 @@
     ----------
     platform : PlatformStandin
         The platform; ``url`` is its address.
+    urls : dict
+        Address of the platform for each data centre.
+    cuts : dict
+        Fault plan of each of these addresses.
     engines : dict
         Engine stand-ins by server name.
     plain : dict
@@ -52,8 +57,18 @@
     engines: dict[str, EngineStandin] = attrs.field(factory=dict)
     plain: dict[str, PlainStandin] = attrs.field(factory=dict)
     servers: list[BackendServer] = attrs.field(factory=list)
+    urls: dict[str, str] = attrs.field(factory=dict)
+    cuts: dict[str, FaultPlan] = attrs.field(factory=dict)
     hosts: list[Host] = attrs.field(factory=list)
 
+    def set_server_state(self, name: str, state: ServerState) -> None:
+        """Change the state in which the platform lists a backend server."""
+        self.servers = [
+            attrs.evolve(server, state=state) if server.name == name else server
+            for server in self.servers
+        ]
+        self.publish()
+
     def publish(self) -> None:
         """Write the current hosts and servers to the platform's list."""
         self.platform.set_hosts(tuple(self.hosts), tuple(self.servers))
@@ -77,6 +92,8 @@
     platform = PlatformStandin()
     deployment = Deployment(platform, platform.start(), data_centres, region)
     for centre in data_centres:
+        deployment.cuts[centre] = FaultPlan()
+        deployment.urls[centre] = platform.open_entrance(deployment.cuts[centre])
         for role in (ServerRole.PREFILL, ServerRole.DECODE):
             _add_engine(deployment, centre, role, profile, threads)
         _add_plain(deployment, centre, threads)
--- a/src/sesameport/standins/engine.py
+++ b/src/sesameport/standins/engine.py
@@ -61,6 +61,15 @@
     return [f"{tag}.{i} " for i in range(count)]
 
 
+@attrs.frozen
+class Run:
+    """Describe a prefill or decode that started, at a monotonic time in seconds."""
+
+    kind: str
+    attempt_id: str
+    started: float
+
+
 class _Stream:
     def __init__(self, attempt_id: str, tokens: list[str], offset: int):
         self.attempt_id = attempt_id
@@ -80,8 +89,8 @@
     ----------
     faults : FaultPlan
         Faults to show.
-    runs : dict
-        Runs by kind and prompt digest, for checks from the outside.
+    runs : list of Run
+        Every prefill and decode that started, for checks from the outside.
     seen_headers : set
         Names of all request headers seen, lower case; a key must not be among them.
     """
@@ -97,7 +106,7 @@
         self.role = role
         self.profile = profile or EngineProfile()
         self.faults = faults or FaultPlan()
-        self.runs: list[tuple[str, str, str]] = []
+        self.runs: list[Run] = []
         self.seen_headers: set[str] = set()
         self.orders: list[dict] = []
         self.fencing_number = 0
@@ -218,7 +227,7 @@
         epoch = self._epoch
         with self._lock:
             self._prefilling[attempt_id] = run
-            self.runs.append(("prefill", attempt_id, _digest(body["prompt"])))
+            self.runs.append(Run("prefill", attempt_id, time.monotonic()))
         with self._prefill_lock:
             if not run["cancelled"]:
                 cached = self._cached(prompt)
@@ -294,7 +303,7 @@
         if status != 200:
             self._cancel(attempt_id)
             return json_response(start_response, status, {"detail": "import failed"})
-        self.runs.append(("decode", attempt_id, _digest(body["prompt"])))
+        self.runs.append(Run("decode", attempt_id, time.monotonic()))
         threading.Thread(target=self._produce, args=(stream,), daemon=True).start()
         return self._send(stream, stream.offset, start_response)
 
--- a/src/sesameport/standins/platform.py
+++ b/src/sesameport/standins/platform.py
@@ -44,19 +44,39 @@
         self._version = 0
         self._changed = threading.Condition()
         self._host_lists: list[tuple[float, dict]] = [(0.0, _host_list((), ()))]
-        self._server: LoopbackServer | None = None
+        self._servers: list[LoopbackServer] = []
 
     def start(self, threads: int = 48, port: int = 0) -> str:
         """Serve on loopback and return the base URL."""
-        self._server = LoopbackServer(self._app, threads, port).start()
-        return f"http://{self._server.address}"
+        return self._serve(self._app, threads, port)
+
+    def open_entrance(self, faults: FaultPlan, threads: int = 24) -> str:
+        """Serve on one more address with faults of its own and return the base URL.
+
+        A data centre that uses it is cut off from the platform when the plan says
+        ``down``, while the others are not.
+        """
+
+        def app(environ, start_response):
+            if faults.before_call():
+                return json_response(start_response, 503, {"detail": "unavailable"})
+            answer = self._app(environ, start_response)
+            faults.after_call()
+            return answer
+
+        return self._serve(app, threads, 0)
+
+    def _serve(self, app, threads: int, port: int) -> str:
+        server = LoopbackServer(app, threads, port).start()
+        self._servers.append(server)
+        return f"http://{server.address}"
 
     def stop(self) -> None:
         """Stop serving; the objects stay."""
         with self._changed:
             self._changed.notify_all()
-        if self._server is not None:
-            self._server.stop()
+        for server in self._servers:
+            server.stop()
 
     def set_hosts(
         self, hosts: tuple[Host, ...], servers: tuple[BackendServer, ...]
