Let the timer service make single calls

Cause: the router knows when it next has to decide, but the daemon asked it every 10 ms. Before: periodic calls only.

--- a/src/sesameport/adapters/timers.py
+++ b/src/sesameport/adapters/timers.py
@@ -60,6 +60,15 @@
             heapq.heappush(self._heap, entry)
             self._changed.notify()
 
+    def call_at(
+        self, name: str, when: float, callback: Callable[[float], None]
+    ) -> None:
+        """Call back once at a monotonic time, seconds."""
+        with self._changed:
+            entry = (when, next(self._numbers), name, None, callback, 0.0)
+            heapq.heappush(self._heap, entry)
+            self._changed.notify()
+
     def _run(self) -> None:
         while True:
             with self._changed:
@@ -78,6 +87,8 @@
             callback(self.now())
         except Exception as exc:
             self._on_error(name, exc)
+        if period_s is None:
+            return
         spread = 1.0 + jitter * (2.0 * self._rng.random() - 1.0)
         due = self.now() + period_s * spread
         with self._changed:
--- a/src/sesameport/bench/daemon_cost.py
+++ b/src/sesameport/bench/daemon_cost.py
@@ -1,7 +1,8 @@
 """Measure what one daemon adds to a request.
 
-Run it with ``python -m sesameport.bench.daemon_cost``. The stand-ins, the daemon and the callers run in three processes. Direct calls do the
-same prefill and decode at the same engines without the daemon, in the same run.
+Run it with ``python -m sesameport.bench.daemon_cost``. The stand-ins, the daemon and
+the callers run in three processes. Direct calls do the same prefill and decode at the
+same engines without the daemon, in the same run.
 """
 
 import concurrent.futures
--- a/src/sesameport/interfaces/timers.py
+++ b/src/sesameport/interfaces/timers.py
@@ -19,6 +19,12 @@
         """Call back every period; jitter is the random part of the period."""
         ...
 
+    def call_at(
+        self, name: str, when: float, callback: Callable[[float], None]
+    ) -> None:
+        """Call back once at a monotonic time, seconds."""
+        ...
+
     def now(self) -> float:
         """Return the monotonic time, seconds."""
         ...
