--- /dev/null
+++ b/src/sesameport/telemetry/metrics.py
@@ -0,0 +1,214 @@
+"""Count and measure for Prometheus, from any thread."""
+
+import threading
+
+import attrs
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+from sesameport.telemetry.outcomes import Outcome, OutcomeKind
+
+__all__ = ["METRICS", "MetricDefinition", "Metrics"]
+
+LATENCY_BUCKETS = (0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 1.3, 2.0, 5.0, 15.0, 60.0, 300.0)
+"""Seconds. 1.3 s is the first-token target, so the target's share is exact."""
+
+TOKEN_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.042, 0.06, 0.1, 0.25, 1.0, 5.0)
+"""Seconds. 0.042 s is the target between tokens."""
+
+
+@attrs.frozen
+class MetricDefinition:
+    """Define a metric: name, collector class, help text, labels and buckets."""
+
+    name: str
+    collector: type
+    help: str
+    labels: tuple[str, ...] = ()
+    buckets: tuple[float, ...] = ()
+
+
+def _counter(name: str, help_text: str, *labels: str) -> MetricDefinition:
+    return MetricDefinition(f"sesameport_{name}_total", Counter, help_text, labels)
+
+
+def _gauge(name: str, help_text: str, *labels: str) -> MetricDefinition:
+    return MetricDefinition(f"sesameport_{name}", Gauge, help_text, labels)
+
+
+def _histogram(
+    name: str, help_text: str, buckets: tuple[float, ...], *labels: str
+) -> MetricDefinition:
+    return MetricDefinition(f"sesameport_{name}", Histogram, help_text, labels, buckets)
+
+
+# No metric has the workspace as a label: 1,100 workspaces in 340 daemons would be
+# 374,000 time series for each metric. Figures per workspace come from the burn
+# counters.
+METRICS = (
+    _counter("requests", "Requests that ended.", "service", "urgency", "outcome"),
+    _counter("eligible_requests", "Requests that the objective counts.", "service"),
+    _counter("good_requests", "Whole answers within both targets.", "service"),
+    _counter("refusals", "Refusals.", "service", "type"),
+    _counter("wrongful_refusals", "Refusals within the rate.", "service"),
+    _counter("prefill_tokens", "Tokens prefilled.", "service"),
+    _counter("wasted_prefill_tokens", "Prefilled tokens without use.", "service"),
+    _counter("output_tokens", "Tokens sent to callers.", "service"),
+    _histogram(
+        "first_token_seconds",
+        "Time from arrival to the first token.",
+        LATENCY_BUCKETS,
+        "service",
+        "urgency",
+    ),
+    _histogram(
+        "between_tokens_seconds",
+        "95th percentile of the time between tokens of one answer.",
+        TOKEN_GAP_BUCKETS,
+        "service",
+    ),
+    _histogram(
+        "waiting_seconds",
+        "Time a request waited before its prefill.",
+        LATENCY_BUCKETS,
+        "service",
+        "urgency",
+    ),
+    _gauge("requests_in_flight", "Requests dispatched and not ended.", "service"),
+    _gauge("requests_waiting", "Requests that wait.", "service", "urgency"),
+    _gauge("holds", "Open holds on backend servers and links.", "kind"),
+    _counter("hold_cancels", "Cancels of holds.", "kind", "result"),
+    _counter("abandoned_events", "Dropped events of abandoned attempts."),
+    _counter("retries", "Attempts after the first.", "reason"),
+    _counter("kv_transfer_bytes", "KV cache transferred.", "source", "target"),
+    _counter("decisions", "Decision records.", "kind", "reason"),
+    _counter("platform_calls", "Calls to the platform.", "operation", "result"),
+    _counter("peer_messages", "Messages between hosts.", "kind", "direction"),
+    _counter("peer_bytes", "Bytes between hosts.", "direction"),
+    _counter("peer_dropped_messages", "Messages to hosts that were dropped.", "kind"),
+    _gauge("configuration_age_seconds", "Age of the configuration."),
+    _gauge("document_version", "Version in force.", "service"),
+    _gauge("document_findings", "Findings of a refused version.", "service"),
+    _gauge("members", "Hosts in the membership view.", "data_centre", "state"),
+    _gauge("leases_held", "Leases that this host holds.", "kind"),
+    _gauge("ready", "1 while the host accepts requests, else 0."),
+)
+
+
+class Metrics:
+    """Hold the metrics of one daemon; every method may be called from any thread.
+
+    aioprometheus serves asyncio programs and has no locks of its own, so one lock
+    guards all updates and the rendering.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Labels of every sample.
+    definitions : sequence of MetricDefinition
+        Metrics to offer.
+    """
+
+    content_type = text.TEXT_CONTENT_TYPE
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        definitions: tuple[MetricDefinition, ...] = METRICS,
+    ):
+        self._lock = threading.Lock()
+        self._registry = Registry()
+        self._formatter = text.TextFormatter()
+        self._labels = {item.name: frozenset(item.labels) for item in definitions}
+        const = {"host": _escape(host), "data_centre_of_host": _escape(data_centre)}
+        for item in definitions:
+            extra = {"buckets": item.buckets} if item.buckets else {}
+            item.collector(
+                item.name, item.help, const, registry=self._registry, **extra
+            )
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add an amount to a counter.
+
+        Raises
+        ------
+        KeyError
+            When no metric has this name.
+        ValueError
+            When the labels are not those of the definition.
+        """
+        with self._lock:
+            self._find(name, labels).add(_escape_all(labels), amount)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._find(name, labels).set(_escape_all(labels), value)
+
+    def clear(self, name: str) -> None:
+        """Drop all samples of a gauge whose label values come and go."""
+        with self._lock:
+            self._registry.get(name).values.clear()
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add an observation to a histogram."""
+        with self._lock:
+            self._find(name, labels).add(_escape_all(labels), float(value))
+
+    def record(self, outcome: Outcome, good: bool) -> None:
+        """Count an ended request in every metric that concerns it."""
+        service, urgency = outcome.service, str(outcome.urgency)
+        self.count(
+            "sesameport_requests_total",
+            service=service,
+            urgency=urgency,
+            outcome=str(outcome.kind),
+        )
+        if outcome.is_eligible():
+            self.count("sesameport_eligible_requests_total", service=service)
+        if good:
+            self.count("sesameport_good_requests_total", service=service)
+        if outcome.kind == OutcomeKind.REFUSED:
+            refusal = outcome.refusal_type
+            self.count("sesameport_refusals_total", service=service, type=refusal)
+        if outcome.is_wrongful():
+            self.count("sesameport_wrongful_refusals_total", service=service)
+        for field in ("prefill_tokens", "wasted_prefill_tokens", "output_tokens"):
+            amount = getattr(outcome, field)
+            if amount:
+                self.count(f"sesameport_{field}_total", amount, service=service)
+        if outcome.first_token_s is not None:
+            self.observe(
+                "sesameport_first_token_seconds",
+                outcome.first_token_s,
+                service=service,
+                urgency=urgency,
+            )
+        if outcome.between_tokens_p95_s is not None:
+            self.observe(
+                "sesameport_between_tokens_seconds",
+                outcome.between_tokens_p95_s,
+                service=service,
+            )
+
+    def render(self) -> bytes:
+        """Return all samples in Prometheus text format, for ``GET /metrics``."""
+        with self._lock:
+            return self._formatter.marshall(self._registry)
+
+    def _find(self, name: str, labels: dict[str, str]):
+        if self._labels[name] != labels.keys():
+            expected = ", ".join(sorted(self._labels[name])) or "none"
+            raise ValueError(f"labels of {name} are {expected}, got {sorted(labels)}")
+        return self._registry.get(name)
+
+
+def _escape_all(labels: dict[str, str]) -> dict[str, str]:
+    return {name: _escape(value) for name, value in labels.items()}
+
+
+def _escape(value: str) -> str:
+    # aioprometheus writes label values unchanged; the text format needs escapes.
+    value = str(value).replace("\\", r"\\").replace('"', r"\"")
+    return value.replace("\n", r"\n")
