--- /dev/null
+++ b/src/sesameport/telemetry/recorder.py
@@ -0,0 +1,64 @@
+"""Join metrics, burn counters and decision records of one daemon."""
+
+import threading
+from collections.abc import Mapping
+
+from sesameport.telemetry.burn import BurnCounters, BurnSnapshot
+from sesameport.telemetry.decisions import DecisionKind, DecisionRing
+from sesameport.telemetry.metrics import Metrics
+from sesameport.telemetry.outcomes import Outcome
+from sesameport.world import LatencyTargets
+
+__all__ = ["Recorder"]
+
+
+class Recorder:
+    """Record outcomes and decisions; every method may be called from any thread.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Identity of this host.
+    started : float
+        Monotonic time of the process start, seconds.
+    """
+
+    def __init__(self, host: str, data_centre: str, started: float):
+        self.metrics = Metrics(host, data_centre)
+        self.decisions = DecisionRing()
+        self._lock = threading.Lock()
+        self._counters = BurnCounters(host, started)
+
+    def set_targets(
+        self,
+        service: str,
+        targets: LatencyTargets,
+        weights: Mapping[str, float] | None = None,
+    ) -> None:
+        """Set the targets and weights that the document in force states."""
+        with self._lock:
+            self._counters.set_targets(service, targets, weights)
+
+    def record(self, outcome: Outcome) -> bool:
+        """Count an ended request once and tell whether it was good."""
+        with self._lock:
+            good = self._counters.record(outcome)
+        self.metrics.record(outcome, good)
+        return good
+
+    def decide(
+        self,
+        kind: DecisionKind,
+        reason: str,
+        now: float,
+        request_id: str = "",
+        inputs: Mapping | None = None,
+    ) -> None:
+        """Record a decision and count it by kind and reason."""
+        self.decisions.add(kind, reason, now, request_id, inputs)
+        self.metrics.count("sesameport_decisions_total", kind=str(kind), reason=reason)
+
+    def snapshot(self, now: float) -> BurnSnapshot:
+        """Return the burn counts at a monotonic time in seconds."""
+        with self._lock:
+            return self._counters.snapshot(now)
--- a/src/sesameport/telemetry/status.py
+++ b/src/sesameport/telemetry/status.py
@@ -133,6 +133,8 @@
         Records that the query asked for.
     waiting, in_flight : int
         Requests that wait, and requests dispatched.
+    now : float
+        Monotonic time of the answer, seconds, to tell the age of the decisions.
     """
 
     host: str
@@ -152,6 +154,7 @@
     decisions: tuple[DecisionRecord, ...] = ()
     waiting: int = 0
     in_flight: int = 0
+    now: float = 0.0
 
 
 def encode_status(status: HostStatus) -> bytes:
--- a/src/sesameport/world/places.py
+++ b/src/sesameport/world/places.py
@@ -56,6 +56,8 @@
         CURVE public key, Z85 text. Empty when the link is not encrypted.
     state : ServerState
         State in the platform's list.
+    status_address : str
+        ``IP:port`` of the status interface. Empty when operators do not reach it.
     """
 
     name: str
@@ -64,6 +66,7 @@
     peer_address: str = ""
     peer_public_key: str = ""
     state: ServerState = ServerState.LIVE
+    status_address: str = ""
 
 
 @attrs.frozen
