--- a/src/sesameport/commands/status.py
+++ b/src/sesameport/commands/status.py
@@ -67,8 +67,9 @@
     for status in statuses:
         for item in status.decisions:
             inputs = " ".join(f"{name}={value}" for name, value in item.inputs.items())
+            age_s = status.now - item.at
             lines.append(
-                f"{_INDENT}{status.host} #{item.sequence}, {status.now - item.at:.1f} s ago: "
+                f"{_INDENT}{status.host} #{item.sequence}, {age_s:.1f} s ago: "
                 f"{item.kind}: {item.reason} {inputs}".rstrip()
             )
     if len(lines) == 1:
--- a/src/sesameport/standins/deployment.py
+++ b/src/sesameport/standins/deployment.py
@@ -1,7 +1,7 @@
 """Build a small deployment of stand-ins in one process."""
 
 import hashlib
-import pathlib
+import importlib.resources
 
 import attrs
 
@@ -12,7 +12,8 @@
 
 __all__ = ["Deployment", "build_deployment", "demo_document", "demo_key"]
 
-_DOCUMENTS = pathlib.Path(__file__).parent / "documents"
+# Read through the package, because the one-file executable has no files beside it.
+_DOCUMENTS = importlib.resources.files("sesameport.standins") / "documents"
 
 
 def demo_key(workspace: str) -> str:
