Count outcomes, record decisions and serve status, burn and metrics

Cause: the daemon answered /status with its steps only and counted nothing. Before: no outcome was recorded. Conclusion: the report has real input.

--- a/src/sesameport/commands/__init__.py
+++ b/src/sesameport/commands/__init__.py
@@ -9,7 +9,10 @@
 from sesameport import __version__
 from sesameport.commands.check import Check
 from sesameport.commands.demo import Demo
+from sesameport.commands.documents import Get, Put
+from sesameport.commands.report import Report
 from sesameport.commands.serve import Serve
+from sesameport.commands.status import Status
 
 __all__ = ["Sesameport", "main"]
 
@@ -19,7 +22,7 @@
 class Sesameport:
     """Route requests between separate prefill and decode pools."""
 
-    command: cappa.Subcommands[Serve | Demo | Check]
+    command: cappa.Subcommands[Serve | Demo | Check | Put | Get | Status | Report]
 
 
 def main() -> None:
--- a/src/sesameport/commands/serve.py
+++ b/src/sesameport/commands/serve.py
@@ -17,14 +17,15 @@
 
 def _serve(command: "Serve") -> int:
     from sesameport.daemon import Daemon
+    from sesameport.telemetry.logs import JsonLineHandler
 
     path = command.settings
     cfg, findings = load_settings(path.read_text(), str(path))
     if cfg is None:
         print(format_findings(findings), file=sys.stderr)
         return 1
+    JsonLineHandler(cfg.host.name, cfg.host.data_centre).push_application()
     daemon = Daemon(cfg).start()
-    print(f"serving callers on {daemon.http.address}", flush=True)
     stopped = threading.Event()
 
     def stop(number, frame):
--- a/src/sesameport/daemon/admission.py
+++ b/src/sesameport/daemon/admission.py
@@ -13,8 +13,11 @@
 )
 from sesameport.daemon.completion_runner import CompletionRunner, RunnerServices
 from sesameport.daemon.directory import DirectoryHolder
+from sesameport.daemon.request_record import RequestRecord
 from sesameport.interfaces import PlainAnswer
 from sesameport.requests import Deliver, EndAnswer, RefuseCall
+from sesameport.telemetry.decisions import DecisionKind
+from sesameport.telemetry.recorder import Recorder
 from sesameport.world import (
     CompletionRequest,
     Execution,
@@ -67,6 +70,7 @@
         incarnation: str,
         call_plain: Callable[[PlainRequest, Route], PlainAnswer | Refusal],
         max_patient: int,
+        recorder: Recorder,
     ):
         self._directory = directory
         self._services = services
@@ -75,6 +79,7 @@
         self._call_plain = call_plain
         self._numbers = itertools.count(1)
         self._max_patient = max_patient
+        self._recorder = recorder
         self._plain_running: set[str] = set()
         self.refusing = False
         self.running: dict[str, CompletionRequest] = {}
@@ -100,39 +105,71 @@
         checked = self._check_completion(request_id, path, body, digest)
         if isinstance(checked, Refusal):
             return checked
-        if checked.urgency == Urgency.PATIENT and self.count() >= self._max_patient:
-            return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
         charge = checked.prompt_tokens + checked.expected_output_tokens
-        refusal = None
-        if checked.workspace:
-            refusal = self._rates.charge(checked.service, checked.workspace, charge)
+        refusal = self._admit(checked, charge)
         if refusal is not None:
+            record = self._new_record(checked, checked.arrived, charge)
+            self._refuse(record, request_id, refusal)
             return refusal
         runner = CompletionRunner(checked, request_id, self._services, is_gone)
         outputs = self._follow(checked, runner, charge)
         next(outputs)
         return outputs
 
-    def _follow(self, req: CompletionRequest, runner, charge: float):
-        usage = Usage()
+    def _admit(self, req: CompletionRequest, charge: int) -> Refusal | None:
+        if req.urgency == Urgency.PATIENT and self.count() >= self._max_patient:
+            return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
+        if not req.workspace:
+            return None
+        return self._rates.charge(req.service, req.workspace, charge)
+
+    @staticmethod
+    def _new_record(req, arrived: float, charge: int) -> RequestRecord:
+        return RequestRecord(req.service, req.workspace, req.urgency, arrived, charge)
+
+    def _refuse(self, record: RequestRecord, request_id: str, refusal: Refusal) -> None:
+        record.refuse(refusal)
+        self._finish(record, request_id, refusal)
+
+    def _finish(
+        self, record: RequestRecord, request_id: str, refusal: Refusal | None
+    ) -> None:
+        now = self._services.clock()
+        self._recorder.record(record.outcome(now))
+        if refusal is None:
+            return
+        inputs = {
+            "service": record.service,
+            "workspace": record.workspace,
+            "execution": refusal.execution.value,
+            "detail": refusal.detail,
+        }
+        slug = refusal.type.slug
+        self._recorder.decide(DecisionKind.REFUSAL, slug, now, request_id, inputs)
+
+    def _follow(self, req: CompletionRequest, runner, charge: int):
+        record = self._new_record(req, req.arrived, charge)
         self.running[req.request_id] = req
-        delivered = 0
+        usage, refusal = Usage(), None
         outputs = runner.run()
         try:
             # The first item starts the generator, so that its clean-up always runs.
             yield None
             for output in outputs:
-                if isinstance(output, Deliver):
-                    delivered += 1
+                record.note(output, self._services.clock())
                 if isinstance(output, EndAnswer):
                     usage = output.usage
+                if isinstance(output, RefuseCall):
+                    refusal = output.refusal
                 yield output
         finally:
             outputs.close()
             self.running.pop(req.request_id, None)
+            record.prefill_tokens = runner.prefill_tokens
+            self._finish(record, req.request_id, refusal)
             used = usage.prompt_tokens + usage.output_tokens
-            if not used and delivered:
-                used = req.prompt_tokens + delivered
+            if not used and record.output_tokens:
+                used = req.prompt_tokens + record.output_tokens
             if req.workspace:
                 self._rates.settle(req.service, req.workspace, used - charge)
 
@@ -216,10 +253,6 @@
         if isinstance(workspace, Refusal):
             return workspace
         name = workspace.name if workspace else ""
-        if workspace and route.cost_tokens:
-            refusal = self._rates.charge(doc.name, name, route.cost_tokens)
-            if refusal is not None:
-                return refusal
         req = PlainRequest(
             request_id=request_id,
             service=doc.name,
@@ -234,16 +267,32 @@
             idempotency_key=idempotency_key,
             key_digest=digest if workspace else "",
         )
-        self._plain_running.add(request_id)
+        record = self._new_record(req, self._services.clock(), route.cost_tokens)
+        answer = self._run_plain(req, route, record)
+        refusal = answer if isinstance(answer, Refusal) else None
+        self._finish(record, request_id, refusal)
+        return answer
+
+    def _run_plain(
+        self, req: PlainRequest, route: Route, record: RequestRecord
+    ) -> PlainAnswer | Refusal:
+        cost = route.cost_tokens if req.workspace else 0
+        if cost:
+            refusal = self._rates.charge(req.service, req.workspace, cost)
+            if refusal is not None:
+                record.refuse(refusal)
+                return refusal
+        self._plain_running.add(req.request_id)
         try:
             answer = self._call_plain(req, route)
         finally:
-            self._plain_running.discard(request_id)
-        gives_back = (
-            isinstance(answer, Refusal) and answer.execution == Execution.NOT_RUN
-        )
-        if gives_back and workspace:
-            self._rates.settle(doc.name, name, -route.cost_tokens)
+            self._plain_running.discard(req.request_id)
+        if not isinstance(answer, Refusal):
+            record.answered(self._services.clock())
+            return answer
+        record.refuse(answer)
+        if cost and answer.execution == Execution.NOT_RUN:
+            self._rates.settle(req.service, req.workspace, -cost)
         return answer
 
 
--- a/src/sesameport/daemon/completion_runner.py
+++ b/src/sesameport/daemon/completion_runner.py
@@ -77,6 +77,7 @@
         self._lifecycle = Lifecycle(req, attempt_prefix)
         self._inbox = RequestInbox()
         self._actions: list = []
+        self.prefill_tokens = 0
 
     def run(self) -> Iterator[Deliver | EndAnswer | RefuseCall]:
         """Yield the tokens and the end of the answer.
@@ -142,6 +143,7 @@
 
     def _prefill(self, server: str, call) -> None:
         self._record(f"prefill on {server}, {self._req.prompt_tokens} tokens")
+        self.prefill_tokens += self._req.prompt_tokens
         engine = self._services.find_engine(server)
         if engine is None:
             error = EngineError(EngineErrorKind.UNREACHABLE, f"no server {server}")
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -1,6 +1,5 @@
 """Wire the parts of one daemon together."""
 
-import collections
 import random
 import secrets
 import threading
@@ -22,17 +21,22 @@
 from sesameport.daemon.load_poller import LoadPoller, choose_subset
 from sesameport.daemon.plain_runner import PlainRunner
 from sesameport.daemon.shutdown import Drain
-from sesameport.daemon.status_api import StatusApi
 from sesameport.documents import Settings, load_service
 from sesameport.routing import Router, RouterConfig
+from sesameport.telemetry.decisions import DecisionKind
+from sesameport.telemetry.logs import get_logger
+from sesameport.telemetry.recorder import Recorder
+from sesameport.telemetry.status import DocumentStatus, HostStatus
+from sesameport.telemetry.status_api import StatusApi
 from sesameport.world import Execution, Refusal, RefusalType
 
 __all__ = ["Daemon"]
 
+_LOG = get_logger("daemon")
+
 _POLL_PERIOD_S = 0.01
 _DIRECTORY_PERIOD_S = 0.5
 _CANCEL_TRIES = 8
-_STEPS_KEPT = 5_000
 
 
 class Daemon:
@@ -48,8 +52,9 @@
         self.cfg = cfg
         self.incarnation = secrets.token_hex(8)
         self.directory = DirectoryHolder()
-        self._steps: collections.deque = collections.deque(maxlen=_STEPS_KEPT)
-        self.timers = TimerService()
+        self._started = time.monotonic()
+        self.recorder = Recorder(cfg.host.name, cfg.host.data_centre, self._started)
+        self.timers = TimerService(on_error=_log_timer_error)
         self.platform = HttpPlatform(cfg.platform.url, cfg.platform.timeout_s)
         self.backends = Backends(self.directory, cfg.requests.silent_s)
         router = Router(
@@ -72,6 +77,7 @@
             identity,
             plain.call,
             cfg.host.max_threads - cfg.host.urgent_threads,
+            self.recorder,
         )
         self.poller = LoadPoller(
             self.backends.find_engine, self._dispatcher.tell, self._note_poll_failure
@@ -93,7 +99,10 @@
             cfg.requests.max_body_bytes,
         )
         status = StatusApi(
-            self.is_ready, lambda: b"", self.build_status, self.build_outcomes
+            self.build_status,
+            lambda: self.recorder.snapshot(time.monotonic()),
+            self.recorder.metrics,
+            self.is_ready,
         )
         self.status_http = HttpServer(cfg.host.status_listen, status, threads=2)
         self.directory.subscribe(self._directory_changed)
@@ -108,6 +117,12 @@
         self.timers.start()
         self.http.start()
         self.status_http.start()
+        addresses = {
+            "incarnation": self.incarnation,
+            "callers": self.http.address,
+            "status": self.status_http.address,
+        }
+        _LOG.info("daemon started", extra=addresses)
         return self
 
     def stop(self) -> None:
@@ -124,30 +139,46 @@
 
     def shutdown(self) -> bool:
         """Drain, stop, and return whether every request ended by itself."""
+        _LOG.info("drain started", extra={"in_flight": self.admission.count()})
         finished = self.drain.run()
+        _LOG.info("drain ended", extra={"finished": finished})
         self.stop()
         return finished
 
     def _refuse_new(self) -> None:
         self.admission.refusing = True
 
-    def build_status(self, request_id: str) -> dict:
-        """Return the status of this host as JSON data."""
-        return {"host": self.cfg.host.name, "steps": self.explain(request_id)}
-
-    def build_outcomes(self) -> dict:
-        """Return the counters of the burn report as JSON data."""
-        return {}
+    def build_status(self, request_id: str) -> HostStatus:
+        """Return the status of this host, with the decisions on one request."""
+        directory, host, now = self.directory.current, self.cfg.host, time.monotonic()
+        return HostStatus(
+            host.name,
+            host.data_centre,
+            self.incarnation,
+            self.cfg.region(),
+            self.is_ready(),
+            now - self._started,
+            documents=tuple(
+                DocumentStatus(name, version)
+                for name, version in sorted(directory.versions.items())
+            ),
+            decisions=tuple(self.recorder.decisions.find(request_id)),
+            in_flight=self.admission.count(),
+            now=now,
+        )
 
     def _note_poll_failure(self, server: str, count: int) -> None:
         pass
 
     def explain(self, request_id: str) -> list[str]:
-        """Return the recorded steps of a request, oldest first."""
-        return [text for name, text in list(self._steps) if name == request_id]
+        """Return the recorded decisions on a request, oldest first."""
+        records = self.recorder.decisions.find(request_id)
+        return [f"{record.kind}: {record.reason}" for record in records]
 
     def _record(self, request_id: str, text: str) -> None:
-        self._steps.append((request_id, text))
+        self.recorder.decisions.add(
+            DecisionKind.PLACEMENT, text, time.monotonic(), request_id
+        )
 
     def _poll(self, now: float) -> None:
         self._dispatcher.tell(Poll())
@@ -162,6 +193,9 @@
         )
         self.poller.set_servers(servers)
         self._dispatcher.tell(DirectoryChanged(servers, dict(directory.documents)))
+        for name, doc in directory.documents.items():
+            weights = {workspace.name: workspace.weight for workspace in doc.workspaces}
+            self.recorder.set_targets(name, doc.targets, weights)
         for req in self.admission.find_withdrawn():
             refusal = Refusal(RefusalType.KEY_WITHDRAWN, Execution.MAY_HAVE_RUN)
             self._dispatcher.tell(StopRequest(req.request_id, refusal))
@@ -194,3 +228,7 @@
             if engine is None or engine.cancel(attempt_id).is_ok():
                 return
             time.sleep(0.1 * 2**attempt)
+
+
+def _log_timer_error(name: str, exc: Exception) -> None:
+    _LOG.error("timer callback failed", extra={"timer": name, "error": repr(exc)})
--- a/src/sesameport/soak/processes.py
+++ b/src/sesameport/soak/processes.py
@@ -89,7 +89,7 @@
         if self.process is None or self.process.poll() is not None or self.paused:
             return False
         try:
-            url = f"http://{self.status_address}/readyz"
+            url = f"http://{self.status_address}/ready"
             return _HTTP.request("GET", url, timeout=1.0).status == 200
         except urllib3.exceptions.HTTPError:
             return False
--- a/src/sesameport/telemetry/decisions.py
+++ b/src/sesameport/telemetry/decisions.py
@@ -13,7 +13,7 @@
 __all__ = ["DecisionKind", "DecisionRecord", "DecisionRing"]
 
 RECORDS_PER_KIND = 500
-"""Records kept of each kind; 7 full rings take less than 4 MB."""
+"""Records kept of each kind; 8 full rings take less than 4 MB."""
 
 MAX_INPUTS = 12
 """Inputs kept of one record, so that its size is bounded."""
@@ -22,6 +22,7 @@
 class DecisionKind(enum.StrEnum):
     """Name the kinds of decision that are recorded."""
 
+    PLACEMENT = "placement"
     REFUSAL = "refusal"
     RETRY = "retry"
     REPAIR = "repair"
