--- a/src/sesameport/fleet/leases.py
+++ b/src/sesameport/fleet/leases.py
@@ -180,13 +180,14 @@
 
     def release(self, now: float) -> None:
         """Give up the hold; the next `tick` writes that, with the present `body`."""
-        self._release = self.is_held(now)
+        if not self.is_held(now):
+            return
+        self._release = True
         self._release_body = self.body
-        if self._release:
-            self.state = LeaseState.NOT_HELD
-            self._held_until = 0.0
-            # An open renewal must not bring the hold back.
-            self._sent.clear()
+        self.state = LeaseState.NOT_HELD
+        self._held_until = 0.0
+        # An open renewal must not bring the hold back.
+        self._sent.clear()
 
     def tick(
         self, now: float, wanted: bool = True, urgent: bool = False
--- a/src/sesameport/fleet/orders.py
+++ b/src/sesameport/fleet/orders.py
@@ -154,6 +154,14 @@
             for name in [name for name in known if name not in self._servers]:
                 del known[name]
 
+    def server_names(self) -> list[str]:
+        """List the servers that this task orders."""
+        return sorted(self._servers)
+
+    def has_servers(self) -> bool:
+        """Tell whether there is anything to order."""
+        return bool(self._servers)
+
     def take_report(self, report: ServerReport) -> None:
         """Take a server's report; older ones than the last are ignored."""
         last = self._reports.get(report.server)
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -11,13 +11,22 @@
 
 from sesameport.fleet.buckets import Lender, Lot, spend_lots
 from sesameport.fleet.pool_owner import LotBook, lend_lots
+from sesameport.fleet.share_accounts import (
+    Admitted,
+    LotsNeeded,
+    RateRefused,
+    Receipt,
+    WorkspaceShare,
+    settle_receipt,
+    take_idle,
+)
+from sesameport.fleet.share_asks import LotAsks, OpenAsk
 from sesameport.fleet.share_limits import Limit, ShareSettings
 from sesameport.fleet.share_messages import (
     LotAsk,
     LotGrant,
     LotReturn,
     LotWant,
-    ReturnedLot,
     StandingAsk,
     StandingGrant,
 )
@@ -28,13 +37,9 @@
 
 # A charge is covered when at most this many tokens are missing; it absorbs rounding.
 _ROUNDING = 1e-6
-# Unanswered asks in a row after which the owner counts as unreachable.
-_MISSES = 2
 # Longest times without a new ask after a lender had too little, seconds.
 _LONGEST_OWNER_WAIT_S = 0.5
 _LONGEST_PEER_WAIT_S = 3.0
-# Part of the burst up to which tokens paid in excess offset later debt.
-_CREDIT_PART = 0.05
 # Numbers of standing lots start here, so that they differ from the numbers of pool lots
 # of the same process and a return reaches only the bucket that lent the lot.
 _FIRST_STANDING_LOT = 1 << 40
@@ -42,69 +47,6 @@
 _DEMAND_WEIGHT = 0.3
 
 
-@attrs.define
-class Receipt:
-    """Record where the tokens of one admitted request came from."""
-
-    workspace: str
-    tokens: float
-    standing: float
-    lots: list[tuple[Lot, float]]
-    at: float
-
-
-@attrs.frozen
-class Admitted:
-    """Admit a request; pass the receipt to `HostShares.settle` when it has ended."""
-
-    receipt: Receipt
-
-
-@attrs.frozen
-class LotsNeeded:
-    """Ask the caller to wait for lots and charge again; `tokens` are missing."""
-
-    tokens: float
-
-
-@attrs.frozen
-class RateRefused:
-    """Refuse a request; None means that no later time would help."""
-
-    retry_after_s: float | None
-
-
-@attrs.define
-class _WorkspaceShare:
-    limit: Limit
-    standing: Lender
-    lots: list[Lot] = attrs.field(factory=list)
-    debt: float = 0.0
-    credit: float = 0.0
-    charged: float = 0.0
-    demand_per_s: float = 0.0
-    missing: float = 0.0
-    owner_short_until: float = 0.0
-    peers_short_until: float = 0.0
-    peers_backoff_s: float = 0.0
-    retry_after_s: float = 1.0
-
-    def available(self, now: float) -> float:
-        """Return the tokens that a charge may use now."""
-        self.standing.advance(now)
-        lots = sum(lot.tokens for lot in self.lots if lot.expires_at > now)
-        return lots + max(0.0, self.standing.level)
-
-
-@attrs.define
-class _OpenAsk:
-    lender: str
-    sent_at: float
-    from_standing: bool
-    workspaces: tuple[str, ...]
-    is_open: bool = True
-
-
 @attrs.define
 class HostShares:
     """Hold the rate shares of one service on one host.
@@ -127,22 +69,17 @@
     incarnation: str
     cfg: ShareSettings
     rng: random.Random
-    owner_candidates: tuple[str, ...] = ()
-    near_peers: tuple[str, ...] = ()
-    far_peers: tuple[str, ...] = ()
+    asks: LotAsks = attrs.field(init=False)
     standing: StandingShare = attrs.field(init=False)
-    workspaces: dict[str, _WorkspaceShare] = attrs.field(factory=dict)
+    workspaces: dict[str, WorkspaceShare] = attrs.field(factory=dict)
     is_leaving: bool = False
-    _owner: str = ""
-    _misses: int = 0
-    _asks: dict[int, _OpenAsk] = attrs.field(factory=dict)
-    _next_ask: int = 1
     _next_lot_id: int = _FIRST_STANDING_LOT
     _retired: dict[str, Lender] = attrs.field(factory=dict)
     _book: LotBook = attrs.field(init=False)
     _demand_at: float | None = None
 
     def __attrs_post_init__(self):
+        self.asks = LotAsks(self.service, self.cfg, self.rng)
         self.standing = StandingShare(self.service, self.incarnation, self.cfg)
         self._book = LotBook(self.cfg.lot_lifetime_s)
 
@@ -155,7 +92,7 @@
                 lender = self._retired.pop(workspace, None) or Lender(
                     0.0, 0.0, now, self.cfg.drift
                 )
-                self.workspaces[workspace] = _WorkspaceShare(limit, lender)
+                self.workspaces[workspace] = WorkspaceShare(limit, lender)
             else:
                 share.limit = limit
         for workspace in list(self.workspaces):
@@ -181,9 +118,9 @@
         near_peers, far_peers : tuple of str
             Other hosts of this data centre, and of the region's other data centres.
         """
-        self.owner_candidates = owner_candidates
-        self.near_peers = tuple(name for name in near_peers if name != self.host)
-        self.far_peers = tuple(name for name in far_peers if name != self.host)
+        self.asks.owner_candidates = owner_candidates
+        self.asks.near_peers = tuple(name for name in near_peers if name != self.host)
+        self.asks.far_peers = tuple(name for name in far_peers if name != self.host)
 
     def charge(
         self, workspace: str, tokens: float, now: float, may_wait: bool = True
@@ -229,42 +166,21 @@
         share = self.workspaces.get(receipt.workspace)
         if share is None:
             return 0.0
-        excess = used - receipt.tokens
-        if excess >= 0.0:
-            offset = min(share.credit, excess)
-            share.credit -= offset
-            share.debt += excess - offset
-            return 0.0
-        left = -excess
-        offset = min(share.debt, left)
-        share.debt -= offset
-        left -= offset
-        given = 0.0
-        for lot, part in receipt.lots:
-            if lot not in share.lots or lot.expires_at <= now:
-                continue
-            back = min(part, left - given)
-            lot.tokens += back
-            given += back
-        back = min(receipt.standing, left - given)
-        if back > 0.0:
-            given += share.standing.refund(back, receipt.at, now)
-        bound = share.limit.burst_tokens * _CREDIT_PART
-        share.credit = min(bound, share.credit + left - given)
-        return given
+        return settle_receipt(share, receipt, used, now)
 
     def flush(self, now: float) -> list[tuple[str, LotAsk]]:
         """Return the asks for the tokens that waiting charges are missing."""
-        self._drop_old_asks(now)
+        for ask in self.asks.drop_old(now):
+            self._note_unanswered(ask, now)
         wanting = [
             (name, share) for name, share in self.workspaces.items() if share.missing
         ]
         if not wanting or self.is_leaving:
             return []
         out = []
-        if not self._is_asking(from_standing=False):
+        if not self.asks.is_asking(from_standing=False):
             out.extend(self._ask_owner(wanting, now))
-        if not self._is_asking(from_standing=True):
+        if not self.asks.is_asking(from_standing=True):
             out.extend(self._ask_peers(wanting, now))
         return out
 
@@ -272,7 +188,7 @@
         """Return unused lots, renew the standing share and repeat lost asks."""
         self._check_standing(now)
         self._estimate_demand(now)
-        out = list(self._return_lots(now))
+        out = list(self._return_lots(now, self.cfg.idle_return_s))
         out.extend(self.flush(now))
         lenders = [share.standing for share in self.workspaces.values()]
         for workspace, lender in list(self._retired.items()):
@@ -282,7 +198,7 @@
         fits = all(lender.fits(now) for lender in lenders)
         ask = self.standing.tick(now, fits, self.is_leaving)
         if ask is not None:
-            out.append((self._owner_guess(), ask))
+            out.append((self.asks.owner_guess(), ask))
         return out
 
     def leave(self, now: float) -> list[tuple[str, LotReturn]]:
@@ -294,17 +210,15 @@
         self.is_leaving = True
         self.standing.stop()
         self._resize(now)
-        return list(self._return_lots(now, everything=True))
+        return self._return_lots(now, 0.0)
 
     def handle_grant(self, sender: Sender, grant: LotGrant, now: float) -> None:
         """Take lots; a late, repeated or foreign grant is ignored."""
         if grant.to_incarnation != self.incarnation:
             return
-        ask = self._asks.pop(grant.ask_id, None)
-        if ask is None or ask.lender != sender.host:
+        ask = self.asks.take(sender.host, grant)
+        if ask is None:
             return
-        if not ask.from_standing:
-            self._follow_owner(sender.host, grant)
         for short in grant.short:
             share = self.workspaces.get(short.workspace)
             if share is None:
@@ -340,9 +254,9 @@
         if grant.to_incarnation != self.incarnation:
             return
         if not grant.is_owner:
-            self._owner = grant.owner
+            self.asks.owner = grant.owner
             return
-        self._owner = sender.host
+        self.asks.owner = sender.host
         if self.standing.adopt(grant, now):
             self._resize(now)
 
@@ -390,60 +304,25 @@
             self._resize(now)
 
     def _withdraw(
-        self, share: _WorkspaceShare, tokens: float, now: float
+        self, share: WorkspaceShare, tokens: float, now: float
     ) -> tuple[float, list[tuple[Lot, float]]]:
         lots = spend_lots(share.lots, tokens, now)
         left = tokens - sum(part for _, part in lots)
         standing = share.standing.take(left, now) if left > 0.0 else 0.0
         return standing, lots
 
-    def _may_ask(self, share: _WorkspaceShare, now: float) -> bool:
-        if now >= share.owner_short_until and self._is_owner_reachable():
+    def _may_ask(self, share: WorkspaceShare, now: float) -> bool:
+        if now >= share.owner_short_until and self.asks.is_owner_reachable():
             return True
-        peers = self.near_peers or self.far_peers
+        peers = self.asks.near_peers or self.asks.far_peers
         return bool(peers) and now >= share.peers_short_until
 
-    def _retry_after(self, share: _WorkspaceShare, missing: float) -> float:
+    def _retry_after(self, share: WorkspaceShare, missing: float) -> float:
         rate = max(share.limit.rate_tokens_per_s, 1e-9)
         return min(60.0, max(share.retry_after_s, missing / rate))
 
-    def _is_owner_reachable(self) -> bool:
-        return self._misses < _MISSES
-
-    def _owner_guess(self) -> str:
-        if self._owner and self._is_owner_reachable():
-            return self._owner
-        if not self.owner_candidates:
-            return self._owner
-        return self.owner_candidates[self._misses % len(self.owner_candidates)]
-
-    def _follow_owner(self, host: str, grant: LotGrant) -> None:
-        if grant.is_owner:
-            self._owner, self._misses = host, 0
-        elif grant.owner and grant.owner != self._owner:
-            self._owner, self._misses = grant.owner, 0
-        else:
-            self._misses += 1
-
-    def _is_asking(self, from_standing: bool) -> bool:
-        return any(
-            ask.is_open and ask.from_standing == from_standing
-            for ask in self._asks.values()
-        )
-
-    def _drop_old_asks(self, now: float) -> None:
-        for ask_id, ask in list(self._asks.items()):
-            age = now - ask.sent_at
-            if ask.is_open and age > self.cfg.ask_timeout_s:
-                # The grant may still come, but it is no longer waited for.
-                ask.is_open = False
-                self._note_unanswered(ask, now)
-            if age > self.cfg.lot_lifetime_s:
-                del self._asks[ask_id]
-
-    def _note_unanswered(self, ask: _OpenAsk, now: float) -> None:
+    def _note_unanswered(self, ask: OpenAsk, now: float) -> None:
         if not ask.from_standing:
-            self._misses += 1
             return
         for name in ask.workspaces:
             if name in self.workspaces:
@@ -451,7 +330,7 @@
                 share.peers_short_until = now + share.peers_backoff_s
 
     def _ask_owner(
-        self, wanting: list[tuple[str, _WorkspaceShare]], now: float
+        self, wanting: list[tuple[str, WorkspaceShare]], now: float
     ) -> list[tuple[str, LotAsk]]:
         wants = []
         for name, share in wanting:
@@ -461,21 +340,21 @@
                 share.demand_per_s * self.cfg.spare_s, share.limit.burst_tokens / 16.0
             )
             wants.append(LotWant(name, share.missing, spare))
-            if self._is_owner_reachable():
+            if self.asks.is_owner_reachable():
                 share.missing = 0.0
-        owner = self._owner_guess()
+        owner = self.asks.owner_guess()
         if not wants or not owner:
             return []
-        return [(owner, self._open_ask(owner, wants, False, now))]
+        return [(owner, self.asks.open(owner, wants, False, now))]
 
     def _ask_peers(
-        self, wanting: list[tuple[str, _WorkspaceShare]], now: float
+        self, wanting: list[tuple[str, WorkspaceShare]], now: float
     ) -> list[tuple[str, LotAsk]]:
         wants = []
         for name, share in wanting:
             if not share.missing or now < share.peers_short_until:
                 continue
-            if self._is_owner_reachable() and now >= share.owner_short_until:
+            if self.asks.is_owner_reachable() and now >= share.owner_short_until:
                 continue
             wants.append(LotWant(name, share.missing))
             share.missing = 0.0
@@ -487,28 +366,10 @@
         if not wants:
             return []
         return [
-            (peer, self._open_ask(peer, wants, True, now))
-            for peer in self._choose_peers()
+            (peer, self.asks.open(peer, wants, True, now))
+            for peer in self.asks.choose_peers()
         ]
 
-    def _choose_peers(self) -> list[str]:
-        # Without the owner, the host may be cut off with its data centre, so that only
-        # the near peers answer.
-        near = list(self.near_peers)
-        far = list(self.far_peers) if self._is_owner_reachable() else []
-        count = self.cfg.peers_at_once
-        pool = near + far
-        return pool if len(pool) <= count else self.rng.sample(pool, count)
-
-    def _open_ask(
-        self, lender: str, wants: list[LotWant], from_standing: bool, now: float
-    ) -> LotAsk:
-        ask_id = self._next_ask
-        self._next_ask += 1
-        names = tuple(want.workspace for want in wants)
-        self._asks[ask_id] = _OpenAsk(lender, now, from_standing, names)
-        return LotAsk(self.service, ask_id, tuple(wants), from_standing)
-
     def _estimate_demand(self, now: float) -> None:
         if self._demand_at is None or now <= self._demand_at:
             self._demand_at = now
@@ -519,26 +380,9 @@
             share.demand_per_s += _DEMAND_WEIGHT * (newest - share.demand_per_s)
             share.charged = 0.0
 
-    def _return_lots(
-        self, now: float, everything: bool = False
-    ) -> list[tuple[str, LotReturn]]:
-        returned: dict[tuple[str, str], list[ReturnedLot]] = {}
-        for name, share in self.workspaces.items():
-            kept = []
-            for lot in share.lots:
-                if lot.expires_at <= now:
-                    continue
-                idle = now - lot.used_at > self.cfg.idle_return_s
-                if not everything and lot.tokens > _ROUNDING and not idle:
-                    kept.append(lot)
-                    continue
-                unused = max(0.0, lot.tokens)
-                lot.tokens = 0.0
-                returned.setdefault((lot.lender, lot.lender_incarnation), []).append(
-                    ReturnedLot(name, lot.lot_id, unused)
-                )
-            share.lots = kept
+    def _return_lots(self, now: float, idle_s: float) -> list[tuple[str, LotReturn]]:
+        lots = {name: share.lots for name, share in self.workspaces.items()}
         return [
-            (lender, LotReturn(self.service, incarnation, tuple(lots)))
-            for (lender, incarnation), lots in returned.items()
+            (lender, LotReturn(self.service, incarnation, tuple(returned)))
+            for (lender, incarnation), returned in take_idle(lots, now, idle_s).items()
         ]
--- a/src/sesameport/interfaces/engine.py
+++ b/src/sesameport/interfaces/engine.py
@@ -1,7 +1,7 @@
 """Define model engines and plain services as decision code and adapters see them."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Protocol
 
 import attrs
@@ -198,6 +198,12 @@
         Age of the report when it was received, seconds.
     sequence : int
         Rising number of the report.
+    models, adapters : sequence of str or None
+        Loaded ``model@version`` and ``model:adapter``; None if not reported.
+    role : str
+        Role that the engine has now; empty if not reported.
+    draining : bool or None
+        Whether the engine takes no new work; None if not reported.
     """
 
     server: str
@@ -208,6 +214,10 @@
     kv_pieces_free: int = 0
     age_s: float = 0.0
     sequence: int = 0
+    models: Sequence[str] | None = None
+    adapters: Sequence[str] | None = None
+    role: str = ""
+    draining: bool | None = None
 
 
 @attrs.frozen
