--- a/src/sesameport/bench/share_fleet.py
+++ b/src/sesameport/bench/share_fleet.py
@@ -149,7 +149,7 @@
         """Settle a request and correct its withdrawal."""
         given = self.node.shares.settle(receipt, used, self.now)
         entry.tokens -= given
-        self.fleet.live.level += given
+        self.fleet.live[receipt.workspace].level += given
 
     def receive(self, sender: Sender, message: Any) -> None:
         """Take a message from the network."""
@@ -241,8 +241,10 @@
         self.withdrawals: list[Withdrawal] = []
         self.last: Withdrawal | None = None
         # Starts empty, as all hosts do, so it bounds what they may hold together.
-        limit = next(iter(limits.values()))
-        self.live = ReferenceBucket(limit.rate_tokens_per_s, limit.burst_tokens, 0.0)
+        self.live = {
+            name: ReferenceBucket(limit.rate_tokens_per_s, limit.burst_tokens, 0.0)
+            for name, limit in limits.items()
+        }
         self.hosts: list[ShareHost] = []
         for i in range(hosts):
             host = ShareHost(self, f"h{i}", f"dc{i % data_centres}")
@@ -266,7 +268,7 @@
 
     def note(self, workspace: str, tokens: float, debt: float, receipt) -> None:
         """Record the tokens that an admitted request withdrew."""
-        self.live.withdraw(self.queue.now, tokens + debt)
+        self.live[workspace].withdraw(self.queue.now, tokens + debt)
         if debt > 0.0:
             self.withdrawals.append(Withdrawal(self.queue.now, workspace, debt))
         self.last = Withdrawal(self.queue.now, workspace, tokens)
--- a/src/sesameport/fleet/tests/test_shares.py
+++ b/src/sesameport/fleet/tests/test_shares.py
@@ -47,7 +47,7 @@
 
     def probe(self):
         self.after(0.2, self.probe)
-        live = self.fleet.live
+        live = self.fleet.live["w"]
         live.advance(self.queue.now)
         held = self.fleet.spendable("w")
         assert held <= live.level + 1e-3, f"{held - live.level:g} tokens too many"
