Let the pool earn the rate of full standing buckets

Cause: a full standing bucket wastes its refill.

A host pauses its full buckets for longer than the owner earns their rate; the owner counts from before the grant that the host names. Idle lots are returned after 0.25 s instead of 1 s and asks cover 0.1 s of demand instead of 0.5 s.

--- a/src/sesameport/fleet/buckets.py
+++ b/src/sesameport/fleet/buckets.py
@@ -19,6 +19,7 @@
 # Entries kept to judge refunds. Older entries are merged on the safe side, so a smaller
 # number only loses some refunded tokens.
 _HEADROOM_ENTRIES = 16
+_NEVER = float("inf")
 # Differences below this number of tokens are rounding.
 _ROUNDING = 1e-6
 
@@ -98,23 +99,49 @@
     margin_s: float = 0.1
     level: float = 0.0
     lent: float = 0.0
+    paused_until: float = float("-inf")
     _lots: dict[int, float] = attrs.field(factory=dict)
     _expiry: list[tuple[float, int]] = attrs.field(factory=list)
     _headrooms: list[tuple[float, float]] = attrs.field(factory=list)
+    _passed: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    _passed_ends: list[tuple[float, str]] = attrs.field(factory=list)
+    _passed_rate: float = 0.0
 
     def advance(self, now: float) -> None:
         """Add the tokens earned until now and drop lots that have expired."""
-        # Steps at each expiry: the room of a lot fills only after the lot is gone.
-        while self._expiry and self._expiry[0][0] <= now:
-            expires_at, lot_id = heapq.heappop(self._expiry)
-            tokens = self._lots.pop(lot_id, None)
-            if tokens is None:
-                continue
-            self._refill(expires_at)
-            self._note_headroom(expires_at)
-            self._reduce_lent(tokens)
+        # Steps at each expiry: the room of a lot fills only after the lot is gone, and
+        # a passed rate ends at its time.
+        while True:
+            lot_at = self._expiry[0][0] if self._expiry else _NEVER
+            end_at = self._passed_ends[0][0] if self._passed_ends else _NEVER
+            if min(lot_at, end_at) > now:
+                break
+            if lot_at <= end_at:
+                self._expire_lot()
+            else:
+                self._end_passed()
         self._refill(now)
 
+    def pause(self, until: float, now: float) -> None:
+        """Earn nothing until a time, so that another bucket may earn the rate."""
+        self.advance(now)
+        self.paused_until = max(self.paused_until, until)
+
+    def pass_rate(self, source: str, rate_per_s: float, until: float, now: float):
+        """Earn the rate of another, paused bucket until a time.
+
+        A later call for the same source replaces the earlier one; a rate of 0 ends it.
+        """
+        self.advance(now)
+        rate, _ = self._passed.pop(source, (0.0, 0.0))
+        self._passed_rate -= rate
+        if rate_per_s > 0.0 and until > now:
+            self._passed[source] = (rate_per_s, until)
+            self._passed_rate += rate_per_s
+            heapq.heappush(self._passed_ends, (until, source))
+        if not self._passed:
+            self._passed_rate = 0.0
+
     def take(self, tokens: float, now: float) -> float:
         """Withdraw up to ``tokens`` and return the number withdrawn."""
         self.advance(now)
@@ -180,6 +207,9 @@
         self.advance(now)
         self.rate_per_s = rate_per_s
         self.capacity = capacity
+        # Passed rates belong to the old size; their sources pass the new one later.
+        self._passed.clear()
+        self._passed_rate = 0.0
         self.level = max(0.0, min(self.level, capacity - self.lent))
         self._headrooms.clear()
         self._headrooms.append((now, max(0.0, self._headroom())))
@@ -199,11 +229,31 @@
     def _refill(self, now: float) -> None:
         if now <= self.updated_at:
             return
-        earned = self.rate_per_s * (now - self.updated_at)
+        since = max(self.updated_at, self.paused_until)
+        earned = self.rate_per_s * max(0.0, now - since)
+        earned += self._passed_rate * (now - self.updated_at)
         self.updated_at = now
         room = self.capacity - self.lent - self.level
         self.level += max(0.0, min(earned, room))
 
+    def _expire_lot(self) -> None:
+        expires_at, lot_id = heapq.heappop(self._expiry)
+        tokens = self._lots.pop(lot_id, None)
+        if tokens is None:
+            return
+        self._refill(expires_at)
+        self._note_headroom(expires_at)
+        self._reduce_lent(tokens)
+
+    def _end_passed(self) -> None:
+        end_at, source = heapq.heappop(self._passed_ends)
+        rate, until = self._passed.get(source, (0.0, 0.0))
+        if until != end_at:
+            return
+        self._refill(end_at)
+        del self._passed[source]
+        self._passed_rate = self._passed_rate - rate if self._passed else 0.0
+
     def _headroom(self) -> float:
         return self.capacity - self.lent - self.level
 
--- a/src/sesameport/fleet/pool_owner.py
+++ b/src/sesameport/fleet/pool_owner.py
@@ -7,7 +7,7 @@
 from sesameport.fleet.clocks import fastest_rate, wait_out_s
 from sesameport.fleet.leases import Lease
 from sesameport.fleet.platform_intents import PlatformIntent
-from sesameport.fleet.share_limits import Limit, ShareSettings
+from sesameport.fleet.share_limits import Limit, ShareSettings, workspaces_digest
 from sesameport.fleet.share_messages import (
     GrantedLot,
     LotAsk,
@@ -17,7 +17,7 @@
     StandingAsk,
     StandingGrant,
 )
-from sesameport.fleet.standing_records import StandingRecords
+from sesameport.fleet.standing_records import MILLION, StandingRecords
 from sesameport.interfaces import PlatformError, Sender, StoredObject
 
 __all__ = ["LotBook", "PoolOwner"]
@@ -101,11 +101,15 @@
     _epoch: int = 0
     _open_at: float = 0.0
     _next_lot_id: int = 1
+    _digest: int = 0
     _last_write: float = float("-inf")
 
     def __attrs_post_init__(self):
         self.records = StandingRecords(
-            self.service, self.cfg.standing_lease_s, self.cfg.drift
+            self.service,
+            self.cfg.standing_lease_s,
+            self.cfg.drift,
+            self.cfg.idle_s,
         )
         self._book = LotBook(self.cfg.lot_lifetime_s)
 
@@ -116,6 +120,7 @@
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Put the limits of a new document version in force."""
         self.limits = dict(limits)
+        self._digest = workspaces_digest(limits)
         for workspace, lender in list(self.lenders.items()):
             if workspace in limits:
                 continue
@@ -223,7 +228,23 @@
                 is_owner=False,
                 owner=self.lease.current_holder(),
             )
-        return self.records.handle(sender.host, sender.incarnation, ask, now)
+        until = self.records.passed_until(sender.incarnation, ask)
+        if ask.workspaces_digest != self._digest:
+            until = float("-inf")
+        grant = self.records.handle(sender.host, sender.incarnation, ask, now)
+        self._take_passed(sender.incarnation, ask.busy, until, now)
+        return grant
+
+    def _take_passed(
+        self, incarnation: str, busy: tuple[str, ...], until: float, now: float
+    ) -> None:
+        millionths = self.records.usable_millionths(incarnation)
+        part = self.cfg.standing_share * millionths / MILLION
+        for workspace, limit in self.limits.items():
+            rate = fastest_rate(limit.rate_tokens_per_s * part, self.cfg.drift)
+            if workspace in busy or until <= now:
+                rate = 0.0
+            self.lenders[workspace].pass_rate(incarnation, rate, until, now)
 
     def _follow_lease(self, now: float) -> list[tuple[str, StandingGrant]]:
         if not self.lease.is_held(now):
@@ -231,7 +252,7 @@
             return []
         if self._epoch != self.lease.epoch:
             self._start_epoch(now)
-        return self.records.confirm(self.lease.record.body)
+        return self.records.confirm(self.lease.record.body, now)
 
     def _start_epoch(self, now: float) -> None:
         self._epoch = self.lease.epoch
--- a/src/sesameport/fleet/share_accounts.py
+++ b/src/sesameport/fleet/share_accounts.py
@@ -12,11 +12,15 @@
     "RateRefused",
     "Receipt",
     "WorkspaceShare",
+    "pause_full",
+    "settle_receipt",
     "take_idle",
 ]
 
 # Part of the burst up to which tokens paid in excess offset later debt.
 _CREDIT_PART = 0.05
+# A standing bucket filled to this part passes its rate to the pool.
+_FULL_PART = 0.95
 # A lot with at most this many tokens is spent; the rest is rounding.
 _SPENT = 1e-6
 
@@ -81,6 +85,21 @@
         return lots + max(0.0, self.standing.level)
 
 
+def pause_full(
+    workspaces: dict[str, WorkspaceShare], until: float, now: float
+) -> tuple[str, ...]:
+    """Pause the full standing buckets until a time and name the other workspaces."""
+    busy = []
+    for name, share in workspaces.items():
+        lender = share.standing
+        lender.advance(now)
+        if lender.level < _FULL_PART * lender.capacity:
+            busy.append(name)
+            continue
+        lender.pause(until, now)
+    return tuple(busy)
+
+
 def take_idle(
     lots_by_workspace: dict[str, list[Lot]], now: float, idle_s: float
 ) -> dict[tuple[str, str], list[ReturnedLot]]:
--- a/src/sesameport/fleet/share_limits.py
+++ b/src/sesameport/fleet/share_limits.py
@@ -1,5 +1,7 @@
 """Derive a region's limits from a service document and check changes of shares."""
 
+import zlib
+
 import attrs
 
 from sesameport.documents import largest_request_tokens
@@ -11,6 +13,7 @@
     "check_region_change",
     "check_region_bursts",
     "region_limits",
+    "workspaces_digest",
 ]
 
 _ROUNDING = 1e-9
@@ -40,6 +43,9 @@
         Time after which an unused lot is returned, seconds.
     standing_ask_s : float
         Period of standing asks once a share is held, seconds.
+    idle_s : float
+        Time for which a host passes the rate of its full standing buckets to the pool
+        owner, seconds; 0 to keep it. After a cut a host waits this long for its rate.
     retry_s : float
         Time during which a host does not ask again after a lender had too little.
     peers_at_once : int
@@ -52,9 +58,10 @@
     lot_lifetime_s: float = 8.0
     drift: float = 0.01
     ask_timeout_s: float = 0.3
-    spare_s: float = 0.5
-    idle_return_s: float = 1.0
-    standing_ask_s: float = 20.0
+    spare_s: float = 0.1
+    idle_return_s: float = 0.25
+    standing_ask_s: float = 5.0
+    idle_s: float = 12.0
     retry_s: float = 0.1
     peers_at_once: int = 8
 
@@ -95,6 +102,11 @@
     }
 
 
+def workspaces_digest(limits: dict[str, Limit]) -> int:
+    """Return a number that tells different sets of workspaces apart."""
+    return zlib.crc32("\0".join(sorted(limits)).encode())
+
+
 def check_region_change(
     old: ServiceDocument | None, new: ServiceDocument, file: str
 ) -> list[Finding]:
--- a/src/sesameport/fleet/share_messages.py
+++ b/src/sesameport/fleet/share_messages.py
@@ -107,6 +107,11 @@
 
     ``adopted_epoch`` and ``adopted_number`` name the newest grant that is in force at
     the sender. ``is_leaving`` gives the share back for good.
+
+    With ``idle_number`` above 0 the sender earns nothing in its standing buckets for
+    the time that the grant of this epoch and number named, and the owner may earn it.
+    This holds for all workspaces except ``busy``, if ``workspaces_digest`` is also the
+    owner's.
     """
 
     service: str
@@ -114,6 +119,10 @@
     adopted_epoch: int = 0
     adopted_number: int = 0
     is_leaving: bool = False
+    idle_epoch: int = 0
+    idle_number: int = 0
+    workspaces_digest: int = 0
+    busy: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -122,7 +131,8 @@
 
     ``lease_s`` counts from before the receiver asked. A grant with a lower epoch or
     number than the adopted one is ignored. With ``is_owner`` False it only names the
-    owner.
+    owner. ``idle_s`` is the time for which the next ask may pass the rate of full
+    standing buckets to the owner.
     """
 
     service: str
@@ -132,5 +142,6 @@
     number: int = 0
     millionths: int = 0
     lease_s: float = 0.0
+    idle_s: float = 0.0
     is_owner: bool = True
     owner: str = ""
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -10,6 +10,7 @@
 import attrs
 
 from sesameport.fleet.buckets import Lender, Lot, spend_lots
+from sesameport.fleet.clocks import wait_out_s
 from sesameport.fleet.pool_owner import LotBook, lend_lots
 from sesameport.fleet.share_accounts import (
     Admitted,
@@ -17,11 +18,12 @@
     RateRefused,
     Receipt,
     WorkspaceShare,
+    pause_full,
     settle_receipt,
     take_idle,
 )
 from sesameport.fleet.share_asks import LotAsks, OpenAsk
-from sesameport.fleet.share_limits import Limit, ShareSettings
+from sesameport.fleet.share_limits import Limit, ShareSettings, workspaces_digest
 from sesameport.fleet.share_messages import (
     LotAsk,
     LotGrant,
@@ -37,6 +39,7 @@
 
 # A charge is covered when at most this many tokens are missing; it absorbs rounding.
 _ROUNDING = 1e-6
+_PAUSE_MARGIN_S = 0.1
 # Longest times without a new ask after a lender had too little, seconds.
 _LONGEST_OWNER_WAIT_S = 0.5
 _LONGEST_PEER_WAIT_S = 3.0
@@ -77,6 +80,7 @@
     _retired: dict[str, Lender] = attrs.field(factory=dict)
     _book: LotBook = attrs.field(init=False)
     _demand_at: float | None = None
+    _digest: int = 0
 
     def __attrs_post_init__(self):
         self.asks = LotAsks(self.service, self.cfg, self.rng)
@@ -85,6 +89,7 @@
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Put the limits of a new document version in force."""
+        self._digest = workspaces_digest(limits)
         for workspace, limit in limits.items():
             share = self.workspaces.get(workspace)
             if share is None:
@@ -196,7 +201,10 @@
             if lender.fits(now):
                 del self._retired[workspace]
         fits = all(lender.fits(now) for lender in lenders)
-        ask = self.standing.tick(now, fits, self.is_leaving)
+        digest, busy = 0, ()
+        if self.standing.is_ask_due(now) and not self.is_leaving:
+            digest, busy = self._pause_full(now)
+        ask = self.standing.tick(now, fits, self.is_leaving, digest, busy)
         if ask is not None:
             out.append((self.asks.owner_guess(), ask))
         return out
@@ -236,16 +244,9 @@
                 continue
             if ask.from_standing:
                 share.peers_backoff_s = 0.0
-            share.lots.append(
-                Lot(
-                    sender.host,
-                    sender.incarnation,
-                    lot.lot_id,
-                    lot.tokens,
-                    expires_at,
-                    now,
-                )
-            )
+            lender = (sender.host, sender.incarnation)
+            held = Lot(*lender, lot.lot_id, lot.tokens, expires_at, now)
+            share.lots.append(held)
 
     def handle_standing_grant(
         self, sender: Sender, grant: StandingGrant, now: float
@@ -317,6 +318,15 @@
         peers = self.asks.near_peers or self.asks.far_peers
         return bool(peers) and now >= share.peers_short_until
 
+    def _pause_full(self, now: float) -> tuple[int, tuple[str, ...]]:
+        # A full bucket wastes its rate. The pool earns it instead while this host
+        # earns nothing; the host's pause is the longer one on any clock.
+        idle_s = self.standing.idle_s()
+        if idle_s <= 0.0:
+            return 0, ()
+        until = now + wait_out_s(idle_s, self.cfg.drift, _PAUSE_MARGIN_S)
+        return self._digest, pause_full(self.workspaces, until, now)
+
     def _retry_after(self, share: WorkspaceShare, missing: float) -> float:
         rate = max(share.limit.rate_tokens_per_s, 1e-9)
         return min(60.0, max(share.retry_after_s, missing / rate))
