Let the share gate fit the rate gate of admission

Cause: admission charges through RateGate, which keeps no receipt.

Conclusion: ShareGate can replace UnlimitedRates; charge_with_receipt and settle_receipt give more unused tokens back.

--- /dev/null
+++ b/src/sesameport/daemon/share_gate.py
@@ -0,0 +1,104 @@
+"""Charge requests from any thread through the shares actor."""
+
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+import attrs
+import pykka
+
+from sesameport.fleet.share_accounts import RateRefused, Receipt
+from sesameport.interfaces import Timers
+from sesameport.world import Refusal, RefusalType
+
+__all__ = ["Charge", "Settle", "SettleDifference", "ShareGate"]
+
+# Time that a caller thread waits beyond its bound for the actor's answer.
+_ACTOR_SLACK_S = 1.0
+
+
+@attrs.define(eq=False)
+class Charge:
+    """Ask to charge a request; ``done`` gets a `Receipt` or a `Refusal`."""
+
+    service: str
+    workspace: str
+    tokens: float
+    deadline: float
+    done: Future = attrs.field(factory=Future)
+    is_given_up: bool = False
+
+
+@attrs.frozen
+class Settle:
+    """Correct a charge to the tokens used."""
+
+    service: str
+    receipt: Receipt
+    used: float
+
+
+@attrs.frozen
+class SettleDifference:
+    """Correct a charge whose receipt was not kept."""
+
+    service: str
+    workspace: str
+    difference: float
+
+
+class ShareGate:
+    """Charge requests from any thread.
+
+    Parameters
+    ----------
+    actor : pykka.ActorRef
+        The shares actor.
+    timers : Timers
+        Clock.
+    wait_s : float
+        Longest time that a caller waits for lots, seconds.
+    """
+
+    def __init__(self, actor: pykka.ActorRef, timers: Timers, wait_s: float = 0.1):
+        self._actor = actor
+        self._timers = timers
+        self._wait_s = wait_s
+
+    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
+        """Charge tokens, or return a refusal."""
+        answer = self.charge_with_receipt(service, workspace, tokens)
+        return answer if isinstance(answer, Refusal) else None
+
+    def settle(self, service: str, workspace: str, difference: float) -> None:
+        """Correct a charge without its receipt.
+
+        Tokens not used only offset debt, since it is not known which bucket they came
+        from. `settle_receipt` gives more of them back.
+        """
+        self._actor.tell(SettleDifference(service, workspace, difference))
+
+    def charge_with_receipt(
+        self, service: str, workspace: str, tokens: float
+    ) -> Receipt | Refusal:
+        """Charge tokens and return a receipt for `settle_receipt`, or a refusal."""
+        charge = Charge(service, workspace, tokens, self._timers.now() + self._wait_s)
+        self._actor.tell(charge)
+        try:
+            answer = charge.done.result(self._wait_s + _ACTOR_SLACK_S)
+        except FutureTimeoutError:
+            charge.is_given_up = True
+            answer = RateRefused(1.0)
+        if isinstance(answer, Receipt):
+            return answer
+        detail = f"workspace {workspace!r} has used up its rate"
+        if answer.retry_after_s is None:
+            detail = f"{tokens:g} tokens are above the burst of {workspace!r}"
+        return Refusal(
+            RefusalType.RATE_LIMITED,
+            detail=detail,
+            retry_after_s=answer.retry_after_s,
+        )
+
+    def settle_receipt(self, service: str, receipt: Receipt, used: float) -> None:
+        """Correct a charge to the tokens used."""
+        self._actor.tell(Settle(service, receipt, used))
--- a/src/sesameport/daemon/shares_actor.py
+++ b/src/sesameport/daemon/shares_actor.py
@@ -2,15 +2,22 @@
 
 import random
 from collections.abc import Mapping
-from concurrent.futures import Future, ThreadPoolExecutor
-from concurrent.futures import TimeoutError as FutureTimeoutError
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import attrs
 import pykka
 
+from sesameport.daemon.share_gate import (
+    Charge,
+    Settle,
+    SettleDifference,
+    ShareGate,
+)
+from sesameport.documents import FleetSettings
 from sesameport.fleet.candidates import rank_hosts
 from sesameport.fleet.platform_intents import run_intent
+from sesameport.fleet.share_accounts import add_credit, settle_difference
 from sesameport.fleet.share_limits import ShareSettings, region_limits
 from sesameport.fleet.share_messages import (
     LotAsk,
@@ -20,20 +27,18 @@
     StandingGrant,
 )
 from sesameport.fleet.share_node import ShareNode
-from sesameport.fleet.shares import Admitted, LotsNeeded, RateRefused, Receipt
+from sesameport.fleet.shares import Admitted, LotsNeeded, RateRefused
 from sesameport.interfaces import PeerLink, Platform, Sender, Timers
-from sesameport.world import Host, Refusal, RefusalType, ServiceDocument
+from sesameport.world import Host, ServiceDocument
 
 __all__ = [
-    "Charge",
     "LeaveShares",
     "MembersKnown",
     "PutDocuments",
-    "Settle",
-    "ShareGate",
     "SharesActor",
     "SharesTick",
     "StepDown",
+    "share_settings",
     "start_shares",
 ]
 
@@ -41,8 +46,6 @@
 _CANDIDATES = 2
 # Platform calls of several services may run at once; each service has one open call.
 _PLATFORM_THREADS = 2
-# Time that a caller thread waits beyond its bound for the actor's answer.
-_ACTOR_SLACK_S = 1.0
 
 
 @attrs.frozen
@@ -60,27 +63,6 @@
     hosts: tuple[Host, ...]
 
 
-@attrs.define(eq=False)
-class Charge:
-    """Ask to charge a request; ``done`` gets a `Receipt` or a `Refusal`."""
-
-    service: str
-    workspace: str
-    tokens: float
-    deadline: float
-    done: Future = attrs.field(factory=Future)
-    is_given_up: bool = False
-
-
-@attrs.frozen
-class Settle:
-    """Correct a charge to the tokens used."""
-
-    service: str
-    receipt: Receipt
-    used: float
-
-
 @attrs.frozen
 class SharesTick:
     """Do the periodic work."""
@@ -171,7 +153,7 @@
         match message:
             case Charge():
                 self._charge(message, now)
-            case Settle():
+            case Settle() | SettleDifference():
                 self._settle(message, now)
             case _PeerMessage(sender, item):
                 self._receive(sender, item, now)
@@ -205,10 +187,16 @@
             lambda _: self.actor_ref.tell(_RetryCharges(charge.service)),
         )
 
-    def _settle(self, message: Settle, now: float) -> None:
+    def _settle(self, message: Settle | SettleDifference, now: float) -> None:
         node = self._nodes.get(message.service)
-        if node is not None:
+        if node is None:
+            return
+        if isinstance(message, Settle):
             node.shares.settle(message.receipt, message.used, now)
+            return
+        share = node.shares.workspaces.get(message.workspace)
+        if share is not None:
+            add_credit(share, settle_difference(share, message.difference))
 
     def _try(self, charge: Charge, now: float) -> bool:
         shares = self._nodes[charge.service].shares
@@ -302,47 +290,15 @@
         return has_left
 
 
-class ShareGate:
-    """Charge requests from any thread.
-
-    Parameters
-    ----------
-    actor : pykka.ActorRef
-        The shares actor.
-    timers : Timers
-        Clock.
-    wait_s : float
-        Longest time that a caller waits for lots, seconds.
-    """
-
-    def __init__(self, actor: pykka.ActorRef, timers: Timers, wait_s: float = 0.1):
-        self._actor = actor
-        self._timers = timers
-        self._wait_s = wait_s
-
-    def charge(self, service: str, workspace: str, tokens: float) -> Receipt | Refusal:
-        """Charge tokens and return a receipt for `settle`, or a refusal."""
-        charge = Charge(service, workspace, tokens, self._timers.now() + self._wait_s)
-        self._actor.tell(charge)
-        try:
-            answer = charge.done.result(self._wait_s + _ACTOR_SLACK_S)
-        except FutureTimeoutError:
-            charge.is_given_up = True
-            answer = RateRefused(1.0)
-        if isinstance(answer, Receipt):
-            return answer
-        detail = f"workspace {workspace!r} has used up its rate"
-        if answer.retry_after_s is None:
-            detail = f"{tokens:g} tokens are above the burst of {workspace!r}"
-        return Refusal(
-            RefusalType.RATE_LIMITED,
-            detail=detail,
-            retry_after_s=answer.retry_after_s,
-        )
-
-    def settle(self, service: str, receipt: Receipt, used: float) -> None:
-        """Correct a charge to the tokens used."""
-        self._actor.tell(Settle(service, receipt, used))
+def share_settings(fleet: FleetSettings) -> ShareSettings:
+    """Return the settings of rate shares from the daemon's settings."""
+    return ShareSettings(
+        standing_share=fleet.standing_share,
+        standing_lease_s=fleet.standing_lease_s,
+        pool_lease_s=fleet.pool_lease_s,
+        lot_lifetime_s=0.8 * fleet.pool_lease_s,
+        drift=fleet.drift,
+    )
 
 
 def start_shares(
