Keep earning a passed rate until its pause ends

Cause: when a host's bucket was no longer full, the pool dropped its passed rate while the host was still paused, so nobody earned it for up to 12 s.

Conclusion: safe, because a pause is never shortened.

--- a/src/sesameport/fleet/buckets.py
+++ b/src/sesameport/fleet/buckets.py
@@ -202,6 +202,12 @@
             self._headrooms[i] = (time, headroom - given)
         return given
 
+    def limit_passed(self, source: str, rate_per_s: float, now: float) -> None:
+        """Lower the rate that a source passed before, and keep its end."""
+        rate, until = self._passed.get(source, (0.0, 0.0))
+        if rate > rate_per_s:
+            self.pass_rate(source, rate_per_s, until, now)
+
     def resize(self, rate_per_s: float, capacity: float, now: float) -> None:
         """Change rate and capacity; tokens above the new capacity are dropped."""
         self.advance(now)
--- a/src/sesameport/fleet/pool_owner.py
+++ b/src/sesameport/fleet/pool_owner.py
@@ -242,9 +242,12 @@
         part = self.cfg.standing_share * millionths / MILLION
         for workspace, limit in self.limits.items():
             rate = fastest_rate(limit.rate_tokens_per_s * part, self.cfg.drift)
+            lender = self.lenders[workspace]
             if workspace in busy or until <= now:
-                rate = 0.0
-            self.lenders[workspace].pass_rate(incarnation, rate, until, now)
+                # A pause that began before still lasts, so its rate is still passed.
+                lender.limit_passed(incarnation, rate, now)
+                continue
+            lender.pass_rate(incarnation, rate, until, now)
 
     def _follow_lease(self, now: float) -> list[tuple[str, StandingGrant]]:
         if not self.lease.is_held(now):
