Ask the pool before spending the standing bucket

Cause: the first request on a host emptied its standing bucket, which refills slowly and is meant for the time without an owner.

The tests of the standing bucket now charge with may_wait=False, which is the case in which it is spent.

--- a/src/sesameport/bench/share_costs.py
+++ b/src/sesameport/bench/share_costs.py
@@ -280,7 +280,7 @@
     shares, number = _standing_host(1000), 100_000
     start = time.process_time()
     for i in range(number):
-        answer = shares.charge(f"w{i % 1000}", 10.0, 100.0 + i * 1e-5)
+        answer = shares.charge(f"w{i % 1000}", 10.0, 100.0 + i * 1e-5, False)
         if isinstance(answer, Admitted):
             shares.settle(answer.receipt, 9.0, 100.0 + i * 1e-5)
     micros = (time.process_time() - start) / number * 1e6
--- a/src/sesameport/fleet/share_accounts.py
+++ b/src/sesameport/fleet/share_accounts.py
@@ -80,11 +80,19 @@
     peers_backoff_s: float = 0.0
     retry_after_s: float = 1.0
 
+    def lot_tokens(self, now: float) -> float:
+        """Return the tokens left in lots."""
+        return sum(lot.tokens for lot in self.lots if lot.expires_at > now)
+
     def available(self, now: float) -> float:
         """Return the tokens that a charge may use now."""
         self.standing.advance(now)
-        lots = sum(lot.tokens for lot in self.lots if lot.expires_at > now)
-        return lots + max(0.0, self.standing.level)
+        return self.lot_tokens(now) + self.standing.level
+
+    def retry_after(self, missing: float) -> float:
+        """Return when the missing tokens are likely to be there, seconds."""
+        rate = max(self.limit.rate_tokens_per_s, 1e-9)
+        return min(60.0, max(self.retry_after_s, missing / rate))
 
 
 def pause_full(
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -150,11 +150,13 @@
         if may_wait:
             share.charged += tokens
         missing = tokens + share.debt - share.available(now)
+        if may_wait and self._asks_first(share, now):
+            missing = tokens + share.debt - share.lot_tokens(now)
         if missing > _ROUNDING:
             if may_wait and self._may_ask(share, now):
                 share.missing = min(share.missing + missing, share.limit.burst_tokens)
                 return LotsNeeded(missing)
-            return RateRefused(self._retry_after(share, missing))
+            return RateRefused(share.retry_after(missing))
         if share.debt > 0.0:
             self._withdraw(share, share.debt, now)
             share.debt = 0.0
@@ -312,6 +314,15 @@
         standing = share.standing.take(left, now) if left > 0.0 else 0.0
         return standing, lots
 
+    def _asks_first(self, share: WorkspaceShare, now: float) -> bool:
+        # The pool is spent first, because a standing bucket refills slowly and is
+        # meant for the time when the owner cannot be reached.
+        return (
+            self.asks.is_owner_reachable()
+            and now >= share.owner_short_until
+            and bool(self.asks.owner_guess())
+        )
+
     def _may_ask(self, share: WorkspaceShare, now: float) -> bool:
         if now >= share.owner_short_until and self.asks.is_owner_reachable():
             return True
@@ -327,10 +338,6 @@
         until = now + wait_out_s(idle_s, self.cfg.drift, _PAUSE_MARGIN_S)
         return self._digest, pause_full(self.workspaces, until, now)
 
-    def _retry_after(self, share: WorkspaceShare, missing: float) -> float:
-        rate = max(share.limit.rate_tokens_per_s, 1e-9)
-        return min(60.0, max(share.retry_after_s, missing / rate))
-
     def _note_unanswered(self, ask: OpenAsk, now: float) -> None:
         if not ask.from_standing:
             return
