--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -22,7 +22,7 @@
     settle_receipt,
     take_idle,
 )
-from sesameport.fleet.share_asks import LotAsks, OpenAsk
+from sesameport.fleet.share_asks import LotAsks
 from sesameport.fleet.share_limits import Limit, ShareSettings, workspaces_digest
 from sesameport.fleet.share_messages import (
     LotAsk,
@@ -178,7 +178,10 @@
     def flush(self, now: float) -> list[tuple[str, LotAsk]]:
         """Return the asks for the tokens that waiting charges are missing."""
         for ask in self.asks.drop_old(now):
-            self._note_unanswered(ask, now)
+            for name in ask.workspaces if ask.from_standing else ():
+                if name in self.workspaces:
+                    share = self.workspaces[name]
+                    share.peers_short_until = now + share.peers_backoff_s
         wanting = [
             (name, share) for name, share in self.workspaces.items() if share.missing
         ]
@@ -338,14 +341,6 @@
         until = now + wait_out_s(idle_s, self.cfg.drift, _PAUSE_MARGIN_S)
         return self._digest, pause_full(self.workspaces, until, now)
 
-    def _note_unanswered(self, ask: OpenAsk, now: float) -> None:
-        if not ask.from_standing:
-            return
-        for name in ask.workspaces:
-            if name in self.workspaces:
-                share = self.workspaces[name]
-                share.peers_short_until = now + share.peers_backoff_s
-
     def _ask_owner(
         self, wanting: list[tuple[str, WorkspaceShare]], now: float
     ) -> list[tuple[str, LotAsk]]:
