--- a/tools/binary/build.py
+++ b/tools/binary/build.py
@@ -17,6 +17,8 @@
 import tempfile
 import zipfile
 
+from packaging.requirements import Requirement
+
 HERE = pathlib.Path(__file__).parent
 SOURCE = HERE.parent.parent / "src"
 STDLIB = pathlib.Path(sysconfig.get_path("stdlib"))
@@ -137,27 +139,16 @@
     """Return the distributions that a distribution needs at run time, by name."""
     found = {} if found is None else found
     for text in importlib.metadata.requires(name) or []:
-        requirement, _, marker = text.partition(";")
-        if "extra ==" in marker or not _applies(marker):
+        requirement = Requirement(text)
+        marker = requirement.marker
+        if marker is not None and not marker.evaluate({"extra": ""}):
             continue
-        needed = re.match(r"[A-Za-z0-9._-]+", requirement).group().lower()
-        if needed not in found:
-            try:
-                found[needed] = importlib.metadata.distribution(needed)
-            except importlib.metadata.PackageNotFoundError:
-                continue  # for another platform or Python
-            _distributions(needed, found)
+        if requirement.name not in found:
+            found[requirement.name] = importlib.metadata.distribution(requirement.name)
+            _distributions(requirement.name, found)
     return found
 
 
-def _applies(marker: str) -> bool:
-    if not marker.strip():
-        return True
-    from pip._vendor.packaging.markers import Marker
-
-    return Marker(marker).evaluate({"extra": ""})
-
-
 def _add_distribution(archive: Archive, dist) -> None:
     for file in dist.files or []:
         path = pathlib.Path(dist.locate_file(file))
--- a/tools/binary/check.py
+++ b/tools/binary/check.py
@@ -161,6 +161,23 @@
     return problems
 
 
+def _demo(command: list[str], directory: pathlib.Path) -> list[str]:
+    """Run the whole path on the embedded stand-ins and return what went wrong."""
+    names = {"HOME": str(directory), "TMPDIR": str(directory)}
+    done = subprocess.run(
+        [*command, "demo"],
+        cwd=directory,
+        env={**os.environ, **names},
+        capture_output=True,
+        timeout=60,
+        text=True,
+    )
+    problems = [f"the demo left {path}" for path in sorted(_private(directory))]
+    if done.returncode:
+        problems.append(f"demo: exit code {done.returncode}: {done.stderr[-500:]}")
+    return problems
+
+
 def main() -> int:
     """Check and measure one executable."""
     command = [item for item in sys.argv[1:] if item != "--measure"]
@@ -177,6 +194,8 @@
     print("memory, kB: " + ", ".join(f"{k} {v}" for k, v in last.items()))
     executable = str(pathlib.Path(command[0]).resolve())
     problems = sorted({item for r in results for item in _problems(r, executable)})
+    with tempfile.TemporaryDirectory() as directory:
+        problems += _demo(command, pathlib.Path(directory))
     # Other programs write to shared places too. What this one leaves at each start
     # would be there after every start.
     new = [result["new"] for result in results]
@@ -184,7 +203,7 @@
         print(f"new in a shared place during a run: {text}")
     if all(new):
         problems.append("every run left something in a shared place")
-    for text in problems[:20]:
+    for text in sorted(problems, key=len)[:20]:
         print(f"problem: {text}")
     if len(problems) > 20:
         print(f"problem: and {len(problems) - 20} more")
