--- /dev/null
+++ b/src/sesameport/telemetry/__init__.py
@@ -0,0 +1,115 @@
+"""Record what happens, judge it against objectives and report it.
+
+The plots are left out here, because they need the optional matplotlib; import
+`sesameport.telemetry.plots` itself.
+"""
+
+from sesameport.telemetry.burn import (
+    PERIOD_S,
+    WINDOWS,
+    BurnCounters,
+    BurnSnapshot,
+    ServiceCounts,
+    ServiceSnapshot,
+    WorkspaceCounts,
+    merge_snapshots,
+)
+from sesameport.telemetry.decisions import (
+    DecisionKind,
+    DecisionRecord,
+    DecisionRing,
+)
+from sesameport.telemetry.logs import (
+    JsonLineHandler,
+    bind_request,
+    get_logger,
+    remove_secrets,
+)
+from sesameport.telemetry.metrics import (
+    METRICS,
+    MetricDefinition,
+    Metrics,
+)
+from sesameport.telemetry.objectives import (
+    BURN_RULES,
+    Budget,
+    BurnAlert,
+    BurnRule,
+    ServiceReport,
+    Severity,
+    WorkspaceReport,
+    burn_rate,
+    judge,
+    share_fairly,
+)
+from sesameport.telemetry.outcomes import (
+    Outcome,
+    OutcomeKind,
+)
+from sesameport.telemetry.recorder import (
+    Recorder,
+)
+from sesameport.telemetry.report import (
+    FleetReport,
+    make_report,
+    to_html,
+    to_json,
+    to_text,
+)
+from sesameport.telemetry.status import (
+    DocumentStatus,
+    HoldStatus,
+    HostStatus,
+    LeaseStatus,
+    MemberStatus,
+    ShareStatus,
+    decode_status,
+    to_data,
+)
+
+__all__ = [
+    "BURN_RULES",
+    "METRICS",
+    "PERIOD_S",
+    "WINDOWS",
+    "Budget",
+    "BurnAlert",
+    "BurnCounters",
+    "BurnRule",
+    "BurnSnapshot",
+    "DecisionKind",
+    "DecisionRecord",
+    "DecisionRing",
+    "DocumentStatus",
+    "FleetReport",
+    "HoldStatus",
+    "HostStatus",
+    "JsonLineHandler",
+    "LeaseStatus",
+    "MemberStatus",
+    "MetricDefinition",
+    "Metrics",
+    "Outcome",
+    "OutcomeKind",
+    "Recorder",
+    "ServiceCounts",
+    "ServiceReport",
+    "ServiceSnapshot",
+    "Severity",
+    "ShareStatus",
+    "WorkspaceCounts",
+    "WorkspaceReport",
+    "bind_request",
+    "burn_rate",
+    "decode_status",
+    "get_logger",
+    "judge",
+    "make_report",
+    "merge_snapshots",
+    "remove_secrets",
+    "share_fairly",
+    "to_data",
+    "to_html",
+    "to_json",
+    "to_text",
+]
--- a/src/sesameport/telemetry/burn.py
+++ b/src/sesameport/telemetry/burn.py
@@ -20,6 +20,7 @@
     "BurnCounters",
     "BurnSnapshot",
     "ServiceCounts",
+    "ServiceSnapshot",
     "WorkspaceCounts",
     "merge_snapshots",
 ]
