--- a/src/sesameport/commands/report.py
+++ b/src/sesameport/commands/report.py
@@ -24,7 +24,7 @@
 def fetch_report(addresses: list[str], window: str) -> FleetReport:
     """Fetch the burn counts of hosts and judge their sum."""
     snapshots, missing = [], []
-    for answer in fetch_all(addresses, "/outcomes"):
+    for answer in fetch_all(addresses, "/burn"):
         if answer.result.is_err():
             missing.append(f"{answer.address}: {answer.result.unwrap_err()}")
             continue
--- a/src/sesameport/commands/tests/test_operator_commands.py
+++ b/src/sesameport/commands/tests/test_operator_commands.py
@@ -1,7 +1,5 @@
 """Check put, get, status and report against platform and host stand-ins."""
 
-import json
-
 import cappa
 import pytest
 from cappa.testing import CommandRunner
@@ -19,11 +17,11 @@
 )
 from sesameport.commands.report import Report
 from sesameport.commands.status import Status, format_status
-from sesameport.daemon.status_api import StatusApi
 from sesameport.interfaces import PlatformError, PlatformErrorKind
 from sesameport.standins import PlatformStandin, demo_document
 from sesameport.standins.http import LoopbackServer
 from sesameport.telemetry.decisions import DecisionKind, DecisionRing
+from sesameport.telemetry.metrics import Metrics
 from sesameport.telemetry.status import (
     DocumentStatus,
     HoldStatus,
@@ -32,8 +30,9 @@
     MemberStatus,
     ShareStatus,
     decode_status,
-    to_data,
+    encode_status,
 )
+from sesameport.telemetry.status_api import StatusApi
 from sesameport.telemetry.tests.samples import NOW, fleet
 from sesameport.world import Host
 
@@ -63,10 +62,7 @@
         self.stale = False
         self._client = HttpPlatform(url)
         api = StatusApi(
-            lambda: True,
-            lambda: b"",
-            lambda request_id: to_data(self._status(request_id)),
-            lambda: to_data(burn),
+            self._status, lambda: burn, Metrics("h1", "rajkot-a"), lambda: True
         )
         self.server = LoopbackServer(api, 4).start()
         self.address = self.server.address
@@ -178,7 +174,6 @@
         return self._lose(self.inner.create, args)
 
     def _lose(self, call, args):
-
         if not self.effects:
             return call(*args)
         if self.effects.pop(0):
@@ -247,8 +242,8 @@
 
 def test_status_by_request_and_with_a_missing_host(world, capsys):
     _, url, host = world
-    host.ring.add(DecisionKind.REFUSAL, "queue-full", NOW, "h1.ab.7", {"waiting": 400})
-    assert _run(Status, "--platform", url, "--request", "h1.ab.7") == 0
+    host.ring.add(DecisionKind.REFUSAL, "queue-full", NOW, "h&1.ab.7", {"waiting": 400})
+    assert _run(Status, "--platform", url, "--request", "h&1.ab.7") == 0
     assert "5.0 s ago: refusal: queue-full waiting=400" in capsys.readouterr().out
     assert _run(Status, host.address, "127.0.0.1:9") == 1
     assert "127.0.0.1:9: no answer" in capsys.readouterr().out
@@ -256,7 +251,7 @@
 
 def test_status_of_another_release_is_read():
     """Guards against an upgrade in which one command cannot read all hosts."""
-    body = json.dumps(to_data(_status("h1"))).encode()
+    body = encode_status(_status("h1"))
     newer = body[:-1] + b',"field_of_a_later_release":1}'
     assert decode_status(newer).unwrap() == _status("h1")
     assert decode_status(b'{"host":"h1","data_centre":"a"}').is_ok()
--- a/src/sesameport/telemetry/__init__.py
+++ b/src/sesameport/telemetry/__init__.py
@@ -64,8 +64,9 @@
     MemberStatus,
     ShareStatus,
     decode_status,
-    to_data,
+    encode_status,
 )
+from sesameport.telemetry.status_api import StatusApi
 
 __all__ = [
     "BURN_RULES",
@@ -96,19 +97,20 @@
     "ServiceReport",
     "ServiceSnapshot",
     "Severity",
+    "StatusApi",
     "ShareStatus",
     "WorkspaceCounts",
     "WorkspaceReport",
     "bind_request",
     "burn_rate",
     "decode_status",
+    "encode_status",
     "get_logger",
     "judge",
     "make_report",
     "merge_snapshots",
     "remove_secrets",
     "share_fairly",
-    "to_data",
     "to_html",
     "to_json",
     "to_text",
--- a/src/sesameport/telemetry/status.py
+++ b/src/sesameport/telemetry/status.py
@@ -1,6 +1,6 @@
 """Define the JSON that ``GET /status`` answers.
 
-The daemon fills these classes and answers `to_data` of them; the command line reads
+The daemon fills these classes and `encode_status` writes them; the command line reads
 them with `decode_status`. Unknown fields are ignored and missing ones take their
 defaults, so hosts of two releases can be read by one command.
 """
@@ -9,7 +9,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from sesameport.telemetry.burn import BurnSnapshot
 from sesameport.telemetry.decisions import DecisionRecord
 
 __all__ = [
@@ -20,7 +19,7 @@
     "MemberStatus",
     "ShareStatus",
     "decode_status",
-    "to_data",
+    "encode_status",
 ]
 
 
@@ -158,9 +157,9 @@
     now: float = 0.0
 
 
-def to_data(value: HostStatus | BurnSnapshot) -> dict:
-    """Return a status or burn snapshot as JSON data: dicts, lists, texts, numbers."""
-    return msgspec.to_builtins(value)
+def encode_status(status: HostStatus) -> bytes:
+    """Return the JSON of a status."""
+    return msgspec.json.encode(status)
 
 
 def decode_status(body: bytes) -> Result[HostStatus, str]:
