--- a/src/sesameport/fleet/pacing.py
+++ b/src/sesameport/fleet/pacing.py
@@ -11,20 +11,25 @@
 
 __all__ = ["Backoff", "CallPacer", "WriteOrder"]
 
-FLEET_CALLS_PER_S = 400.0
-"""Calls of all hosts together in normal operation; the platform accepts several
-hundred writes a second and about 2,000 reads."""
+FLEET_CALLS_PER_S = 200.0
+"""Calls of all hosts together. The platform accepts several hundred writes a second,
+taken as 300. The mean leaves room for hosts whose calls fall together and for the
+trials at the start of an outage: 310 in one second were seen with a mean of 240."""
 
 FLEET_TRIALS_PER_S = 20.0
 """Calls of all hosts together by which they find out that an outage has ended."""
 
-FLEET_RECOVERY_CALLS_PER_S = 200.0
+FLEET_RECOVERY_CALLS_PER_S = 100.0
 """Calls of all hosts together in the first time after an outage."""
 
 RECOVERY_S = 10.0
 """Length of that time. It covers the spread of the hosts' trials at 9 hosts and at
 340, where one host's trial comes up to 34 s after the end of the outage."""
 
+MIN_TRIAL_BASE_S = 0.5
+MIN_TRIAL_CAP_S = 5.0
+"""Bounds of the first and the longest wait between trials in a small fleet."""
+
 
 class Backoff:
     """Draw waits with full jitter: uniform between 0 and a bound that doubles.
@@ -36,13 +41,13 @@
         self.cap_s = cap_s
         self.failures = 0
         self._rng = rng
-        self._base_s = base_s
+        self.base_s = base_s
 
     def next_wait(self) -> float:
         """Count a failure and return the wait before the next attempt, seconds."""
         exponent = min(self.failures, 30)
         self.failures += 1
-        bound = min(self.cap_s, self._base_s * 2.0**exponent)
+        bound = min(self.cap_s, self.base_s * 2.0**exponent)
         return self._rng.uniform(0.0, bound)
 
     def reset(self) -> None:
@@ -68,10 +73,10 @@
 
     def __init__(self, rng: random.Random, calls_per_s: float, hosts: int = 1):
         self._own_rate = calls_per_s
-        self._hosts = max(1, hosts)
         self._tokens = 1.0
         self._filled_at: float | None = None
-        self._trial = Backoff(rng, base_s=0.5, cap_s=5.0)
+        self._trial = Backoff(rng, MIN_TRIAL_BASE_S, MIN_TRIAL_CAP_S)
+        self.set_hosts(hosts)
         self._trial_at = -math.inf
         self._trial_runs = False
         self._down = False
@@ -80,8 +85,12 @@
     def set_hosts(self, hosts: int) -> None:
         """Set the number of alive hosts of the whole fleet."""
         self._hosts = max(1, hosts)
-        # The mean wait is half the bound, so all hosts together make this many trials.
-        self._trial.cap_s = max(5.0, 2.0 * self._hosts / FLEET_TRIALS_PER_S)
+        # The mean wait is half the bound. The first wait adds at most a fifth to the
+        # normal rate while an outage begins, the longest one gives the rate of trials.
+        base_s = 4.0 * self._hosts / FLEET_CALLS_PER_S
+        cap_s = 2.0 * self._hosts / FLEET_TRIALS_PER_S
+        self._trial.base_s = max(MIN_TRIAL_BASE_S, base_s)
+        self._trial.cap_s = max(MIN_TRIAL_CAP_S, cap_s)
 
     def rate(self, now: float) -> float:
         """Return the calls per second that this host may make now."""
