--- a/src/sesameport/fleet/configuration.py
+++ b/src/sesameport/fleet/configuration.py
@@ -180,6 +180,9 @@
     def receive(self, sender: Sender, message, now: float) -> list:
         """Handle a message of another host's configuration."""
         effects: list = []
+        # A host whose seeds name its own address hears itself.
+        if sender.host == self.state.own.name:
+            return effects
         self.state.incarnations[sender.host] = sender.incarnation
         if isinstance(message, DigestAsk):
             self._answer(sender, message, now, effects)
--- a/src/sesameport/fleet/membership.py
+++ b/src/sesameport/fleet/membership.py
@@ -162,6 +162,10 @@
         """Return the data centres whose hosts answered a probe sent that recently."""
         return {dc for dc, at in self._heard.items() if now - at <= within_s}
 
+    def heard_at(self) -> dict[str, float]:
+        """Return when the latest answered probe to each data centre was sent."""
+        return dict(self._heard)
+
     def suspects_itself(self) -> bool:
         """Tell whether this host was paused and no other host has answered since."""
         return self._suspects_itself_since is not None
