--- a/src/sesameport/adapters/peer_link.py
+++ b/src/sesameport/adapters/peer_link.py
@@ -94,6 +94,7 @@
             address, _, key = text.partition(" ")
             self._seeds[address] = PeerAddress(address, key.strip())
         self._directory: dict[str, PeerAddress] = {}
+        self._seed_hosts: dict[str, PeerAddress] = {}
         self._allowed_keys = {seed.key for seed in self._seeds.values() if seed.key}
         self._subscribers: dict[type, list[Callable[[Sender, Any], None]]] = {}
         self._outgoing: queue.Queue = queue.Queue(QUEUED_MESSAGES)
@@ -259,8 +260,12 @@
             conn.note_answer()
             if data != PONG:
                 # CURVE has proved that the host behind this connection is the one.
-                is_seed = name in self._seeds
-                self._receive(data, lambda host, n=name, s=is_seed: s or host == n)
+                seed = self._seeds.get(name)
+                sender = self._receive(
+                    data, lambda host, n=name, s=seed: s is not None or host == n
+                )
+                if sender is not None and seed is not None:
+                    self._seed_hosts[sender.host] = seed
 
     def _is_key_of(self, name: str, key: str) -> bool:
         if not self._public_key:
@@ -297,7 +302,11 @@
                 host, message = self._outgoing.get_nowait()
             except queue.Empty:
                 return
-            address = self._directory.get(host) or self._seeds.get(host)
+            address = (
+                self._directory.get(host)
+                or self._seeds.get(host)
+                or self._seed_hosts.get(host)
+            )
             if address is None:
                 self._send_by_route(router, host, message)
                 continue
