--- a/src/sesameport/daemon/share_gate.py
+++ b/src/sesameport/daemon/share_gate.py
@@ -10,7 +10,7 @@
 from sesameport.interfaces import Timers
 from sesameport.world import Refusal, RefusalType
 
-__all__ = ["Charge", "Settle", "SettleDifference", "ShareGate"]
+__all__ = ["Charge", "Settle", "ShareGate"]
 
 # Time that a caller thread waits beyond its bound for the actor's answer.
 _ACTOR_SLACK_S = 1.0
@@ -37,15 +37,6 @@
     used: float
 
 
-@attrs.frozen
-class SettleDifference:
-    """Correct a charge whose receipt was not kept."""
-
-    service: str
-    workspace: str
-    difference: float
-
-
 class ShareGate:
     """Charge requests from any thread.
 
@@ -64,23 +55,8 @@
         self._timers = timers
         self._wait_s = wait_s
 
-    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
-        """Charge tokens, or return a refusal."""
-        answer = self.charge_with_receipt(service, workspace, tokens)
-        return answer if isinstance(answer, Refusal) else None
-
-    def settle(self, service: str, workspace: str, difference: float) -> None:
-        """Correct a charge without its receipt.
-
-        Tokens not used only offset debt, since it is not known which bucket they came
-        from. `settle_receipt` gives more of them back.
-        """
-        self._actor.tell(SettleDifference(service, workspace, difference))
-
-    def charge_with_receipt(
-        self, service: str, workspace: str, tokens: float
-    ) -> Receipt | Refusal:
-        """Charge tokens and return a receipt for `settle_receipt`, or a refusal."""
+    def charge(self, service: str, workspace: str, tokens: float) -> Receipt | Refusal:
+        """Charge tokens and return a receipt for `settle`, or a refusal."""
         charge = Charge(service, workspace, tokens, self._timers.now() + self._wait_s)
         self._actor.tell(charge)
         try:
@@ -99,6 +75,6 @@
             retry_after_s=answer.retry_after_s,
         )
 
-    def settle_receipt(self, service: str, receipt: Receipt, used: float) -> None:
+    def settle(self, service: str, receipt: Receipt, used: float) -> None:
         """Correct a charge to the tokens used."""
         self._actor.tell(Settle(service, receipt, used))
--- a/src/sesameport/daemon/shares_actor.py
+++ b/src/sesameport/daemon/shares_actor.py
@@ -11,13 +11,11 @@
 from sesameport.daemon.share_gate import (
     Charge,
     Settle,
-    SettleDifference,
     ShareGate,
 )
 from sesameport.documents import FleetSettings
 from sesameport.fleet.candidates import rank_hosts
 from sesameport.fleet.platform_intents import run_intent
-from sesameport.fleet.share_accounts import add_credit, settle_difference
 from sesameport.fleet.share_limits import ShareSettings, region_limits
 from sesameport.fleet.share_messages import (
     LotAsk,
@@ -153,7 +151,7 @@
         match message:
             case Charge():
                 self._charge(message, now)
-            case Settle() | SettleDifference():
+            case Settle():
                 self._settle(message, now)
             case _PeerMessage(sender, item):
                 self._receive(sender, item, now)
@@ -187,16 +185,10 @@
             lambda _: self.actor_ref.tell(_RetryCharges(charge.service)),
         )
 
-    def _settle(self, message: Settle | SettleDifference, now: float) -> None:
+    def _settle(self, message: Settle, now: float) -> None:
         node = self._nodes.get(message.service)
-        if node is None:
-            return
-        if isinstance(message, Settle):
+        if node is not None:
             node.shares.settle(message.receipt, message.used, now)
-            return
-        share = node.shares.workspaces.get(message.workspace)
-        if share is not None:
-            add_credit(share, settle_difference(share, message.difference))
 
     def _try(self, charge: Charge, now: float) -> bool:
         shares = self._nodes[charge.service].shares
--- a/src/sesameport/fleet/share_accounts.py
+++ b/src/sesameport/fleet/share_accounts.py
@@ -12,9 +12,7 @@
     "RateRefused",
     "Receipt",
     "WorkspaceShare",
-    "add_credit",
     "pause_full",
-    "settle_difference",
     "settle_receipt",
     "take_idle",
 ]
@@ -152,7 +150,15 @@
     share: WorkspaceShare, receipt: Receipt, used: float, now: float
 ) -> float:
     """Correct a charge to the tokens used and return the tokens given back."""
-    left = settle_difference(share, used - receipt.tokens)
+    excess = used - receipt.tokens
+    if excess >= 0.0:
+        offset = min(share.credit, excess)
+        share.credit -= offset
+        share.debt += excess - offset
+        return 0.0
+    offset = min(share.debt, -excess)
+    share.debt -= offset
+    left = -excess - offset
     given = 0.0
     for lot, part in receipt.lots:
         if lot not in share.lots or lot.expires_at <= now:
@@ -163,23 +169,6 @@
     back = min(receipt.standing, left - given)
     if back > 0.0:
         given += share.standing.refund(back, receipt.at, now)
-    add_credit(share, left - given)
-    return given
-
-
-def settle_difference(share: WorkspaceShare, difference: float) -> float:
-    """Offset tokens used in excess, or not used, and return those still not used."""
-    if difference >= 0.0:
-        offset = min(share.credit, difference)
-        share.credit -= offset
-        share.debt += difference - offset
-        return 0.0
-    offset = min(share.debt, -difference)
-    share.debt -= offset
-    return -difference - offset
-
-
-def add_credit(share: WorkspaceShare, tokens: float) -> None:
-    """Keep tokens that were paid in excess to offset later debt, up to a bound."""
     bound = share.limit.burst_tokens * _CREDIT_PART
-    share.credit = min(bound, share.credit + tokens)
+    share.credit = min(bound, share.credit + left - given)
+    return given
