--- a/src/sesameport/fleet/share_accounts.py
+++ b/src/sesameport/fleet/share_accounts.py
@@ -17,6 +17,8 @@
     "take_idle",
 ]
 
+# Longest time without a new ask after the owner had too little, seconds.
+_LONGEST_OWNER_WAIT_S = 0.5
 # Weight of the newest charge period in the estimate of demand.
 _DEMAND_WEIGHT = 0.3
 # Part of the burst up to which tokens paid in excess offset later debt.
@@ -89,6 +91,12 @@
         self.standing.advance(now)
         return self.lot_tokens(now) + self.standing.level
 
+    def note_owner_short(self, retry_after_s: float, least_s: float, now: float):
+        """Note that the owner had too little, and when to ask it again."""
+        wait = min(_LONGEST_OWNER_WAIT_S, retry_after_s)
+        self.owner_short_until = now + max(least_s, wait)
+        self.retry_after_s = retry_after_s
+
     def end_period(self, elapsed_s: float) -> bool:
         """Update the estimate of demand and tell whether the workspace is idle."""
         newest = self.charged / elapsed_s
--- a/src/sesameport/fleet/share_asks.py
+++ b/src/sesameport/fleet/share_asks.py
@@ -68,8 +68,8 @@
             for ask in self._asks.values()
         )
 
-    def drop_old(self, now: float) -> list[OpenAsk]:
-        """Stop waiting for old asks and return those that just became too old."""
+    def drop_old(self, now: float) -> list[str]:
+        """Stop waiting for old asks; return workspaces that peers did not answer."""
         unanswered = []
         for ask_id, ask in list(self._asks.items()):
             age = now - ask.sent_at
@@ -77,7 +77,7 @@
                 # The grant may still come, but it is no longer waited for.
                 ask.is_open = False
                 self._misses += not ask.from_standing
-                unanswered.append(ask)
+                unanswered.extend(ask.workspaces if ask.from_standing else ())
             if age > self.cfg.lot_lifetime_s:
                 del self._asks[ask_id]
         return unanswered
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -40,8 +40,7 @@
 # A charge is covered when at most this many tokens are missing; it absorbs rounding.
 _ROUNDING = 1e-6
 _PAUSE_MARGIN_S = 0.1
-# Longest times without a new ask after a lender had too little, seconds.
-_LONGEST_OWNER_WAIT_S = 0.5
+# Longest time without a new ask after peers had too little, seconds.
 _LONGEST_PEER_WAIT_S = 3.0
 # Numbers of standing lots start here, so that they differ from the numbers of pool lots
 # of the same process and a return reaches only the bucket that lent the lot.
@@ -178,15 +177,14 @@
 
     def flush(self, now: float) -> list[tuple[str, LotAsk]]:
         """Return the asks for the tokens that waiting charges are missing."""
-        for ask in self.asks.drop_old(now):
-            for name in ask.workspaces if ask.from_standing else ():
-                if name in self.workspaces:
-                    share = self.workspaces[name]
-                    share.peers_short_until = now + share.peers_backoff_s
+        for name in self.asks.drop_old(now):
+            if name in self.workspaces:
+                share = self.workspaces[name]
+                share.peers_short_until = now + share.peers_backoff_s
         wanting = [(name, share) for name, share in self._busy() if share.missing]
-        if not wanting or self.is_leaving:
-            return []
         out = []
+        if not wanting or self.is_leaving:
+            return out
         if not self.asks.is_asking(from_standing=False):
             out.extend(self._ask_owner(wanting, now))
         if not self.asks.is_asking(from_standing=True):
@@ -228,9 +226,7 @@
             if ask.from_standing:
                 share.peers_short_until = now + share.peers_backoff_s
                 continue
-            wait = min(_LONGEST_OWNER_WAIT_S, short.retry_after_s)
-            share.owner_short_until = now + max(self.cfg.retry_s, wait)
-            share.retry_after_s = short.retry_after_s
+            share.note_owner_short(short.retry_after_s, self.cfg.retry_s, now)
         for lot in grant.lots:
             share = self.workspaces.get(lot.workspace)
             expires_at = ask.sent_at + lot.lifetime_s
@@ -262,10 +258,12 @@
         if sent is not None:
             return sent
         self._check_standing(now)
-        lenders = {name: share.standing for name, share in self.workspaces.items()}
+        names = [want.workspace for want in ask.wants]
+        shares = {n: self.workspaces[n] for n in names if n in self.workspaces}
+        lenders = {name: share.standing for name, share in shares.items()}
         reserves = {
             name: share.debt + share.demand_per_s * self.cfg.spare_s
-            for name, share in self.workspaces.items()
+            for name, share in shares.items()
         }
         lifetime = min(self.cfg.lot_lifetime_s, self.standing.remaining_s(now))
         lots, short = lend_lots(
@@ -295,16 +293,13 @@
                 lender.resize(rate, capacity, now)
 
     def _busy(self) -> list[tuple[str, WorkspaceShare]]:
-        # The work of a tick depends on the workspaces in use, not on all of them.
+        # A tick's work depends on the workspaces in use only.
         return [(name, self.workspaces[name]) for name in sorted(self._active)]
 
     def _ask_standing(self, now: float) -> list[tuple[str, StandingAsk]]:
-        lenders = [share.standing for share in self.workspaces.values()]
-        for workspace, lender in list(self._retired.items()):
-            lenders.append(lender)
-            if lender.fits(now):
-                del self._retired[workspace]
-        fits = all(lender.fits(now) for lender in lenders)
+        self._retired = {n: x for n, x in self._retired.items() if not x.fits(now)}
+        shares = self.workspaces.values()
+        fits = not self._retired and all(x.standing.fits(now) for x in shares)
         digest, busy = (0, ()) if self.is_leaving else self._pause_full(now)
         ask = self.standing.tick(now, fits, self.is_leaving, digest, busy)
         return [] if ask is None else [(self.asks.owner_guess(), ask)]
--- a/src/sesameport/fleet/tests/test_share_rules.py
+++ b/src/sesameport/fleet/tests/test_share_rules.py
@@ -199,6 +199,44 @@
     assert lender.refund(300.0, 21.0, 21.5) == pytest.approx(300.0)
 
 
+def test_lent_lot_counts_until_it_is_over_on_the_slowest_clock():
+    lender = Lender(100.0, 1000.0, 0.0, CFG.drift)
+    assert lender.lend(1, 400.0, 8.0, 10.0) == 400.0
+    longest = 8.0 * (1 + CFG.drift) / (1 - CFG.drift)
+    lender.advance(10.0 + longest)
+    assert (lender.lent, lender.level) == (400.0, 600.0)
+    lender.take_back(1, 0.0, 11.0 + longest)
+    assert lender.lent == 0.0 and lender.level < 700.0
+
+
+def test_passed_rate_falls_with_the_share_that_passed_it():
+    """Guards against a pool that earns a rate which another host was given."""
+    lender = Lender(0.0, 1e9, 0.0, 0.0)
+    lender.pass_rate("h1", 100.0, 50.0, 0.0)
+    lender.limit_passed("h1", 200.0, 10.0)
+    lender.limit_passed("h1", 40.0, 20.0)
+    lender.advance(30.0)
+    assert lender.level == pytest.approx(20 * 100.0 + 10 * 40.0)
+    lender.advance(90.0)
+    assert lender.level == pytest.approx(20 * 100.0 + 30 * 40.0)
+
+
+def test_lots_of_a_removed_workspace_count_when_it_is_added_again():
+    node, _, now = owning_node()
+    now += 8.0 - 4.0
+    pool = node.owner.lenders["w"]
+    node.receive(OTHER, LotAsk("svc", 1, (LotWant("w", 500.0),)), now)
+    node.set_limits({}, now)
+    node.set_limits(LIMITS, now)
+    assert node.owner.lenders["w"].lent == pool.lent > 0.0
+    shares = standing_holder()
+    ask = LotAsk("svc", 1, (LotWant("w", 500.0),), from_standing=True)
+    shares.handle_lot_ask(OTHER, ask, 8.0)
+    shares.set_limits({}, 8.0)
+    shares.set_limits(LIMITS, 8.0)
+    assert shares.workspaces["w"].standing.lent == 500.0
+
+
 def test_excess_becomes_debt_that_the_next_charge_pays():
     shares = standing_holder()
     receipt = shares.charge("w", 1000.0, 8.0, may_wait=False).receipt
