Return the standing share of a leaving owner and find its successor

Cause: a leaving pool owner sent the return of its own standing share to itself after it had resigned, so the share stayed recorded for the long lease. Hosts without lot asks then kept asking a candidate that named no owner, and their standing shares were not renewed: in the new test two hosts stayed at 333333 millionths for 70 s instead of 500000.

The owner takes its own return before it releases the pool. Returns are answered and repeated every 0.25 s up to 8 times. Unanswered standing asks and answers without a hint move on to the next candidate.

--- a/src/sesameport/fleet/share_asks.py
+++ b/src/sesameport/fleet/share_asks.py
@@ -11,6 +11,8 @@
 
 # Unanswered asks in a row after which the owner counts as unreachable.
 _MISSES = 2
+# Hints followed in a row before the candidates are tried one after the other.
+_REDIRECTS = 3
 
 
 @attrs.define
@@ -36,6 +38,7 @@
     far_peers: tuple[str, ...] = ()
     owner: str = ""
     _misses: int = 0
+    _redirects: int = 0
     _asks: dict[int, OpenAsk] = attrs.field(factory=dict)
     _next_ask: int = 1
 
@@ -46,7 +49,7 @@
             return None
         del self._asks[grant.ask_id]
         if not ask.from_standing:
-            self._follow_owner(host, grant)
+            self.follow(host, grant.is_owner, grant.owner)
         return ask
 
     def is_owner_reachable(self) -> bool:
@@ -102,10 +105,18 @@
         self._asks[ask_id] = OpenAsk(lender, now, from_standing, names)
         return LotAsk(self.service, ask_id, tuple(wants), from_standing)
 
-    def _follow_owner(self, host: str, grant: LotGrant) -> None:
-        if grant.is_owner:
-            self.owner, self._misses = host, 0
-        elif grant.owner and grant.owner != self.owner:
-            self.owner, self._misses = grant.owner, 0
+    def follow(self, host: str, is_owner: bool, owner: str) -> None:
+        """Take what a host says about the owner."""
+        if is_owner:
+            self.owner, self._misses, self._redirects = host, 0, 0
+            return
+        self._redirects += 1
+        # Hosts that no longer read the lease may name each other for ever.
+        if owner and owner != self.owner and self._redirects <= _REDIRECTS:
+            self.owner, self._misses = owner, 0
         else:
             self._misses += 1
+
+    def note_silence(self) -> None:
+        """Note that the owner did not answer a standing ask."""
+        self._misses += 1
--- a/src/sesameport/fleet/share_node.py
+++ b/src/sesameport/fleet/share_node.py
@@ -102,6 +102,10 @@
     def leave(self, now: float) -> list[tuple[str, Any]]:
         """Give back lots, then the pool; ticks give back the standing share."""
         out = self._deliver_own(self.shares.leave(now), now)
+        if self.owner.is_owner(now):
+            # The tick returns this host's own share, if no lot of it is out, while
+            # there is still an owner to take it.
+            out.extend(self._deliver_own(self.shares.tick(now), now))
         self.owner.release(now)
         return out
 
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -245,11 +245,9 @@
         """Adopt a standing share unless a newer one is in force."""
         if grant.to_incarnation != self.incarnation:
             return
-        if not grant.is_owner:
-            self.asks.owner = grant.owner
-            return
-        self.asks.owner = sender.host
-        if self.standing.adopt(grant, now):
+        self.asks.follow(sender.host, grant.is_owner, grant.owner)
+        self.standing.is_answered = True
+        if grant.is_owner and self.standing.adopt(grant, now):
             self._resize(now)
 
     def handle_lot_ask(self, sender: Sender, ask: LotAsk, now: float) -> LotGrant:
@@ -297,6 +295,8 @@
         return [(name, self.workspaces[name]) for name in sorted(self._active)]
 
     def _ask_standing(self, now: float) -> list[tuple[str, StandingAsk]]:
+        if not self.standing.is_answered:
+            self.asks.note_silence()
         self._retired = {n: x for n, x in self._retired.items() if not x.fits(now)}
         shares = self.workspaces.values()
         fits = not self._retired and all(x.standing.fits(now) for x in shares)
--- a/src/sesameport/fleet/standing_records.py
+++ b/src/sesameport/fleet/standing_records.py
@@ -135,7 +135,10 @@
         self.expire(now)
         if ask.is_leaving:
             self._remove(incarnation, now)
-            return None
+            self._number += 1
+            return StandingGrant(
+                self.service, ask.ask_id, incarnation, self.epoch, self._number
+            )
         if incarnation in self._left:
             return None
         share = self._shares.get(incarnation)
--- a/src/sesameport/fleet/standing_share.py
+++ b/src/sesameport/fleet/standing_share.py
@@ -13,8 +13,10 @@
 _EAGER_ASK_S = 1.0
 # Asks whose grant is still accepted. A grant may wait for a platform write.
 _OPEN_ASKS = 64
-# The return of a share is sent this often, because it has no answer.
-_LEAVING_SENDS = 3
+# The return of a share is repeated until it is answered, at most this often. A host
+# that shuts down does not wait longer for an owner that it cannot reach.
+_LEAVING_SENDS = 8
+_LEAVING_PERIOD_S = 0.25
 
 
 @attrs.define
@@ -30,6 +32,7 @@
     cfg: ShareSettings
     millionths: int = 0
     has_left: bool = False
+    is_answered: bool = True
     _epoch: int = 0
     _number: int = 0
     _reported: tuple[int, int] = (0, 0)
@@ -39,7 +42,7 @@
     _next_ask_at: float = float("-inf")
     _idle_s: float = 0.0
     _stopped: bool = False
-    _leaving_sends: int = 0
+    _leaving_asks: set[int] = attrs.field(factory=set)
 
     def size(self, limit: Limit) -> tuple[float, float]:
         """Return rate and capacity of the standing bucket of a workspace."""
@@ -54,6 +57,8 @@
     def adopt(self, grant: StandingGrant, now: float) -> bool:
         """Put a grant in force; True when the share changed."""
         sent_at = self._asks.pop(grant.ask_id, None)
+        if grant.ask_id in self._leaving_asks:
+            self.has_left = True
         if sent_at is None or self._stopped:
             return False
         if (grant.epoch, grant.number) <= (self._epoch, self._number):
@@ -118,14 +123,16 @@
         if not self.is_ask_due(now) or (is_leaving and not fits):
             return None
         self._next_ask_at = now + _EAGER_ASK_S
+        ask_id = self._next_ask_id
         if is_leaving:
-            self._leaving_sends += 1
-            self.has_left = self._leaving_sends >= _LEAVING_SENDS
+            self._next_ask_at = now + _LEAVING_PERIOD_S
+            self._leaving_asks.add(ask_id)
+            self.has_left = len(self._leaving_asks) >= _LEAVING_SENDS
         elif self.millionths and fits:
             self._next_ask_at = now + self.cfg.standing_ask_s
-        ask_id = self._next_ask_id
         self._next_ask_id += 1
         self._asks[ask_id] = now
+        self.is_answered = False
         if len(self._asks) > _OPEN_ASKS:
             del self._asks[next(iter(self._asks))]
         return StandingAsk(
--- a/src/sesameport/fleet/tests/test_share_rules.py
+++ b/src/sesameport/fleet/tests/test_share_rules.py
@@ -372,6 +372,19 @@
     assert shares == [500_000, 500_000, 0]
 
 
+def test_leaving_owner_gives_back_its_own_standing_share():
+    """Guards against a share that is returned to an owner that just resigned."""
+    fleet = fast_fleet()
+    fleet.queue.run_until(60.0)
+    owner = next(h for h in fleet.hosts if h.node.owner.is_owner(h.now))
+    assert owner.node.shares.standing.millionths > 300_000
+    owner.node.leave(owner.now)
+    assert owner.node.shares.standing.has_left
+    fleet.queue.run_until(130.0)
+    shares = [h.node.shares.standing.millionths for h in fleet.hosts if h is not owner]
+    assert shares == [500_000, 500_000]
+
+
 def document(*shares, burst=8000.0):
     return ServiceDocument(
         "svc",
