Join membership, configuration, key freshness, rate shares and orders

Cause: the daemon listed documents every 0.5 s, admitted every charge and had no peers. Before: UnlimitedRates and two list calls a second per host. After: documents, members and servers come from the Fleet actor, charges from the shares actor, keys follow the freshness rule, and a drain gives back shares and leases. Conclusion: the fleet's parts are in the request path.

--- a/src/sesameport/commands/demo.py
+++ b/src/sesameport/commands/demo.py
@@ -12,6 +12,8 @@
 
 _NOTE = "Hide 4412, buck, Bhavnagar market. Grain tight, two tick marks near the neck. "
 
+_ADMISSION_TRIES = 10
+
 
 def _demo(command: "Demo") -> int:
     return run_demo(command.stay)
@@ -50,6 +52,27 @@
     return 0
 
 
+def _post_until_admitted(address: str, body: dict, key: str):
+    """Send a completion and repeat it while the workspace's rate is used up.
+
+    A fresh fleet starts with empty token buckets, so the first call may come early.
+    """
+    for _ in range(_ADMISSION_TRIES):
+        answer = urllib3.request(
+            "POST",
+            f"http://{address}/v1/completions",
+            body=json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {key}"},
+            preload_content=False,
+            retries=False,
+        )
+        if answer.status != 429:
+            return answer
+        print(f"completion status 429, retry after {answer.headers['Retry-After']} s")
+        time.sleep(float(answer.headers["Retry-After"]))
+    return answer
+
+
 def _show_completion(daemon, address: str, key: str) -> None:
     body = {
         "model": "assessor",
@@ -58,16 +81,9 @@
         "stream": True,
     }
     started = time.monotonic()
-    answer = urllib3.request(
-        "POST",
-        f"http://{address}/v1/completions",
-        body=json.dumps(body).encode(),
-        headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
-        preload_content=False,
-        retries=False,
-    )
+    answer = _post_until_admitted(address, body, key)
     times, texts = [], []
-    for line in answer.read().split(b"\n") if answer.status != 200 else answer:
+    for line in answer:
         if not line.startswith(b"data: {"):
             continue
         times.append(time.monotonic())
@@ -77,7 +93,10 @@
     print(f"completion status {answer.status}, request {request_id}")
     for record in daemon.explain(request_id):
         print(f"  {record}")
-    print(f"  first token after {times[0] - started:.3f} s")
+    if len(gaps) < 2:
+        print(f"  no answer: {''.join(texts)}")
+        return
+    print(f"  first token {times[0] - started:.3f} s after the first try")
     print(f"  {len(texts) - 1} tokens, median gap {gaps[len(gaps) // 2] * 1e3:.1f} ms")
     print(f"  text starts {''.join(texts)[:40]!r}")
 
@@ -86,6 +105,7 @@
     headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": "lot-17-dhol"}
     url = f"http://{address}/orders"
     for attempt in ("order", "repeat"):
+        # The repeat has the same Idempotency-Key and must not book again.
         answer = urllib3.request(
             "POST", url, body=b'{"lot": 17}', headers=headers, retries=False
         )
--- a/src/sesameport/daemon/admission.py
+++ b/src/sesameport/daemon/admission.py
@@ -14,6 +14,8 @@
 from sesameport.daemon.completion_runner import CompletionRunner, RunnerServices
 from sesameport.daemon.directory import DirectoryHolder
 from sesameport.daemon.request_record import RequestRecord
+from sesameport.fleet.keys import KeyDecision, decide_key
+from sesameport.fleet.shares import Receipt
 from sesameport.interfaces import PlainAnswer
 from sesameport.requests import Deliver, EndAnswer, RefuseCall
 from sesameport.telemetry.decisions import DecisionKind
@@ -28,10 +30,9 @@
     ServiceDocument,
     Urgency,
     Usage,
-    Workspace,
 )
 
-__all__ = ["AdmissionDesk", "RateGate", "UnlimitedRates"]
+__all__ = ["AdmissionDesk", "RateGate"]
 
 _EXPECTED_OUTPUT_SHARE = 0.5
 
@@ -39,26 +40,15 @@
 class RateGate(Protocol):
     """Charge requests against the rates of their workspaces."""
 
-    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
-        """Charge tokens, or return a refusal."""
+    def charge(self, service: str, workspace: str, tokens: float) -> Receipt | Refusal:
+        """Charge tokens and return a receipt, or a refusal."""
         ...
 
-    def settle(self, service: str, workspace: str, difference: float) -> None:
-        """Correct an earlier charge; a negative difference gives tokens back."""
+    def settle(self, service: str, receipt: Receipt, used: float) -> None:
+        """Correct an earlier charge to the tokens used."""
         ...
 
 
-class UnlimitedRates:
-    """Admit every charge."""
-
-    def charge(self, service: str, workspace: str, tokens: float) -> Refusal | None:
-        """Admit the charge."""
-        return None
-
-    def settle(self, service: str, workspace: str, difference: float) -> None:
-        """Ignore the correction."""
-
-
 class AdmissionDesk:
     """Check and start the requests of one host."""
 
@@ -67,6 +57,7 @@
         directory: DirectoryHolder,
         services: RunnerServices,
         rates: RateGate,
+        are_keys_usable: Callable[[], bool],
         incarnation: str,
         call_plain: Callable[[PlainRequest, Route], PlainAnswer | Refusal],
         max_patient: int,
@@ -75,6 +66,7 @@
         self._directory = directory
         self._services = services
         self._rates = rates
+        self._are_keys_usable = are_keys_usable
         self._incarnation = incarnation
         self._call_plain = call_plain
         self._numbers = itertools.count(1)
@@ -106,17 +98,18 @@
         if isinstance(checked, Refusal):
             return checked
         charge = checked.prompt_tokens + checked.expected_output_tokens
-        refusal = self._admit(checked, charge)
-        if refusal is not None:
-            record = self._new_record(checked, checked.arrived, charge)
-            self._refuse(record, request_id, refusal)
-            return refusal
+        record = self._new_record(checked, checked.arrived, charge)
+        receipt = self._admit(checked, charge)
+        if isinstance(receipt, Refusal):
+            record.refuse(receipt)
+            self._finish(record, request_id, receipt)
+            return receipt
         runner = CompletionRunner(checked, request_id, self._services, is_gone)
-        outputs = self._follow(checked, runner, charge)
+        outputs = self._follow(checked, runner, record, receipt)
         next(outputs)
         return outputs
 
-    def _admit(self, req: CompletionRequest, charge: int) -> Refusal | None:
+    def _admit(self, req: CompletionRequest, charge: int) -> Receipt | Refusal | None:
         if req.urgency == Urgency.PATIENT and self.count() >= self._max_patient:
             return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
         if not req.workspace:
@@ -127,10 +120,6 @@
     def _new_record(req, arrived: float, charge: int) -> RequestRecord:
         return RequestRecord(req.service, req.workspace, req.urgency, arrived, charge)
 
-    def _refuse(self, record: RequestRecord, request_id: str, refusal: Refusal) -> None:
-        record.refuse(refusal)
-        self._finish(record, request_id, refusal)
-
     def _finish(
         self, record: RequestRecord, request_id: str, refusal: Refusal | None
     ) -> None:
@@ -147,8 +136,13 @@
         slug = refusal.type.slug
         self._recorder.decide(DecisionKind.REFUSAL, slug, now, request_id, inputs)
 
-    def _follow(self, req: CompletionRequest, runner, charge: int):
-        record = self._new_record(req, req.arrived, charge)
+    def _follow(
+        self,
+        req: CompletionRequest,
+        runner: CompletionRunner,
+        record: RequestRecord,
+        receipt: Receipt | None,
+    ):
         self.running[req.request_id] = req
         usage, refusal = Usage(), None
         outputs = runner.run()
@@ -170,8 +164,8 @@
             used = usage.prompt_tokens + usage.output_tokens
             if not used and record.output_tokens:
                 used = req.prompt_tokens + record.output_tokens
-            if req.workspace:
-                self._rates.settle(req.service, req.workspace, used - charge)
+            if receipt is not None:
+                self._rates.settle(req.service, receipt, used)
 
     def _check_completion(
         self, request_id, path, body, digest
@@ -198,7 +192,7 @@
         return CompletionRequest(
             request_id=request_id,
             service=doc.name,
-            workspace=workspace.name if workspace else "",
+            workspace=workspace,
             model=model.name,
             adapter=adapter,
             prompt=body.prompt,
@@ -216,25 +210,31 @@
 
     def find_withdrawn(self) -> list[CompletionRequest]:
         """List the running requests whose key is no longer valid."""
-        directory = self._directory.current
+        keys = self._directory.current.keys
         found = []
         for req in list(self.running.values()):
             if not req.workspace:
                 continue
-            workspace = directory.find_workspace(req.service, req.key_digest)
-            if workspace is None or workspace.name != req.workspace:
+            owner = keys.find(req.service, req.key_digest)
+            if owner is None or owner.workspace != req.workspace:
                 found.append(req)
         return found
 
     def _authenticate(
         self, doc: ServiceDocument, route: Route, digest: str
-    ) -> Workspace | Refusal | None:
-        if route.open:
-            return None
-        workspace = None
-        if digest:
-            workspace = self._directory.current.find_workspace(doc.name, digest)
-        return workspace or Refusal(RefusalType.UNKNOWN_KEY)
+    ) -> str | Refusal:
+        """Return the workspace that a call runs for; empty on open routes."""
+        keys = self._directory.current.keys
+        usable = self._are_keys_usable()
+        decision, owner = decide_key(keys, doc.name, digest, route.open, usable)
+        if decision == KeyDecision.STALE:
+            detail = "this host cannot confirm that keys are still valid"
+            return Refusal(
+                RefusalType.STALE_CONFIGURATION, detail=detail, retry_after_s=2.0
+            )
+        if decision == KeyDecision.UNKNOWN_KEY:
+            return Refusal(RefusalType.UNKNOWN_KEY)
+        return owner.workspace if owner is not None else ""
 
     def call_plain(
         self, request_id, method, path, headers, body, idempotency_key, digest
@@ -252,11 +252,10 @@
         workspace = self._authenticate(doc, route, digest)
         if isinstance(workspace, Refusal):
             return workspace
-        name = workspace.name if workspace else ""
         req = PlainRequest(
             request_id=request_id,
             service=doc.name,
-            workspace=name,
+            workspace=workspace,
             method=method,
             path=path,
             headers=headers,
@@ -276,12 +275,12 @@
     def _run_plain(
         self, req: PlainRequest, route: Route, record: RequestRecord
     ) -> PlainAnswer | Refusal:
-        cost = route.cost_tokens if req.workspace else 0
-        if cost:
-            refusal = self._rates.charge(req.service, req.workspace, cost)
-            if refusal is not None:
-                record.refuse(refusal)
-                return refusal
+        receipt = None
+        if route.cost_tokens and req.workspace:
+            receipt = self._rates.charge(req.service, req.workspace, route.cost_tokens)
+            if isinstance(receipt, Refusal):
+                record.refuse(receipt)
+                return receipt
         self._plain_running.add(req.request_id)
         try:
             answer = self._call_plain(req, route)
@@ -291,8 +290,8 @@
             record.answered(self._services.clock())
             return answer
         record.refuse(answer)
-        if cost and answer.execution == Execution.NOT_RUN:
-            self._rates.settle(req.service, req.workspace, -cost)
+        if receipt is not None and answer.execution == Execution.NOT_RUN:
+            self._rates.settle(req.service, receipt, 0)
         return answer
 
 
--- a/src/sesameport/daemon/demo_hosts.py
+++ b/src/sesameport/daemon/demo_hosts.py
@@ -1,10 +1,14 @@
 """Start daemons for a deployment of stand-ins in this process."""
 
+import time
+
 from sesameport.daemon.host import Daemon
 from sesameport.documents import HostSettings, PlatformSettings, Settings
 from sesameport.world import DataCentre
 
-__all__ = ["host_settings", "start_hosts"]
+__all__ = ["host_settings", "start_hosts", "wait_ready"]
+
+_READY_S = 20.0
 
 
 def host_settings(deployment, name: str, data_centre: str, **changes) -> Settings:
@@ -27,4 +31,17 @@
         for number in range(1, per_data_centre + 1):
             cfg = host_settings(deployment, f"{centre}-{number}", centre, **changes)
             daemons.append(Daemon(cfg).start())
+    deployment.hosts.extend(daemon.own_host for daemon in daemons)
+    deployment.publish()
+    for daemon in daemons:
+        wait_ready(daemon)
     return daemons
+
+
+def wait_ready(daemon: Daemon) -> None:
+    """Wait until a daemon has its configuration."""
+    end = time.monotonic() + _READY_S
+    while not daemon.is_ready():
+        if time.monotonic() > end:
+            raise TimeoutError(f"{daemon.cfg.host.name} is not ready")
+        time.sleep(0.02)
--- a/src/sesameport/daemon/directory.py
+++ b/src/sesameport/daemon/directory.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sesameport.fleet.keys import KeyIndex
 from sesameport.world import (
     BackendServer,
     Host,
@@ -11,7 +12,6 @@
     Route,
     ServiceDocument,
     ServiceKind,
-    Workspace,
 )
 
 __all__ = ["Directory", "DirectoryHolder", "build_directory"]
@@ -19,20 +19,19 @@
 
 @attrs.frozen
 class Directory:
-    """Hold one consistent snapshot; it never changes after it is built."""
+    """Hold one consistent snapshot; it never changes after it is built.
+
+    ``keys`` maps key digests to workspaces.
+    """
 
     documents: Mapping[str, ServiceDocument] = attrs.field(factory=dict)
     versions: Mapping[str, int] = attrs.field(factory=dict)
     servers: tuple[BackendServer, ...] = ()
     hosts: tuple[Host, ...] = ()
-    _workspaces: Mapping[tuple[str, str], Workspace] = attrs.field(factory=dict)
+    keys: KeyIndex = attrs.field(factory=KeyIndex)
     _models: Mapping[str, tuple[ServiceDocument, Model]] = attrs.field(factory=dict)
     _servers_by_name: Mapping[str, BackendServer] = attrs.field(factory=dict)
 
-    def find_workspace(self, service: str, key_digest: str) -> Workspace | None:
-        """Return the workspace of a service that a key digest belongs to."""
-        return self._workspaces.get((service, key_digest))
-
     def find_model(self, name: str) -> tuple[ServiceDocument, Model, str] | None:
         """Return the service, the model and the adapter named ``model[:adapter]``."""
         model_name, _, adapter = name.partition(":")
@@ -94,11 +93,9 @@
 ) -> Directory:
     """Build a snapshot with its indexes."""
     servers = tuple(servers)
-    workspaces, models = {}, {}
+    keys, models = KeyIndex(), {}
     for name, doc in sorted(documents.items()):
-        for workspace in doc.workspaces:
-            for digest in workspace.keys:
-                workspaces[name, digest] = workspace
+        keys.replace(name, doc)
         for model in doc.models:
             models.setdefault(model.name, (doc, model))
     return Directory(
@@ -106,7 +103,7 @@
         dict(versions),
         servers,
         tuple(hosts),
-        workspaces,
+        keys,
         models,
         {server.name: server for server in servers},
     )
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -5,11 +5,14 @@
 import threading
 import time
 
-from sesameport.adapters import HttpPlatform, TimerService
-from sesameport.daemon.admission import AdmissionDesk, UnlimitedRates
+import attrs
+
+from sesameport.adapters import TimerService
+from sesameport.daemon.admission import AdmissionDesk
 from sesameport.daemon.caller_api import CallerApi
+from sesameport.daemon.cluster import Cluster
 from sesameport.daemon.completion_runner import RunnerServices
-from sesameport.daemon.directory import DirectoryHolder, build_directory
+from sesameport.daemon.directory import Directory, DirectoryHolder
 from sesameport.daemon.dispatcher_actor import (
     DirectoryChanged,
     DispatcherActor,
@@ -17,25 +20,27 @@
     StopRequest,
 )
 from sesameport.daemon.engines import Backends
+from sesameport.daemon.host_status import describe_host
 from sesameport.daemon.http_server import HttpServer
+from sesameport.daemon.key_gate import KeyGate
 from sesameport.daemon.load_poller import LoadPoller, choose_subset
 from sesameport.daemon.plain_runner import PlainRunner
 from sesameport.daemon.shutdown import Drain
-from sesameport.documents import Settings, load_service
+from sesameport.documents import Settings
 from sesameport.routing import Router, RouterConfig
 from sesameport.telemetry.decisions import DecisionKind
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.recorder import Recorder
-from sesameport.telemetry.status import DocumentStatus, HostStatus
+from sesameport.telemetry.status import HostStatus
 from sesameport.telemetry.status_api import StatusApi
-from sesameport.world import Execution, Refusal, RefusalType
+from sesameport.world import Execution, Host, Refusal, RefusalType
 
 __all__ = ["Daemon"]
 
 _LOG = get_logger("daemon")
 
 _POLL_PERIOD_S = 0.01
-_DIRECTORY_PERIOD_S = 0.5
+_KEYS_PERIOD_S = 0.5
 _CANCEL_TRIES = 8
 
 
@@ -52,10 +57,9 @@
         self.cfg = cfg
         self.incarnation = secrets.token_hex(8)
         self.directory = DirectoryHolder()
-        self._started = time.monotonic()
-        self.recorder = Recorder(cfg.host.name, cfg.host.data_centre, self._started)
+        self.started_at = time.monotonic()
+        self.recorder = Recorder(cfg.host.name, cfg.host.data_centre, self.started_at)
         self.timers = TimerService(on_error=_log_timer_error)
-        self.platform = HttpPlatform(cfg.platform.url, cfg.platform.timeout_s)
         self.backends = Backends(self.directory, cfg.requests.silent_s)
         router = Router(
             RouterConfig(cfg.host.data_centre, cfg.requests.max_waiting),
@@ -68,12 +72,24 @@
             self._cancel,
             self._record,
         )
+        own = Host(cfg.host.name, cfg.host.data_centre)
+        self.cluster = Cluster(
+            cfg,
+            own,
+            self.incarnation,
+            self.directory,
+            self.timers,
+            self.recorder,
+            self.backends.find_engine,
+        )
+        self.keys = KeyGate(cfg, self.cluster.fleet.view, time.monotonic)
         plain = PlainRunner(self.directory, self.backends, time.monotonic)
         identity = f"{cfg.host.name}.{self.incarnation}"
         self.admission = AdmissionDesk(
             self.directory,
             services,
-            UnlimitedRates(),
+            self.cluster.rates,
+            self.keys.is_usable,
             identity,
             plain.call,
             cfg.host.max_threads - cfg.host.urgent_threads,
@@ -109,9 +125,8 @@
 
     def start(self) -> "Daemon":
         """Start serving and return the daemon."""
-        self._refresh(0.0)
         self.timers.subscribe("poll", _POLL_PERIOD_S, self._poll)
-        self.timers.subscribe("directory", _DIRECTORY_PERIOD_S, self._refresh)
+        self.timers.subscribe("keys", _KEYS_PERIOD_S, self._check_keys)
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
         self.timers.start()
@@ -128,11 +143,21 @@
     def stop(self) -> None:
         """Stop at once."""
         self.timers.stop()
+        self.cluster.stop()
         self.poller.stop()
         self.http.stop()
         self.status_http.stop()
         self._dispatcher.stop(block=False)
 
+    @property
+    def own_host(self) -> Host:
+        """Describe this host with the addresses it is bound to."""
+        return attrs.evolve(
+            self.cluster.own,
+            caller_address=self.http.address,
+            status_address=self.status_http.address,
+        )
+
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
         return bool(self.directory.current.documents) and not self.drain.has_begun
@@ -141,6 +166,7 @@
         """Drain, stop, and return whether every request ended by itself."""
         _LOG.info("drain started", extra={"in_flight": self.admission.count()})
         finished = self.drain.run()
+        self.cluster.leave()
         _LOG.info("drain ended", extra={"finished": finished})
         self.stop()
         return finished
@@ -150,22 +176,7 @@
 
     def build_status(self, request_id: str) -> HostStatus:
         """Return the status of this host, with the decisions on one request."""
-        directory, host, now = self.directory.current, self.cfg.host, time.monotonic()
-        return HostStatus(
-            host.name,
-            host.data_centre,
-            self.incarnation,
-            self.cfg.region(),
-            self.is_ready(),
-            now - self._started,
-            documents=tuple(
-                DocumentStatus(name, version)
-                for name, version in sorted(directory.versions.items())
-            ),
-            decisions=tuple(self.recorder.decisions.find(request_id)),
-            in_flight=self.admission.count(),
-            now=now,
-        )
+        return describe_host(self, request_id, time.monotonic())
 
     def _note_poll_failure(self, server: str, count: int) -> None:
         pass
@@ -183,7 +194,7 @@
     def _poll(self, now: float) -> None:
         self._dispatcher.tell(Poll())
 
-    def _directory_changed(self, directory) -> None:
+    def _directory_changed(self, directory: Directory) -> None:
         host = self.cfg.host
         servers = choose_subset(
             directory.servers,
@@ -197,25 +208,19 @@
             weights = {workspace.name: workspace.weight for workspace in doc.workspaces}
             self.recorder.set_targets(name, doc.targets, weights)
         for req in self.admission.find_withdrawn():
-            refusal = Refusal(RefusalType.KEY_WITHDRAWN, Execution.MAY_HAVE_RUN)
-            self._dispatcher.tell(StopRequest(req.request_id, refusal))
+            self._stop_request(req.request_id, RefusalType.KEY_WITHDRAWN)
 
-    def _refresh(self, now: float) -> None:
-        listed = self.platform.list("ServiceDocument")
-        hosts = self.platform.hosts()
-        if listed.is_err() or hosts.is_err():
+    def _check_keys(self, now: float) -> None:
+        """End keyed streams while keys cannot be confirmed."""
+        if self.keys.is_usable():
             return
-        documents, versions = {}, {}
-        for stored in listed.unwrap().objects:
-            doc, findings = load_service(stored.value.decode(), stored.name)
-            if stored.deleted or doc is None:
-                continue
-            documents[doc.name] = doc
-            versions[doc.name] = stored.version
-        found = hosts.unwrap()
-        self.directory.replace(
-            build_directory(documents, versions, found.servers, found.hosts)
-        )
+        for req in list(self.admission.running.values()):
+            if req.workspace:
+                self._stop_request(req.request_id, RefusalType.STALE_CONFIGURATION)
+
+    def _stop_request(self, request_id: str, kind: RefusalType) -> None:
+        refusal = Refusal(kind, Execution.MAY_HAVE_RUN)
+        self._dispatcher.tell(StopRequest(request_id, refusal))
 
     def _cancel(self, server: str, attempt_id: str) -> None:
         threading.Thread(
--- /dev/null
+++ b/src/sesameport/daemon/host_status.py
@@ -0,0 +1,57 @@
+"""Describe one host for ``GET /status``."""
+
+import math
+
+from sesameport.daemon.fleet_view import FleetView
+from sesameport.telemetry.status import DocumentStatus, HostStatus, MemberStatus
+
+__all__ = ["describe_documents", "describe_host"]
+
+
+def describe_documents(view: FleetView) -> tuple[DocumentStatus, ...]:
+    """List the documents in force and the newest rejected versions."""
+    names = sorted(view.documents.keys() | view.findings.keys())
+    described = []
+    for name in names:
+        item = view.documents.get(name)
+        refused, findings = view.findings.get(name, (0, ()))
+        described.append(
+            DocumentStatus(
+                name,
+                item.version if item else 0,
+                refused,
+                tuple(str(finding) for finding in findings),
+            )
+        )
+    return tuple(described)
+
+
+def describe_host(daemon, request_id: str, now: float) -> HostStatus:
+    """Return the status of a daemon, with the decisions on one request."""
+    view, host = daemon.cluster.fleet.view(), daemon.cfg.host
+    age_s = view.freshness_age(now)
+    documents = describe_documents(view)
+    return HostStatus(
+        host.name,
+        host.data_centre,
+        daemon.incarnation,
+        daemon.cfg.region(),
+        daemon.is_ready(),
+        now - daemon.started_at,
+        None if math.isinf(age_s) else age_s,
+        daemon.cluster.platform.is_reachable,
+        documents,
+        tuple(
+            MemberStatus(
+                member.name,
+                member.data_centre,
+                "leaving" if member.leaving else str(member.state),
+                member.incarnation,
+            )
+            for member in view.members
+        ),
+        findings=tuple(text for item in documents for text in item.findings),
+        decisions=tuple(daemon.recorder.decisions.find(request_id)),
+        in_flight=daemon.admission.count(),
+        now=now,
+    )
--- a/src/sesameport/daemon/tests/conftest.py
+++ b/src/sesameport/daemon/tests/conftest.py
@@ -1,7 +1,29 @@
+import time
+
 import pytest
 
 from sesameport.daemon.demo_hosts import start_hosts
 from sesameport.standins import build_deployment
+from sesameport.world import Refusal
+
+WORKSPACES = (
+    ("assessor-llm", "tannery-north", 100_000),
+    ("assessor-llm", "tannery-south", 10_000),
+    ("order-desk", "dhol-makers", 20),
+)
+
+
+def wait_for_tokens(daemons):
+    """Wait until the pools have filled; a fresh fleet starts with empty buckets."""
+    end = time.monotonic() + 30.0
+    for service, workspace, tokens in WORKSPACES:
+        while True:
+            receipt = daemons[0].cluster.rates.charge(service, workspace, tokens)
+            if not isinstance(receipt, Refusal):
+                daemons[0].cluster.rates.settle(service, receipt, 0)
+                break
+            assert time.monotonic() < end, receipt
+            time.sleep(0.2)
 
 
 @pytest.fixture(scope="module")
@@ -9,6 +31,7 @@
     """Run three hosts, one per data centre, against stand-ins."""
     deployment = build_deployment()
     daemons = start_hosts(deployment)
+    wait_for_tokens(daemons)
     yield deployment, daemons
     for daemon in daemons:
         daemon.stop()
--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -6,7 +6,7 @@
 import pytest
 import urllib3
 
-from sesameport.daemon.demo_hosts import host_settings
+from sesameport.daemon.demo_hosts import host_settings, wait_ready
 from sesameport.daemon.host import Daemon
 from sesameport.daemon.load_poller import choose_subset
 from sesameport.daemon.tests.callers import complete, stream_texts
@@ -25,6 +25,7 @@
         deployment, "rajkot-a-9", "rajkot-a", shutdown=ShutdownSettings(0.3, 30.0)
     )
     daemon = Daemon(cfg).start()
+    wait_ready(daemon)
     yield daemon
     daemon.stop()
 
--- a/src/sesameport/fleet/keys.py
+++ b/src/sesameport/fleet/keys.py
@@ -4,41 +4,18 @@
 
 import attrs
 
+from sesameport.fleet.freshness import EvidenceState, PlatformEvidence
 from sesameport.world import ServiceDocument
 
 __all__ = [
-    "CentreEvidence",
     "KeyDecision",
     "KeyIndex",
     "KeyOwner",
-    "PlatformEvidence",
     "decide_key",
     "is_configuration_usable",
 ]
 
 
-class PlatformEvidence(enum.StrEnum):
-    """Name what the hosts of a data centre say about the platform."""
-
-    REACHABLE = "reachable"
-    UNREACHABLE = "unreachable"
-    NOT_HEARD = "not-heard"
-
-
-@attrs.frozen
-class CentreEvidence:
-    """Hold the newest evidence from one data centre.
-
-    ``UNREACHABLE`` may be given only when every live host of the data centre says so;
-    one host that reaches the platform makes it ``REACHABLE``. ``age_s`` counts from
-    before the query was sent to the data centre.
-    """
-
-    data_centre: str
-    evidence: PlatformEvidence
-    age_s: float
-
-
 class KeyDecision(enum.StrEnum):
     """Name the outcome for one request or stream."""
 
@@ -112,7 +89,7 @@
     staleness_s: float,
     home: str,
     data_centres: tuple[str, ...],
-    evidence: dict[str, CentreEvidence],
+    evidence: dict[str, PlatformEvidence],
 ) -> bool:
     """Tell whether keys may be accepted with a configuration of this age.
 
@@ -131,7 +108,7 @@
         Data centre of this host.
     data_centres : tuple of str
         All data centres of the deployment, from the settings.
-    evidence : dict of str to CentreEvidence
+    evidence : dict of str to PlatformEvidence
         Newest evidence by data centre.
     """
     if age_s <= staleness_s:
@@ -140,7 +117,7 @@
         item = evidence.get(name)
         if item is None or item.age_s > staleness_s:
             return False
-        if item.evidence != PlatformEvidence.UNREACHABLE:
+        if item.state != EvidenceState.UNREACHABLE:
             return False
     return True
 
--- a/src/sesameport/fleet/tests/test_keys.py
+++ b/src/sesameport/fleet/tests/test_keys.py
@@ -2,27 +2,26 @@
 
 import pytest
 
+from sesameport.fleet.freshness import EvidenceState, PlatformEvidence
 from sesameport.fleet.keys import (
-    CentreEvidence,
     KeyDecision,
     KeyIndex,
     KeyOwner,
-    PlatformEvidence,
     decide_key,
     is_configuration_usable,
 )
 from sesameport.world import ServiceDocument, Workspace
 
 CENTRES = ("a", "b", "c")
-REACHABLE, UNREACHABLE = PlatformEvidence.REACHABLE, PlatformEvidence.UNREACHABLE
+REACHABLE, UNREACHABLE = EvidenceState.REACHABLE, EvidenceState.UNREACHABLE
 
 
 def usable(age_s, evidence, own=UNREACHABLE):
     items = {"a": own, **evidence}
     heard = {
         name: item
-        if isinstance(item, CentreEvidence)
-        else CentreEvidence(name, item, 1.0)
+        if isinstance(item, PlatformEvidence)
+        else PlatformEvidence(name, item, 1.0)
         for name, item in items.items()
     }
     return is_configuration_usable(age_s, 8.0, "a", CENTRES, heard)
@@ -43,8 +42,8 @@
         {"b": REACHABLE, "c": REACHABLE},
         {"b": UNREACHABLE},
         {},
-        {"b": UNREACHABLE, "c": PlatformEvidence.NOT_HEARD},
-        {"b": UNREACHABLE, "c": CentreEvidence("c", UNREACHABLE, 8.1)},
+        {"b": UNREACHABLE, "c": EvidenceState.NOT_HEARD},
+        {"b": UNREACHABLE, "c": PlatformEvidence("c", UNREACHABLE, 8.1)},
     ],
     ids=[
         "one-other-reaches-it",
