Recover requests from failed prefills, streams and transfers

The first lifecycle ended a request at its first failure. It now retries a prefill on another server, resumes a stream from its offset, imports the KV cache again while the handle lives and prefills again with the tokens already sent, within bounds.

--- a/src/sesameport/interfaces/engine.py
+++ b/src/sesameport/interfaces/engine.py
@@ -136,7 +136,8 @@
     """Ask a decode server to import a KV cache and stream tokens.
 
     ``offset`` is the number of tokens that the caller already has; ``handle`` is None
-    when the decode server computes the prompt itself.
+    when the decode server computes the prompt itself. ``first_token_s`` bounds the time
+    to the first token, seconds; 0 leaves it to the adapter's bound.
     """
 
     attempt_id: str
@@ -148,6 +149,7 @@
     offset: int = 0
     generated: str = ""
     priority: int = 0
+    first_token_s: float = 0.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/sesameport/requests/recovery.py
@@ -0,0 +1,259 @@
+"""Decide what follows a failed attempt of a completion request.
+
+The order is: resume the stream on the same engine, import the KV cache again on
+another decode server while its handle is alive, prefill again on other servers.
+"""
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sesameport.interfaces import EngineError, EngineErrorKind
+from sesameport.requests.actions import (
+    Action,
+    AskDecode,
+    AskPlacement,
+    ReportLost,
+    ResumeDecode,
+)
+from sesameport.requests.retries import Backoff
+from sesameport.requests.states import State
+from sesameport.world import Execution, Refusal, RefusalType
+
+if TYPE_CHECKING:
+    from sesameport.requests.lifecycle import Lifecycle
+
+__all__ = ["Recovery", "RecoveryConfig"]
+
+_RESUMABLE = frozenset(
+    {EngineErrorKind.BROKEN, EngineErrorKind.SILENT, EngineErrorKind.BUSY}
+)
+_LOST = frozenset({EngineErrorKind.NOT_FOUND, EngineErrorKind.UNREACHABLE})
+_HANDLE_LOST = frozenset({EngineErrorKind.NOT_FOUND, EngineErrorKind.HANDLE_EXPIRED})
+
+
+@attrs.frozen
+class RecoveryConfig:
+    """Bound the recovery of one request.
+
+    Attributes
+    ----------
+    max_prefills : int
+        Prefills of one request, the first included.
+    max_imports : int
+        Decode servers tried for one KV handle, the first included.
+    max_resumes : int
+        Resumes in a row that bring no new token.
+    max_asks : int
+        Questions for a placement in a row that find no server.
+    import_base_s : float
+        Bound of an import without its transfer time, seconds.
+    import_bytes_per_s : float
+        Slowest transfer rate that is waited for, bytes per second.
+    handle_margin_s : float
+        Part of a KV handle's lifetime that is not used, because the lifetime starts
+        before its answer arrives, seconds.
+    backoff : Backoff
+        Delay before a repeated prefill.
+    resume_backoff : Backoff
+        Delay before a second resume in a row; the first goes out at once.
+    """
+
+    max_prefills: int = 4
+    max_imports: int = 3
+    max_resumes: int = 3
+    max_asks: int = 5
+    import_base_s: float = 0.4
+    import_bytes_per_s: float = 2e9
+    handle_margin_s: float = 0.02
+    backoff: Backoff = Backoff()
+    resume_backoff: Backoff = Backoff(0.02, 0.2)
+
+    def import_bound_s(self, kv_bytes: int) -> float:
+        """Return the time within which an import's first token is expected."""
+        return self.import_base_s + kv_bytes / self.import_bytes_per_s
+
+
+@attrs.define
+class Recovery:
+    """Choose the next attempt of one lifecycle, within bounds."""
+
+    life: "Lifecycle"
+    cfg: RecoveryConfig
+    rng: random.Random
+    asked_decode_only: bool = False
+    _prefills: int = 1
+    _imports: int = 1
+    _resumes: int = 0
+    _asks: int = 0
+    _excluded: set[str] = attrs.field(factory=set)
+    _last_error: EngineError = EngineError(EngineErrorKind.FAILED)
+
+    def reset_imports(self) -> None:
+        """Count imports from the start, for a new KV handle."""
+        self._imports = 1
+
+    def progressed(self) -> None:
+        """Note a new token: earlier resumes were of use."""
+        self._resumes = 0
+
+    def prefill_failed(self, error: EngineError, now: float) -> list[Action]:
+        """Prefill again on another server, unless the request itself is at fault."""
+        life = self.life
+        server, attempt_id = life.placement.prefill.name, life.attempt_id
+        actions = self._release(server, error)
+        if error.kind == EngineErrorKind.BROKEN:
+            actions.append(ReportLost(server, attempt_id))
+        if error.kind == EngineErrorKind.INVALID:
+            return actions + self._give_up(error)
+        self._excluded.add(server)
+        return actions + life.shares.end_both() + self.prefill_again(now, error)
+
+    def decode_failed(self, error: EngineError, now: float) -> list[Action]:
+        """Resume a broken stream, or go to another decode server."""
+        life = self.life
+        importing = life.state == State.IMPORTING
+        server = life.placement.decode.name
+        if error.kind == EngineErrorKind.INVALID:
+            return self._release(server, error) + self._give_up(error)
+        if importing and error.execution() == Execution.NOT_RUN:
+            return self._redirect(error, now)
+        if importing and error.kind == EngineErrorKind.SILENT:
+            return self._abandon(error, now)
+        if error.kind not in _RESUMABLE:
+            return self._abandon(error, now)
+        return self._resume(error, now)
+
+    def resume_failed(self, error: EngineError, now: float) -> list[Action]:
+        """Try another resume, or leave an engine that has lost the stream."""
+        if error.kind in _RESUMABLE:
+            return self._resume(error, now)
+        lost: list[Action] = []
+        if error.kind in _LOST:
+            life = self.life
+            lost = [ReportLost(life.placement.decode.name, life.attempt_id)]
+        return lost + self._abandon(error, now)
+
+    def gap(self, offset: int, now: float) -> list[Action]:
+        """Resume from the caller's offset when the stream skipped tokens."""
+        detail = f"stream skipped to token {offset}"
+        return self._resume(EngineError(EngineErrorKind.BROKEN, detail), now)
+
+    def stalled(self, now: float) -> list[Action]:
+        """Leave a decode server whose import did not end in time."""
+        detail = "no first token within the import bound"
+        return self._abandon(EngineError(EngineErrorKind.SILENT, detail), now)
+
+    def prefill_server_gone(self, now: float) -> list[Action]:
+        """Prefill again after the prefill server left the fleet."""
+        detail = "the prefill server is gone"
+        return self.prefill_failed(EngineError(EngineErrorKind.SILENT, detail), now)
+
+    def decode_server_gone(self, now: float) -> list[Action]:
+        """Go to another decode server without a resume."""
+        detail = "the decode server is gone"
+        return self._abandon(EngineError(EngineErrorKind.SILENT, detail), now)
+
+    def _release(self, server: str, error: EngineError) -> list[Action]:
+        """Close the hold of a call that certainly did not run, else cancel it."""
+        life = self.life
+        if error.execution() == Execution.NOT_RUN:
+            return life.holds.close(server, life.attempt_id)
+        life.ran(Execution.MAY_HAVE_RUN)
+        return life.holds.cancel(server, life.attempt_id)
+
+    def _resume(self, error: EngineError, now: float) -> list[Action]:
+        life = self.life
+        if self._resumes >= self.cfg.max_resumes:
+            return self._abandon(error, now)
+        life.ran(Execution.MAY_HAVE_RUN)
+        delay_s = 0.0
+        if self._resumes:
+            delay_s = self.cfg.resume_backoff.delay(self._resumes, self.rng)
+        self._resumes += 1
+        life.state = State.RESUMING
+        server = life.placement.decode.name
+        return [ResumeDecode(server, life.attempt_id, life.offset, delay_s)]
+
+    def _redirect(self, error: EngineError, now: float) -> list[Action]:
+        """Take the KV handle to another server after a decode that did not start."""
+        life = self.life
+        server = life.placement.decode.name
+        actions: list[Action] = []
+        if life.attempt_id != life.prefill_attempt or (
+            server != life.placement.prefill.name
+        ):
+            # On a shared server the same attempt id still names the prefill result.
+            actions = life.holds.close(server, life.attempt_id)
+        if error.kind in _HANDLE_LOST:
+            # The prefill server may have crashed, so the next prefill avoids it.
+            self._excluded.add(life.placement.prefill.name)
+            return actions + life.shares.end_decode() + self.prefill_again(now, error)
+        self._excluded.add(server)
+        return actions + life.shares.end_decode() + self._import_again(error, now)
+
+    def _abandon(self, error: EngineError, now: float) -> list[Action]:
+        """Cancel the decode and go on elsewhere."""
+        life = self.life
+        server = life.placement.decode.name
+        self._excluded.add(server)
+        life.ran(Execution.MAY_HAVE_RUN)
+        shared = server == life.placement.prefill.name
+        if shared and life.attempt_id == life.prefill_attempt:
+            # The cancel releases the prefill result of the same attempt as well.
+            life.kv_handle = None
+        actions = life.holds.cancel(server, life.attempt_id)
+        return actions + life.shares.end_decode() + self._import_again(error, now)
+
+    def _import_again(self, error: EngineError, now: float) -> list[Action]:
+        life = self.life
+        self._last_error = error
+        if life.handle_alive(now) and self._imports < self.cfg.max_imports:
+            self._imports += 1
+            self.asked_decode_only = True
+            life.state = State.REPLACING_DECODE
+            return [AskDecode(frozenset(self._excluded))]
+        return self.prefill_again(now, error)
+
+    def prefill_again(
+        self, now: float, error: EngineError | None = None
+    ) -> list[Action]:
+        """Ask for new servers, within the bounds and the deadline."""
+        life = self.life
+        self._last_error = error or self._last_error
+        actions: list[Action] = []
+        if life.prefill_attempt:
+            server = life.placement.prefill.name
+            actions = life.holds.cancel(server, life.prefill_attempt)
+            life.prefill_attempt = ""
+        life.kv_handle = None
+        life.state = State.PLACING
+        if self._prefills >= self.cfg.max_prefills:
+            return actions + self._give_up(self._last_error)
+        delay_s = self.cfg.backoff.delay(self._prefills - 1, self.rng)
+        self._prefills += 1
+        self._asks = 1
+        return actions + self._ask(delay_s, now, spends_budget=True)
+
+    def not_placed(self, refusal: Refusal, final: bool, now: float) -> list[Action]:
+        """Ask again later, at first without the failed servers, then with them."""
+        if final or self._asks >= self.cfg.max_asks:
+            return self.life.refuse(refusal)
+        # A server that failed a moment ago is better than none.
+        self._excluded.clear()
+        delay_s = self.cfg.backoff.delay(self._asks, self.rng)
+        self._asks += 1
+        return self._ask(delay_s, now, spends_budget=False)
+
+    def _ask(self, delay_s: float, now: float, spends_budget: bool) -> list[Action]:
+        if now + delay_s >= self.life.req.deadline:
+            return self.life.refuse(Refusal(RefusalType.DEADLINE))
+        self.asked_decode_only = False
+        return [AskPlacement(frozenset(self._excluded), delay_s, spends_budget)]
+
+    def _give_up(self, error: EngineError) -> list[Action]:
+        # A failed attempt that certainly did not run leaves the request "not run".
+        self.life.state = State.PLACING
+        refusal = Refusal(RefusalType.UPSTREAM_FAILED, detail=error.detail)
+        return self.life.refuse(refusal)
