--- a/src/sesameport/requests/tests/test_lifecycle_orders.py
+++ b/src/sesameport/requests/tests/test_lifecycle_orders.py
@@ -4,7 +4,12 @@
 
 import hypothesis
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
 
 from sesameport.interfaces import EngineError, EngineErrorKind, KvHandle, TokenEvent
 from sesameport.requests import (
@@ -43,6 +48,7 @@
     for kind in EngineErrorKind
     if EngineError(kind).execution() == Execution.NOT_RUN
 }
+RECENT = st.sampled_from([0, 0, 0, 0, 1])
 SERVERS = ["p1", "p2", "d1", "d2", "both"]
 
 
@@ -60,6 +66,7 @@
         # Prefills whose server has not proved that they did not run.
         self.uncertain, self.refused = set(), set()
         self.started = None
+        self.answer_placement("p1", "d1")
 
     def send(self, event):
         actions = self.life.handle(event, self.now)
@@ -101,13 +108,15 @@
             case EndAnswer() | RefuseCall():
                 self.ends.append(action)
 
+    @precondition(lambda self: self.asked is not None)
     @rule(
         prefill=st.sampled_from(["p1", "p2", "both"]),
         decode=st.sampled_from(SERVERS[2:]),
     )
     def place(self, prefill, decode):
-        if self.asked is None:
-            return
+        self.answer_placement(prefill, decode)
+
+    def answer_placement(self, prefill, decode):
         found = placement(prefill, decode)
         if self.asked is AskDecode:
             found = placement(self.life.placement.prefill.name, decode)
@@ -117,47 +126,59 @@
         self.asked = None
         self.send(Placed(found))
 
+    @precondition(lambda self: self.asked is not None)
     @rule(final=st.booleans())
     def not_placed(self, final):
-        if self.asked is None or not self.attempts:
-            return
         self.asked = None
         self.send(NotPlaced(Refusal(RefusalType.NO_SERVER), final))
 
+    def is_prefilling(self):
+        return self.asked is None and isinstance(self.started, StartPrefill)
+
+    def is_decoding(self):
+        return self.asked is None and isinstance(
+            self.started, (StartDecode, ResumeDecode)
+        )
+
     def attempt(self, back):
         return self.attempts[max(0, len(self.attempts) - 1 - back)]
 
+    @precondition(lambda self: self.is_prefilling())
+    @rule()
+    def prefill_in_time(self):
+        self.answer_prefill(0)
+
     @rule(back=st.integers(0, 2))
     def prefill_done(self, back):
-        if not self.attempts or self.attempt(back) in self.refused:
+        self.answer_prefill(back)
+
+    def answer_prefill(self, back):
+        if self.attempt(back) in self.refused:
             return
         handle = KvHandle("p1", "127.0.0.1:1", "h", 0.9)
         self.send(PrefillDone(self.attempt(back), handle))
 
-    @rule(back=st.integers(0, 2), kind=st.sampled_from(list(EngineErrorKind)))
+    @precondition(is_prefilling)
+    @rule(back=RECENT, kind=st.sampled_from(list(EngineErrorKind)))
     def prefill_failed(self, back, kind):
-        if not self.attempts or not isinstance(self.started, StartPrefill):
-            return
         attempt_id = self.attempt(back)
         if kind in NOT_RUN and attempt_id == self.life.attempt_id:
             self.uncertain.discard(attempt_id)
             self.refused.add(attempt_id)
         self.send(PrefillFailed(attempt_id, EngineError(kind)))
 
-    @rule(back=st.integers(0, 1), shift=st.integers(-2, 2), count=st.integers(1, 4))
+    @precondition(is_decoding)
+    @rule(back=RECENT, shift=st.sampled_from([0, 0, 0, -2, 1]), count=st.integers(1, 4))
     def tokens(self, back, shift, count):
-        if not self.attempts or isinstance(self.started, StartPrefill):
-            return
         first = max(0, len(self.text) + shift)
         for offset in range(first, min(first + count, LENGTH)):
             end = "length" if offset == LENGTH - 1 else ""
             event = TokenEvent(self.attempt(back), offset, str(offset), end)
             self.send(TokenArrived(event))
 
-    @rule(back=st.integers(0, 1), kind=st.sampled_from(list(EngineErrorKind)))
+    @precondition(is_decoding)
+    @rule(back=RECENT, kind=st.sampled_from(list(EngineErrorKind)))
     def decode_failed(self, back, kind):
-        if not self.attempts or isinstance(self.started, StartPrefill):
-            return
         failure = (
             ResumeFailed if isinstance(self.started, ResumeDecode) else DecodeFailed
         )
@@ -173,6 +194,7 @@
     def server_gone(self, name):
         self.send(ServerGone(name))
 
+    @precondition(lambda self: self.now > 1.0)
     @rule(event=st.sampled_from([CallerGone(), Stopped(Refusal(RefusalType.DEADLINE))]))
     def stop(self, event):
         self.send(event)
