--- a/src/sesameport/requests/__init__.py
+++ b/src/sesameport/requests/__init__.py
@@ -31,9 +31,24 @@
     Tick,
     TokenArrived,
 )
+from sesameport.requests.ledger import (
+    Ledger,
+)
 from sesameport.requests.lifecycle import (
     Lifecycle,
 )
+from sesameport.requests.plain_calls import (
+    AskPlainServer,
+    FinishPlain,
+    NoPlainServer,
+    PlainAction,
+    PlainAnswered,
+    PlainCall,
+    PlainEvent,
+    PlainFailed,
+    PlainPlaced,
+    SendPlain,
+)
 from sesameport.requests.recovery import (
     Recovery,
     RecoveryConfig,
@@ -45,11 +60,20 @@
 from sesameport.requests.states import (
     State,
 )
+from sesameport.requests.sweep import (
+    HoldOwner,
+    Member,
+    SweepConfig,
+    choose_abandoned,
+    choose_sweeper,
+    parse_owner,
+)
 
 __all__ = [
     "Action",
     "AskDecode",
     "AskPlacement",
+    "AskPlainServer",
     "Backoff",
     "CallerGone",
     "CancelHold",
@@ -59,10 +83,21 @@
     "Deliver",
     "EndAnswer",
     "Event",
+    "FinishPlain",
+    "HoldOwner",
+    "Ledger",
     "Lifecycle",
+    "Member",
+    "NoPlainServer",
     "NotPlaced",
     "OpenHold",
     "Placed",
+    "PlainAction",
+    "PlainAnswered",
+    "PlainCall",
+    "PlainEvent",
+    "PlainFailed",
+    "PlainPlaced",
     "PrefillDone",
     "PrefillEnded",
     "PrefillFailed",
@@ -73,11 +108,16 @@
     "ResumeDecode",
     "ResumeFailed",
     "RetryBudget",
+    "SendPlain",
     "ServerGone",
     "StartDecode",
     "StartPrefill",
     "State",
     "Stopped",
+    "SweepConfig",
     "Tick",
     "TokenArrived",
+    "choose_abandoned",
+    "choose_sweeper",
+    "parse_owner",
 ]
--- a/src/sesameport/requests/tests/test_lifecycle_orders.py
+++ b/src/sesameport/requests/tests/test_lifecycle_orders.py
@@ -82,12 +82,17 @@
             case CancelHold(server, attempt_id):
                 self.open.discard((server, attempt_id))
                 self.cancelled.add((server, attempt_id))
+            case AskPlacement() | AskDecode():
+                self.asked = type(action)
+            case _:
+                self.observe_work(action)
+
+    def observe_work(self, action):
+        match action:
             case PrefillEnded():
                 self.shares["prefill"] -= 1
             case DecodeEnded():
                 self.shares["decode"] -= 1
-            case AskPlacement() | AskDecode():
-                self.asked = type(action)
             case StartPrefill(server, call):
                 assert (server, call.attempt_id) in self.open
                 self.attempts.append(call.attempt_id)
--- /dev/null
+++ b/src/sesameport/requests/tests/test_retries.py
@@ -0,0 +1,110 @@
+"""Check the retry budget, the back-off and calls to plain services."""
+
+import random
+
+import pytest
+
+from sesameport.interfaces import EngineError, EngineErrorKind, PlainAnswer
+from sesameport.requests import (
+    AskPlainServer,
+    Backoff,
+    FinishPlain,
+    NoPlainServer,
+    PlainAnswered,
+    PlainCall,
+    PlainFailed,
+    PlainPlaced,
+    RefuseCall,
+    RetryBudget,
+    SendPlain,
+)
+from sesameport.world import Execution, PlainRequest, Urgency
+
+Kind = EngineErrorKind
+
+
+def test_retries_stay_below_their_share_of_fresh_traffic():
+    """Guard against a retry storm while every call fails."""
+    budget = RetryBudget(share=0.1, saved_max=10.0)
+    granted = 0
+    for _ in range(10_000):
+        budget.count_fresh()
+        granted += sum(budget.spend() for _ in range(3))
+    assert 1_000 <= granted <= 1_010
+    assert budget.denied == 30_000 - granted
+
+
+def test_backoff_grows_with_full_jitter():
+    """Guard against retries in step, which meet at the recovering server."""
+    rng = random.Random(3)
+    backoff = Backoff(0.1, 1.0)
+    for retry, bound_s in ((0, 0.1), (2, 0.4), (9, 1.0), (5_000, 1.0)):
+        drawn = [backoff.delay(retry, rng) for _ in range(500)]
+        assert max(drawn) <= bound_s and max(drawn) > 0.9 * bound_s
+        assert min(drawn) < 0.1 * bound_s
+
+
+def plain(repeatable, deadline=10.0):
+    req = PlainRequest(
+        "r", "desk", "", "POST", "/o", (), b"", repeatable, Urgency.URGENT, deadline
+    )
+    call = PlainCall(req, "h.i.1", random.Random(1))
+    assert call.start(0.0) == [AskPlainServer(frozenset())]
+    return call
+
+
+def send(call, server="s1", now=0.0):
+    (action,) = call.handle(PlainPlaced(server), now)
+    assert isinstance(action, SendPlain)
+    return action
+
+
+def fail(call, attempt, kind, now=0.1):
+    (action,) = call.handle(PlainFailed(f"h.i.1.{attempt}", EngineError(kind)), now)
+    return action
+
+
+def test_repeatable_call_is_tried_on_another_server():
+    """Guard against a failed stock check that another server could answer."""
+    call = plain(True)
+    assert send(call).timeout_s < 10.0
+    action = fail(call, 1, Kind.SILENT)
+    assert action.exclude == {"s1"} and action.spends_budget
+    send(call, "s2")
+    answer = PlainAnswer(200, (), b"")
+    assert call.handle(PlainAnswered("h.i.1.2", answer), 1.0) == [FinishPlain(answer)]
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_call_that_may_not_be_repeated_is_sent_once(kind):
+    """Guard against a second run of a booking whose first fate is unknown (I7)."""
+    call = plain(False)
+    send(call)
+    action = fail(call, 1, kind)
+    if kind in (Kind.UNREACHABLE, Kind.BUSY):
+        assert isinstance(action, AskPlainServer)
+        return
+    assert isinstance(action, RefuseCall)
+    assert action.refusal.execution == Execution.MAY_HAVE_RUN
+    assert call.handle(PlainPlaced("s2"), 0.2) == []
+
+
+def test_earlier_unknown_fate_is_not_forgotten():
+    """Guard against 'not run' from the last try when an earlier one may have run."""
+    call = plain(True)
+    send(call)
+    fail(call, 1, Kind.BROKEN)
+    (refused,) = call.handle(NoPlainServer(), 0.2)
+    assert refused.refusal.execution == Execution.MAY_HAVE_RUN
+    call = plain(True)
+    send(call)
+    fail(call, 1, Kind.UNREACHABLE)
+    (refused,) = call.handle(NoPlainServer(), 0.2)
+    assert refused.refusal.execution == Execution.NOT_RUN
+
+
+def test_no_try_starts_after_the_deadline():
+    """Guard against work whose answer nobody can use."""
+    call = plain(True, deadline=1.0)
+    (refused,) = call.handle(PlainPlaced("s1"), 1.0)
+    assert refused.refusal.execution == Execution.NOT_RUN
