Keep the old decode slot counted until a new server is found

The router reads the place of a kept KV cache from the request's last placement, so it is released only after the answer to AskDecode. ImportDone tells the router that the link share is free.

--- a/src/sesameport/requests/actions.py
+++ b/src/sesameport/requests/actions.py
@@ -15,6 +15,7 @@
     "DecodeEnded",
     "Deliver",
     "EndAnswer",
+    "ImportDone",
     "OpenHold",
     "PrefillEnded",
     "RefuseCall",
@@ -67,7 +68,11 @@
 
 @attrs.frozen
 class AskDecode:
-    """Ask at once for another decode server for a KV handle that is still alive."""
+    """Ask at once for another decode server for a KV handle that is still alive.
+
+    The answer is ``Placed`` or ``NotPlaced``. The earlier decode slot stays counted
+    until then, so that the router knows where the KV cache is.
+    """
 
     exclude: frozenset[str]
 
@@ -86,6 +91,13 @@
     placement: Placement
 
 
+@attrs.frozen
+class ImportDone:
+    """Tell the router that the decode server has imported the KV cache."""
+
+    placement: Placement
+
+
 @attrs.frozen
 class OpenHold:
     """Record in the ledger that an attempt may hold something on a server."""
@@ -148,6 +160,7 @@
     | AskDecode
     | PrefillEnded
     | DecodeEnded
+    | ImportDone
     | OpenHold
     | CloseHold
     | CancelHold
--- a/src/sesameport/requests/lifecycle.py
+++ b/src/sesameport/requests/lifecycle.py
@@ -16,6 +16,7 @@
     CancelHold,
     Deliver,
     EndAnswer,
+    ImportDone,
     RefuseCall,
     StartDecode,
     StartPrefill,
@@ -188,15 +189,19 @@
             return self._start_prefill()
         if self.state != State.REPLACING_DECODE:
             return self._late(Placed(placement))
-        self.shares.take_decode(placement)
+        # The prefill server stays the one that keeps the KV handle.
+        kept = attrs.evolve(placement, prefill=self.placement.prefill)
+        actions = self.shares.end_decode()
+        self.shares.take_decode(kept)
         if not self.handle_alive(now):
-            # The decode slot stays counted; only the prefill is asked for again.
-            return self.shares.end_decode() + self._recovery.prefill_again(now)
-        return self.start_decode(now)
+            return (
+                actions + self.shares.end_decode() + self._recovery.prefill_again(now)
+            )
+        return actions + self.start_decode(now)
 
     def _not_placed(self, refusal: Refusal, final: bool, now: float) -> list[Action]:
         if self.state == State.REPLACING_DECODE:
-            return self._recovery.prefill_again(now)
+            return self.shares.end_decode() + self._recovery.prefill_again(now)
         if self.state != State.PLACING or self._attempt == 0:
             return self._late(NotPlaced(refusal, final))
         return self._recovery.not_placed(refusal, final, now)
@@ -256,13 +261,15 @@
             return []
         if token.offset > self.offset:
             return self._recovery.gap(token.offset, now)
+        actions: list[Action] = []
+        if self._import_until < math.inf:
+            self._import_until = math.inf
+            actions = [ImportDone(self.placement), *self._close_prefill()]
         self.state = State.STREAMING
-        self._import_until = math.inf
         self.offset += 1
         self._generated.append(token.text)
         self.ran(Execution.RAN)
         self._recovery.progressed()
-        actions = self._import_done()
         actions.append(Deliver(token.text))
         if token.finish_reason:
             usage = Usage(self.req.prompt_tokens, self.offset)
@@ -271,7 +278,7 @@
             actions += self.end([EndAnswer(token.finish_reason, usage)])
         return actions
 
-    def _import_done(self) -> list[Action]:
+    def _close_prefill(self) -> list[Action]:
         """Close the hold on the prefill result, which the import has consumed."""
         if not self.prefill_attempt:
             return []
--- a/src/sesameport/requests/recovery.py
+++ b/src/sesameport/requests/recovery.py
@@ -191,7 +191,7 @@
             self._excluded.add(life.placement.prefill.name)
             return actions + life.shares.end_decode() + self.prefill_again(now, error)
         self._excluded.add(server)
-        return actions + life.shares.end_decode() + self._import_again(error, now)
+        return actions + self._import_again(error, now)
 
     def _abandon(self, error: EngineError, now: float) -> list[Action]:
         """Cancel the decode and go on elsewhere."""
@@ -204,7 +204,7 @@
             # The cancel releases the prefill result of the same attempt as well.
             life.kv_handle = None
         actions = life.holds.cancel(server, life.attempt_id)
-        return actions + life.shares.end_decode() + self._import_again(error, now)
+        return actions + self._import_again(error, now)
 
     def _import_again(self, error: EngineError, now: float) -> list[Action]:
         life = self.life
@@ -214,7 +214,7 @@
             self.asked_decode_only = True
             life.state = State.REPLACING_DECODE
             return [AskDecode(frozenset(self._excluded))]
-        return self.prefill_again(now, error)
+        return life.shares.end_decode() + self.prefill_again(now, error)
 
     def prefill_again(
         self, now: float, error: EngineError | None = None
