Run the recovery steps on the request's thread

The runner knew one prefill and one decode. It now asks the dispatcher for new placements, resumes streams and interrupts a running prefill when its request ends.

--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -37,9 +37,11 @@
 class HttpTokenStream:
     """Iterate over the server-sent events of one decode."""
 
-    def __init__(self, answer, attempt_id: str):
+    def __init__(self, answer, attempt_id: str, silent_s: float):
         self._answer = answer
         self._attempt_id = attempt_id
+        self._silent_s = silent_s
+        self._began = False
         self._ended = False
 
     def close(self) -> None:
@@ -54,6 +56,7 @@
                 if not line.startswith(b"data: ") or line == b"data: [DONE]":
                     continue
                 event = _token_event(json.loads(line[6:]))
+                self._begin()
                 yield Ok(event)
                 if event.finish_reason:
                     self._finish()
@@ -70,6 +73,13 @@
             if not self._ended:
                 self.close()
 
+    def _begin(self) -> None:
+        """Replace the bound of the first token by that of a silent connection."""
+        conn = self._answer.connection
+        if not self._began and conn is not None and conn.sock is not None:
+            conn.sock.settimeout(self._silent_s)
+        self._began = True
+
     def _finish(self) -> None:
         self._answer.drain_conn()
         self._answer.release_conn()
@@ -136,7 +146,11 @@
         }
         headers = {"X-Request-Id": call.attempt_id}
         found = self._json(
-            "POST", "/v1/completions", body, headers, self._prefill_bound_s
+            "POST",
+            "/v1/completions",
+            body,
+            headers,
+            call.bound_s or self._prefill_bound_s,
         )
         return found.map(self._handle)
 
@@ -168,15 +182,19 @@
                 "kv_bytes": call.handle.kv_bytes,
             }
         headers = {"X-Request-Id": call.attempt_id}
-        found = self._open("POST", "/v1/completions", body, headers)
-        return found.map(lambda answer: HttpTokenStream(answer, call.attempt_id))
+        bound_s = call.first_token_s or self._silent_s
+        found = self._open("POST", "/v1/completions", body, headers, bound_s)
+        return found.map(lambda answer: self._stream(answer, call.attempt_id))
+
+    def _stream(self, answer, attempt_id: str) -> HttpTokenStream:
+        return HttpTokenStream(answer, attempt_id, self._silent_s)
 
     def resume(
         self, attempt_id: str, offset: int
     ) -> Result[HttpTokenStream, EngineError]:
         """Attach again to a running stream from an offset."""
         found = self._open("GET", f"/v1/requests/{attempt_id}?offset={offset}")
-        return found.map(lambda answer: HttpTokenStream(answer, attempt_id))
+        return found.map(lambda answer: self._stream(answer, attempt_id))
 
     def cancel(self, attempt_id: str) -> Result[bool, EngineError]:
         """Release everything that an attempt holds."""
--- a/src/sesameport/daemon/dispatcher_actor.py
+++ b/src/sesameport/daemon/dispatcher_actor.py
@@ -2,20 +2,38 @@
 
 import queue
 import threading
+from collections.abc import Callable
 
 import attrs
 import pykka
 
 from sesameport.interfaces import CacheEvents, LoadReport
-from sesameport.requests import Event, Placed, Stopped
+from sesameport.requests import (
+    Event,
+    NotPlaced,
+    Placed,
+    RetryBudget,
+    ServerGone,
+    Stopped,
+)
 from sesameport.routing import Expired, Placement, Router
-from sesameport.world import CompletionRequest, Refusal
+from sesameport.routing.quarantine import PoisonNotice, Quarantine
+from sesameport.world import CompletionRequest, PlainRequest, Refusal, RefusalType
 
 __all__ = [
     "DirectoryChanged",
     "DispatcherActor",
+    "NoteAttempt",
+    "NoteCompleted",
     "NoteDecodeEnded",
+    "NoteImportDone",
+    "NoteLost",
+    "NotePlainEnded",
     "NotePrefillEnded",
+    "NoteServerGone",
+    "PlaceAgain",
+    "PlaceDecodeAgain",
+    "PlacePlain",
     "Poll",
     "RemoveRequest",
     "RequestInbox",
@@ -23,26 +41,35 @@
     "Submit",
 ]
 
+_MAX_WAITING_SUSPECTS = 32
+_NO_SERVER = Refusal(RefusalType.NO_SERVER, retry_after_s=1.0)
+_QUARANTINED = Refusal(RefusalType.QUARANTINED)
+_BUDGET_SPENT = NotPlaced(
+    Refusal(RefusalType.UPSTREAM_FAILED, detail="the retry budget is used up"), True
+)
+
 
 class RequestInbox:
     """Pass events to the thread of one request and interrupt its stream."""
 
     def __init__(self):
         self._events: queue.SimpleQueue = queue.SimpleQueue()
-        self._stream = None
+        self._server = ""
+        self._running = None
         self._lock = threading.Lock()
         self.stopped = False
 
     def put(self, event: Event) -> None:
-        """Add an event; a ``Stopped`` also closes the stream that is being read."""
+        """Add an event; one that ends the current call interrupts it."""
         self._events.put(event)
-        if not isinstance(event, Stopped):
-            return
         with self._lock:
-            self.stopped = True
-            stream = self._stream
-        if stream is not None:
-            stream.close()
+            if isinstance(event, Stopped):
+                self.stopped = True
+            elif not isinstance(event, ServerGone) or event.server != self._server:
+                return
+            running = self._running
+        if running is not None:
+            running.close()
 
     def get(self, timeout_s: float) -> Event | None:
         """Return the next event, or None after the timeout."""
@@ -51,13 +78,14 @@
         except queue.Empty:
             return None
 
-    def attach(self, stream) -> None:
-        """Name the stream that a ``Stopped`` event closes; None detaches it."""
+    def attach(self, server: str, running) -> None:
+        """Name the stream or prefill that is closed by an event; None detaches it."""
         with self._lock:
-            self._stream = stream
+            self._server = server
+            self._running = running
             stopped = self.stopped
-        if stopped and stream is not None:
-            stream.close()
+        if stopped and running is not None:
+            running.close()
 
 
 @attrs.frozen
@@ -98,6 +126,78 @@
     placement: Placement
 
 
+@attrs.frozen
+class PlaceAgain:
+    """Ask for new servers; the answer is ``Placed`` or ``NotPlaced``."""
+
+    req: CompletionRequest
+    exclude: frozenset[str]
+    spends_budget: bool
+
+
+@attrs.frozen
+class PlaceDecodeAgain:
+    """Ask for another decode server; the answer is ``Placed`` or ``NotPlaced``."""
+
+    req: CompletionRequest
+    exclude: frozenset[str]
+
+
+@attrs.frozen
+class PlacePlain:
+    """Ask for a server of a plain service; the answer is its name or None."""
+
+    req: PlainRequest
+    exclude: frozenset[str]
+    spends_budget: bool
+
+
+@attrs.frozen
+class NotePlainEnded:
+    """Release a plain call."""
+
+    server: str
+
+
+@attrs.frozen
+class NoteImportDone:
+    """Release the link share of a placement."""
+
+    placement: Placement
+
+
+@attrs.frozen
+class NoteAttempt:
+    """Note that an attempt started on a server, or ended when the digest is empty."""
+
+    server: str
+    attempt_id: str
+    digest: str
+
+
+@attrs.frozen
+class NoteCompleted:
+    """Note that a request completed."""
+
+    digest: str
+
+
+@attrs.frozen
+class NoteLost:
+    """Note that a server lost the state of an attempt."""
+
+    server: str
+    attempt_id: str
+    digest: str
+
+
+@attrs.frozen
+class NoteServerGone:
+    """Tell every request that a server is gone for sure."""
+
+    server: str
+
+
 @attrs.frozen
 class DirectoryChanged:
     """Replace the servers and documents that the router knows."""
@@ -112,7 +212,7 @@
 
 
 class DispatcherActor(pykka.ThreadingActor):
-    """Serialise all use of the router.
+    """Serialise all use of the router, the retry budget and the quarantine.
 
     Parameters
     ----------
@@ -120,15 +220,32 @@
         Pure routing state.
     clock : callable
         Returns the monotonic time, seconds.
+    budget : RetryBudget
+        Budget of retries.
+    quarantine : Quarantine
+        Suspects and refused digests.
+    send_notice : callable
+        Sends a ``PoisonNotice`` to the other hosts of the data centre.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, router: Router, clock):
+    def __init__(
+        self,
+        router: Router,
+        clock,
+        budget: RetryBudget | None = None,
+        quarantine: Quarantine | None = None,
+        send_notice: Callable[[PoisonNotice], None] = lambda notice: None,
+    ):
         super().__init__()
         self._router = router
         self._clock = clock
+        self._budget = budget or RetryBudget()
+        self._quarantine = quarantine or Quarantine("")
+        self._send_notice = send_notice
         self._inboxes: dict[str, RequestInbox] = {}
+        self._suspects: dict[str, CompletionRequest] = {}
 
     def on_receive(self, message):
         """Handle one message and return its answer."""
@@ -136,16 +253,14 @@
         match message:
             case Submit(req, inbox, _):
                 return self._submit(req, inbox, now)
+            case PlaceAgain() | PlaceDecodeAgain() | PlacePlain():
+                return self._place_again(message, now)
             case RemoveRequest(request_id):
                 self._inboxes.pop(request_id, None)
+                self._suspects.pop(request_id, None)
                 self._router.remove(request_id)
             case StopRequest(request_id, refusal):
                 self._stop(request_id, refusal)
-            case NotePrefillEnded(placement):
-                self._router.prefill_ended(placement, now)
-            case NoteDecodeEnded(placement):
-                self._router.decode_ended(placement, now)
-                self._poll(now)
             case DirectoryChanged(servers, documents):
                 self._router.set_servers(servers, documents, now)
             case LoadReport():
@@ -154,23 +269,108 @@
                 self._router.report_cache(message, now)
             case Poll():
                 self._poll(now)
+            case NoteAttempt() | NoteCompleted() | NoteLost() | PoisonNotice():
+                self._watch_poison(message, now)
+            case _:
+                self._note(message, now)
         return None
 
+    def _note(self, message, now: float) -> None:
+        match message:
+            case NotePrefillEnded(placement):
+                self._router.prefill_ended(placement, now)
+            case NoteDecodeEnded(placement):
+                self._router.decode_ended(placement, now)
+                self._poll(now)
+            case NoteImportDone(placement):
+                if hasattr(self._router, "first_token"):
+                    self._router.first_token(placement, now)
+            case NotePlainEnded(server):
+                if hasattr(self._router, "plain_ended"):
+                    self._router.plain_ended(server, now)
+            case NoteServerGone(server):
+                for inbox in self._inboxes.values():
+                    inbox.put(ServerGone(server))
+
+    def _watch_poison(self, message, now: float) -> None:
+        notices = []
+        match message:
+            case NoteAttempt(server, attempt_id, ""):
+                self._quarantine.ended(server, attempt_id)
+            case NoteAttempt(server, attempt_id, digest):
+                self._quarantine.started(server, attempt_id, digest)
+            case NoteCompleted(digest):
+                notices = self._quarantine.completed(digest)
+            case NoteLost(server, attempt_id, digest):
+                notices = self._quarantine.server_lost(server, attempt_id, digest, now)
+            case PoisonNotice():
+                self._quarantine.take_notice(message, now)
+        for notice in notices:
+            self._send_notice(notice)
+
+    def _place_again(self, message, now: float):
+        if isinstance(message, PlaceDecodeAgain):
+            # Routers without place_decode give every retry a new prefill.
+            place = getattr(self._router, "place_decode", lambda *args: None)
+            placement = place(message.req, now, message.exclude)
+            return Placed(placement) if placement else NotPlaced(_NO_SERVER)
+        if message.spends_budget and not self._budget.spend():
+            return None if isinstance(message, PlacePlain) else _BUDGET_SPENT
+        if isinstance(message, PlacePlain):
+            return self._place_plain(message, now)
+        verdict = self._quarantine.verdict(message.req.digest, now)
+        if verdict.refused:
+            return NotPlaced(_QUARANTINED, final=True)
+        exclude = message.exclude | verdict.avoid
+        placement = self._router.place(message.req, now, exclude)
+        return Placed(placement) if placement else NotPlaced(_NO_SERVER)
+
+    def _place_plain(self, message: PlacePlain, now: float) -> str | None:
+        if not message.spends_budget:
+            self._budget.count_fresh()
+        server = self._router.place_plain(message.req, now, message.exclude)
+        return server.name if server else None
+
     def _submit(self, req, inbox, now: float) -> Refusal | None:
-        refusal = self._router.enqueue(req, now)
-        if refusal is not None:
-            return refusal
+        verdict = self._quarantine.verdict(req.digest, now)
+        if verdict.refused:
+            return _QUARANTINED
+        if verdict.suspect:
+            if len(self._suspects) >= _MAX_WAITING_SUSPECTS:
+                return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
+            self._suspects[req.request_id] = req
+        else:
+            refusal = self._router.enqueue(req, now)
+            if refusal is not None:
+                return refusal
+        self._budget.count_fresh()
         self._inboxes[req.request_id] = inbox
         self._poll(now)
         return None
 
+    def _place_suspects(self, now: float) -> None:
+        """Place waiting suspects on servers on which no other suspect runs."""
+        for request_id, req in list(self._suspects.items()):
+            verdict = self._quarantine.verdict(req.digest, now)
+            inbox = self._inboxes[request_id]
+            if verdict.refused:
+                del self._suspects[request_id]
+                inbox.put(Stopped(_QUARANTINED))
+                continue
+            placement = self._router.place(req, now, verdict.avoid)
+            if placement is not None:
+                del self._suspects[request_id]
+                inbox.put(Placed(placement))
+
     def _stop(self, request_id: str, refusal: Refusal) -> None:
         self._router.remove(request_id)
+        self._suspects.pop(request_id, None)
         inbox = self._inboxes.get(request_id)
         if inbox is not None:
             inbox.put(Stopped(refusal))
 
     def _poll(self, now: float) -> None:
+        self._place_suspects(now)
         for decision in self._router.poll(now):
             inbox = self._inboxes.get(decision.request_id)
             if isinstance(decision, Expired):
--- a/src/sesameport/interfaces/engine.py
+++ b/src/sesameport/interfaces/engine.py
@@ -121,7 +121,10 @@
 
 @attrs.frozen
 class PrefillCall:
-    """Ask a prefill server to compute the KV cache of a prompt."""
+    """Ask a prefill server to compute the KV cache of a prompt.
+
+    ``bound_s`` bounds the time to the answer, seconds; 0 leaves it to the adapter.
+    """
 
     attempt_id: str
     model: str
@@ -129,6 +132,7 @@
     prompt: str
     priority: int = 0
     generated: str = ""
+    bound_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/requests/lifecycle.py
+++ b/src/sesameport/requests/lifecycle.py
@@ -113,6 +113,10 @@
         """Return the text that the caller has."""
         return "".join(self._generated)
 
+    def is_ended(self) -> bool:
+        """Tell whether the request has ended."""
+        return self.state == State.ENDED
+
     def wake_at(self) -> float:
         """Return the monotonic time at which a ``Tick`` is due, seconds."""
         if self.state in _DECODING:
@@ -186,7 +190,7 @@
     def _placed(self, placement: Placement, now: float) -> list[Action]:
         if self.state == State.PLACING:
             self.shares.take(placement)
-            return self._start_prefill()
+            return self._start_prefill(now)
         if self.state != State.REPLACING_DECODE:
             return self._late(Placed(placement))
         # The prefill server stays the one that keeps the KV handle.
@@ -206,22 +210,28 @@
             return self._late(NotPlaced(refusal, final))
         return self._recovery.not_placed(refusal, final, now)
 
-    def _start_prefill(self) -> list[Action]:
+    def _start_prefill(self, now: float) -> list[Action]:
         self._attempt += 1
         self.state = State.PREFILLING
         self.kv_handle = None
         self.prefill_attempt = ""
         server = self.placement.prefill.name
         self._prefill_server_of[self.attempt_id] = server
+        bound_s = self.cfg.prefill_bound_s(self.req.prompt_tokens)
         call = PrefillCall(
             self.attempt_id,
             self.req.model,
             self.req.adapter,
             self.req.prompt,
+            priority=self._priority(),
             generated=self.generated,
+            bound_s=min(bound_s, max(0.01, self.req.deadline - now)),
         )
         return self.holds.open(server, self.attempt_id) + [StartPrefill(server, call)]
 
+    def _priority(self) -> int:
+        return getattr(self.placement, "priority", 0)
+
     def _prefilled(self, handle: KvHandle, now: float) -> list[Action]:
         self.ran(Execution.MAY_HAVE_RUN)
         self.kv_handle = attrs.evolve(handle, kv_bytes=self.req.kv_bytes)
@@ -251,6 +261,7 @@
             self.kv_handle,
             self.offset,
             self.generated,
+            priority=self._priority(),
             first_token_s=bound_s,
         )
         return self.holds.open(server, self.attempt_id) + [StartDecode(server, call)]
--- a/src/sesameport/requests/recovery.py
+++ b/src/sesameport/requests/recovery.py
@@ -45,8 +45,10 @@
         Decode servers tried for one KV handle, the first included.
     max_resumes : int
         Resumes in a row that bring no new token.
-    max_asks : int
-        Questions for a placement in a row that find no server.
+    prefill_base_s : float
+        Bound of a prefill without its computing time, seconds.
+    prefill_tokens_per_s : float
+        Slowest prefill that is waited for, tokens per second.
     import_base_s : float
         Bound of an import without its transfer time, seconds.
     import_bytes_per_s : float
@@ -56,6 +58,9 @@
         before its answer arrives, seconds.
     backoff : Backoff
         Delay before a repeated prefill.
+    ask_backoff : Backoff
+        Delay before a repeated question for a placement. The questions go on until
+        the deadline, as the first placement waits until then as well.
     resume_backoff : Backoff
         Delay before a second resume in a row; the first goes out at once.
     """
@@ -63,13 +68,19 @@
     max_prefills: int = 4
     max_imports: int = 3
     max_resumes: int = 3
-    max_asks: int = 5
+    prefill_base_s: float = 5.0
+    prefill_tokens_per_s: float = 2_000.0
     import_base_s: float = 0.4
     import_bytes_per_s: float = 2e9
     handle_margin_s: float = 0.02
     backoff: Backoff = Backoff()
+    ask_backoff: Backoff = Backoff(0.05, 0.3)
     resume_backoff: Backoff = Backoff(0.02, 0.2)
 
+    def prefill_bound_s(self, tokens: int) -> float:
+        """Return the time within which a prefill's answer is expected."""
+        return self.prefill_base_s + tokens / self.prefill_tokens_per_s
+
     def import_bound_s(self, kv_bytes: int) -> float:
         """Return the time within which an import's first token is expected."""
         return self.import_base_s + kv_bytes / self.import_bytes_per_s
@@ -238,11 +249,11 @@
 
     def not_placed(self, refusal: Refusal, final: bool, now: float) -> list[Action]:
         """Ask again later, at first without the failed servers, then with them."""
-        if final or self._asks >= self.cfg.max_asks:
+        if final:
             return self.life.refuse(refusal)
         # A server that failed a moment ago is better than none.
         self._excluded.clear()
-        delay_s = self.cfg.backoff.delay(self._asks, self.rng)
+        delay_s = self.cfg.ask_backoff.delay(self._asks, self.rng)
         self._asks += 1
         return self._ask(delay_s, now, spends_budget=False)
 
