--- a/src/sesameport/commands/tests/test_operator_commands.py
+++ b/src/sesameport/commands/tests/test_operator_commands.py
@@ -3,6 +3,7 @@
 import cappa
 import pytest
 from cappa.testing import CommandRunner
+from result import Err
 
 from sesameport.adapters import HttpPlatform
 from sesameport.commands.documents import (
@@ -16,6 +17,7 @@
 )
 from sesameport.commands.report import Report
 from sesameport.commands.status import Status, format_status
+from sesameport.interfaces import PlatformError, PlatformErrorKind
 from sesameport.standins import PlatformStandin, demo_document
 from sesameport.standins.http import LoopbackServer
 from sesameport.telemetry.decisions import DecisionKind, DecisionRing
@@ -172,10 +174,6 @@
         return self._lose(self.inner.create, args)
 
     def _lose(self, call, args):
-        from result import Err
-
-        from sesameport.interfaces import PlatformError, PlatformErrorKind
-
         if not self.effects:
             return call(*args)
         if self.effects.pop(0):
@@ -244,8 +242,8 @@
 
 def test_status_by_request_and_with_a_missing_host(world, capsys):
     _, url, host = world
-    host.ring.add(DecisionKind.REFUSAL, "queue-full", NOW, "r&7", {"waiting": 400})
-    assert _run(Status, "--platform", url, "--request", "r&7") == 0
+    host.ring.add(DecisionKind.REFUSAL, "queue-full", NOW, "h&1.ab.7", {"waiting": 400})
+    assert _run(Status, "--platform", url, "--request", "h&1.ab.7") == 0
     assert "5.0 s ago: refusal: queue-full waiting=400" in capsys.readouterr().out
     assert _run(Status, host.address, "127.0.0.1:9") == 1
     assert "127.0.0.1:9: no answer" in capsys.readouterr().out
