--- a/src/sesameport/adapters/__init__.py
+++ b/src/sesameport/adapters/__init__.py
@@ -1,11 +1,25 @@
 """Reach the outside: platform, engines, plain services, peers and time."""
 
+from sesameport.adapters.bulkheads import (
+    Bulkhead,
+    BulkheadEngine,
+    BulkheadLimits,
+    BulkheadPlainService,
+    BulkheadPlatform,
+    Bulkheads,
+)
 from sesameport.adapters.engine import HttpEngine, HttpTokenStream
 from sesameport.adapters.plain import HttpPlainService
 from sesameport.adapters.platform import HttpPlatform
 from sesameport.adapters.timers import TimerService
 
 __all__ = [
+    "Bulkhead",
+    "BulkheadEngine",
+    "BulkheadLimits",
+    "BulkheadPlainService",
+    "BulkheadPlatform",
+    "Bulkheads",
     "HttpEngine",
     "HttpPlainService",
     "HttpPlatform",
--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -32,6 +32,7 @@
     503: EngineErrorKind.BUSY,
 }
 _CONNECT_S = 1.0
+_END_S = 0.1
 
 
 class HttpTokenStream:
@@ -81,6 +82,11 @@
         self._began = True
 
     def _finish(self) -> None:
+        """Read what follows the end mark, so that the connection can be used again."""
+        conn = self._answer.connection
+        if conn is not None and conn.sock is not None:
+            # The answer is whole; a server that is slow to end it delays nobody.
+            conn.sock.settimeout(_END_S)
         self._answer.drain_conn()
         self._answer.release_conn()
         self._ended = True
--- a/src/sesameport/daemon/completion_runner.py
+++ b/src/sesameport/daemon/completion_runner.py
@@ -261,6 +261,8 @@
             event = self._wait(action.delay_s) if action.delay_s else None
             if event is not None:
                 self._handle(event)
+                if self._lifecycle.is_ended():
+                    return
             opened = engine.resume(attempt_id, action.offset)
         else:
             opened = engine.decode(action.call)
@@ -284,8 +286,8 @@
                         self._record(f"stream of {server}: {error.kind.value}")
                         self._handle(DecodeFailed(attempt_id, error))
                 yield from self._take_deliveries()
-                if self._actions:
-                    # Anything but a delivery means that this stream is not read on.
+                if self._actions and not isinstance(self._actions[-1], EndAnswer):
+                    # Anything else means that this stream is not read on.
                     break
         finally:
             self._inbox.attach("", None)
--- a/src/sesameport/daemon/dispatcher_actor.py
+++ b/src/sesameport/daemon/dispatcher_actor.py
@@ -1,6 +1,7 @@
 """Own the router and pass its decisions to the threads of the requests."""
 
 import queue
+import random
 import threading
 from collections.abc import Callable
 
@@ -18,7 +19,13 @@
 )
 from sesameport.routing import Expired, Placement, Router
 from sesameport.routing.quarantine import PoisonNotice, Quarantine
-from sesameport.world import CompletionRequest, PlainRequest, Refusal, RefusalType
+from sesameport.world import (
+    CompletionRequest,
+    PlainRequest,
+    Refusal,
+    RefusalType,
+    ServerState,
+)
 
 __all__ = [
     "DirectoryChanged",
@@ -246,6 +253,7 @@
         self._send_notice = send_notice
         self._inboxes: dict[str, RequestInbox] = {}
         self._suspects: dict[str, CompletionRequest] = {}
+        self._servers: tuple = ()
 
     def on_receive(self, message):
         """Handle one message and return its answer."""
@@ -262,6 +270,7 @@
             case StopRequest(request_id, refusal):
                 self._stop(request_id, refusal)
             case DirectoryChanged(servers, documents):
+                self._servers = servers
                 self._router.set_servers(servers, documents, now)
             case LoadReport():
                 self._router.report_load(message, now)
@@ -328,8 +337,17 @@
     def _place_plain(self, message: PlacePlain, now: float) -> str | None:
         if not message.spends_budget:
             self._budget.count_fresh()
-        server = self._router.place_plain(message.req, now, message.exclude)
-        return server.name if server else None
+        if hasattr(self._router, "place_plain"):
+            server = self._router.place_plain(message.req, now, message.exclude)
+            return server.name if server else None
+        names = [
+            server.name
+            for server in self._servers
+            if server.service == message.req.service
+            and server.state == ServerState.LIVE
+            and server.name not in message.exclude
+        ]
+        return random.choice(names) if names else None
 
     def _submit(self, req, inbox, now: float) -> Refusal | None:
         verdict = self._quarantine.verdict(req.digest, now)
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -2,10 +2,14 @@
 
 import random
 import secrets
-import threading
 import time
 
-from sesameport.adapters import HttpPlatform, TimerService
+from sesameport.adapters import (
+    BulkheadLimits,
+    Bulkheads,
+    HttpPlatform,
+    TimerService,
+)
 from sesameport.daemon.admission import AdmissionDesk, UnlimitedRates
 from sesameport.daemon.caller_api import CallerApi
 from sesameport.daemon.completion_runner import RunnerServices
@@ -19,10 +23,12 @@
 from sesameport.daemon.engines import Backends
 from sesameport.daemon.http_server import HttpServer
 from sesameport.daemon.load_poller import LoadPoller, choose_subset
-from sesameport.daemon.plain_runner import PlainRunner
+from sesameport.daemon.request_parts import RequestParts
 from sesameport.daemon.shutdown import Drain
 from sesameport.documents import Settings, load_service
+from sesameport.requests import HoldOwner, RetryBudget
 from sesameport.routing import Router, RouterConfig
+from sesameport.routing.quarantine import Quarantine
 from sesameport.telemetry.decisions import DecisionKind
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.recorder import Recorder
@@ -36,7 +42,6 @@
 
 _POLL_PERIOD_S = 0.01
 _DIRECTORY_PERIOD_S = 0.5
-_CANCEL_TRIES = 8
 
 
 class Daemon:
@@ -56,26 +61,42 @@
         self.recorder = Recorder(cfg.host.name, cfg.host.data_centre, self._started)
         self.timers = TimerService(on_error=_log_timer_error)
         self.platform = HttpPlatform(cfg.platform.url, cfg.platform.timeout_s)
-        self.backends = Backends(self.directory, cfg.requests.silent_s)
+        threads = cfg.host.max_threads
+        limits = BulkheadLimits(threads // 2, threads * 3 // 8)
+        self.backends = Backends(
+            self.directory, cfg.requests.silent_s, Bulkheads(limits)
+        )
         router = Router(
             RouterConfig(cfg.host.data_centre, cfg.requests.max_waiting),
             random.Random(),
         )
-        self._dispatcher = DispatcherActor.start(router, time.monotonic)
+        identity = f"{cfg.host.name}.{self.incarnation}"
+        self._dispatcher = DispatcherActor.start(
+            router,
+            time.monotonic,
+            RetryBudget(cfg.requests.retry_share),
+            Quarantine(identity),
+        )
+        self.parts = RequestParts(
+            HoldOwner(cfg.host.name, self.incarnation),
+            cfg.host.data_centre,
+            self.directory,
+            self.backends,
+            self.platform,
+            self._dispatcher,
+        )
         services = RunnerServices(
             self._dispatcher,
             self.backends.find_engine,
-            self._cancel,
+            self.parts.holds.tell,
             self._record,
         )
-        plain = PlainRunner(self.directory, self.backends, time.monotonic)
-        identity = f"{cfg.host.name}.{self.incarnation}"
         self.admission = AdmissionDesk(
             self.directory,
             services,
             UnlimitedRates(),
             identity,
-            plain.call,
+            self.parts.plain.call,
             cfg.host.max_threads - cfg.host.urgent_threads,
             self.recorder,
         )
@@ -114,6 +135,7 @@
         self.timers.subscribe("directory", _DIRECTORY_PERIOD_S, self._refresh)
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
+        self.parts.start(self.timers)
         self.timers.start()
         self.http.start()
         self.status_http.start()
@@ -132,6 +154,7 @@
         self.http.stop()
         self.status_http.stop()
         self._dispatcher.stop(block=False)
+        self.parts.stop()
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
@@ -217,18 +240,6 @@
             build_directory(documents, versions, found.servers, found.hosts)
         )
 
-    def _cancel(self, server: str, attempt_id: str) -> None:
-        threading.Thread(
-            target=self._cancel_now, args=(server, attempt_id), daemon=True
-        ).start()
-
-    def _cancel_now(self, server: str, attempt_id: str) -> None:
-        for attempt in range(_CANCEL_TRIES):
-            engine = self.backends.find_engine(server)
-            if engine is None or engine.cancel(attempt_id).is_ok():
-                return
-            time.sleep(0.1 * 2**attempt)
-
 
 def _log_timer_error(name: str, exc: Exception) -> None:
     _LOG.error("timer callback failed", extra={"timer": name, "error": repr(exc)})
--- a/src/sesameport/daemon/plain_runner.py
+++ b/src/sesameport/daemon/plain_runner.py
@@ -1,41 +1,175 @@
 """Run calls to plain services."""
 
+import hashlib
 import random
+import time
+from collections.abc import Callable
+from typing import Protocol
 
+import attrs
 from result import Ok
 
-from sesameport.daemon.directory import DirectoryHolder
-from sesameport.daemon.engines import Backends
-from sesameport.interfaces import PlainAnswer
-from sesameport.world import PlainRequest, Refusal, RefusalType, Route, ServerState
+from sesameport.daemon.dispatcher_actor import NotePlainEnded, PlacePlain
+from sesameport.interfaces import (
+    EngineError,
+    EngineErrorKind,
+    PlainAnswer,
+    PlainService,
+)
+from sesameport.requests import (
+    AskPlainServer,
+    Claim,
+    ClaimAnswered,
+    ClaimAsk,
+    ClaimGranted,
+    ClaimOutcome,
+    ClaimRefused,
+    FinishPlain,
+    NoPlainServer,
+    PlainAnswered,
+    PlainCall,
+    PlainFailed,
+    PlainPlaced,
+    RefuseCall,
+    SendPlain,
+    unknown_outcome,
+)
+from sesameport.world import Execution, PlainRequest, Refusal, RefusalType, Route
 
-__all__ = ["PlainRunner"]
+__all__ = ["ClaimStore", "PlainRunner"]
+
+_REPLAYED = ("Idempotency-Replayed", "true")
+_NO_SERVER = EngineError(EngineErrorKind.UNREACHABLE, "the server is not listed")
+
+
+class ClaimStore(Protocol):
+    """Claim Idempotency-Keys, as ``ClaimDesk`` does."""
+
+    def claim(self, ask: ClaimAsk) -> ClaimGranted | ClaimAnswered | ClaimRefused:
+        """Claim a key and wait for the decision."""
+        ...
+
+    def finish(self, claim: Claim, outcome: ClaimOutcome) -> None:
+        """Store the outcome of a granted call."""
+        ...
+
+    def release(self, claim: Claim) -> None:
+        """Remove the claim of a call that certainly did not run."""
+        ...
 
 
 class PlainRunner:
-    """Choose a server for each call and send it once."""
+    """Run each call on the thread of its caller.
 
-    def __init__(self, directory: DirectoryHolder, backends: Backends, clock):
-        self._directory = directory
-        self._backends = backends
+    Parameters
+    ----------
+    dispatcher : pykka.ActorRef
+        The dispatcher, which places calls and holds the retry budget.
+    find_plain : callable
+        Returns the adapter of a server name, or None.
+    claims : ClaimStore
+        Idempotency claims.
+    clock : callable
+        Returns the monotonic time, seconds.
+    """
+
+    def __init__(
+        self,
+        dispatcher,
+        find_plain: Callable[[str], PlainService | None],
+        claims: ClaimStore,
+        clock: Callable[[], float],
+    ):
+        self._dispatcher = dispatcher
+        self._find_plain = find_plain
+        self._claims = claims
         self._clock = clock
-        self._rng = random.Random()
 
     def call(self, req: PlainRequest, route: Route) -> PlainAnswer | Refusal:
-        """Send a call and return its answer or a refusal."""
-        servers = [
-            server
-            for server in self._directory.current.servers
-            if server.service == req.service and server.state == ServerState.LIVE
-        ]
-        if not servers:
-            return Refusal(RefusalType.NO_SERVER, retry_after_s=1.0)
-        server = self._rng.choice(servers)
-        adapter = self._backends.find_plain(server.name)
-        timeout_s = max(0.1, req.deadline - self._clock())
-        match adapter.call(req, req.request_id + ".1", timeout_s):
-            case Ok(answer):
-                return answer
-            case err:
-                error = err.unwrap_err()
-        return Refusal(RefusalType.UPSTREAM_FAILED, error.execution(), error.detail)
+        """Run a call and return its answer or a refusal."""
+        if not req.idempotency_key:
+            return self._run(req)
+        ask = ClaimAsk(
+            req.request_id,
+            req.service,
+            req.workspace,
+            req.idempotency_key,
+            _body_digest(req),
+            req.deadline,
+        )
+        match self._claims.claim(ask):
+            case ClaimGranted(_, claim):
+                return self._run_claimed(req, claim)
+            case ClaimAnswered(_, outcome):
+                return _replay(outcome)
+            case ClaimRefused(_, refusal):
+                return refusal
+
+    def _run_claimed(self, req: PlainRequest, claim: Claim) -> PlainAnswer | Refusal:
+        answer: PlainAnswer | Refusal | None = None
+        try:
+            # The claim promises one run, whatever the route allows.
+            answer = self._run(attrs.evolve(req, repeatable=False))
+        finally:
+            if isinstance(answer, PlainAnswer):
+                outcome = ClaimOutcome(
+                    Execution.RAN.value, answer.status, answer.headers, answer.body
+                )
+                self._claims.finish(claim, outcome)
+            elif answer is not None and answer.execution == Execution.NOT_RUN:
+                self._claims.release(claim)
+            else:
+                self._claims.finish(claim, unknown_outcome())
+        return answer
+
+    def _run(self, req: PlainRequest) -> PlainAnswer | Refusal:
+        call = PlainCall(req, req.request_id, random.Random())
+        actions = call.start(self._clock())
+        while True:
+            match actions[0]:
+                case AskPlainServer():
+                    event = self._place(req, actions[0])
+                case SendPlain(server, attempt_id, timeout_s):
+                    event = self._send(req, server, attempt_id, timeout_s)
+                case FinishPlain(answer):
+                    return answer
+                case RefuseCall(refusal):
+                    return refusal
+            actions = call.handle(event, self._clock())
+
+    def _place(self, req: PlainRequest, action: AskPlainServer):
+        if action.delay_s:
+            time.sleep(action.delay_s)
+        message = PlacePlain(req, action.exclude, action.spends_budget)
+        server = self._dispatcher.ask(message)
+        return PlainPlaced(server) if server else NoPlainServer()
+
+    def _send(self, req, server: str, attempt_id: str, timeout_s: float):
+        try:
+            adapter = self._find_plain(server)
+            if adapter is None:
+                return PlainFailed(attempt_id, _NO_SERVER)
+            match adapter.call(req, attempt_id, timeout_s):
+                case Ok(answer):
+                    return PlainAnswered(attempt_id, answer)
+                case err:
+                    return PlainFailed(attempt_id, err.unwrap_err())
+        finally:
+            self._dispatcher.tell(NotePlainEnded(server))
+
+
+def _body_digest(req: PlainRequest) -> bytes:
+    head = f"{req.method} {req.path}\n".encode()
+    return hashlib.sha256(head + req.body).digest()[:16]
+
+
+def _replay(outcome: ClaimOutcome) -> PlainAnswer | Refusal:
+    execution = Execution(outcome.execution)
+    if execution != Execution.RAN:
+        detail = "it is not known whether the first call ran"
+        return Refusal(RefusalType.UPSTREAM_FAILED, execution, detail)
+    if outcome.truncated:
+        detail = f"the call ran with status {outcome.status}; its answer is not kept"
+        return Refusal(RefusalType.UPSTREAM_FAILED, execution, detail)
+    headers = (*outcome.headers, _REPLAYED)
+    return PlainAnswer(outcome.status, headers, outcome.body)
--- /dev/null
+++ b/src/sesameport/daemon/request_parts.py
@@ -0,0 +1,149 @@
+"""Build the parts of a daemon that keep holds, claims and plain calls."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from sesameport.adapters import BulkheadPlatform
+from sesameport.daemon.claims_actor import (
+    ClaimDesk,
+    ClaimsActor,
+    ClaimTick,
+    ClaimWorkers,
+)
+from sesameport.daemon.directory import DirectoryHolder
+from sesameport.daemon.engines import Backends
+from sesameport.daemon.hold_keeper import (
+    CountHolds,
+    HoldKeeperActor,
+    HoldWorkers,
+    KeeperTick,
+    SweepTick,
+)
+from sesameport.daemon.plain_runner import PlainRunner
+from sesameport.interfaces import Platform, Timers
+from sesameport.requests import HoldOwner, Member, SweepConfig
+from sesameport.world import ServerRole
+
+__all__ = ["FleetKnowledge", "RequestParts"]
+
+_KEEPER_PERIOD_S = 0.1
+_CLAIM_PERIOD_S = 0.05
+_SWEEP_PERIOD_S = 5.0
+
+
+@attrs.frozen
+class FleetKnowledge:
+    """Name what the sweep and the claims ask the fleet's view.
+
+    The defaults know nothing of other hosts: no hold of another host is swept and no
+    owner of a claim counts as gone.
+
+    Attributes
+    ----------
+    list_members : callable
+        Returns the membership view by host name.
+    list_live_hosts : callable
+        Returns the names of the live hosts of this data centre.
+    is_owner_gone : callable
+        Tells whether ``<host>.<incarnation>`` certainly ended.
+    """
+
+    list_members: Callable[[], Mapping[str, Member]] = dict
+    list_live_hosts: Callable[[], Iterable[str]] = lambda: ()
+    is_owner_gone: Callable[[str], bool] = lambda owner: False
+
+
+class RequestParts:
+    """Own the hold keeper, the claims and the plain runner of one host.
+
+    Parameters
+    ----------
+    owner : HoldOwner
+        This process.
+    data_centre : str
+        Data centre of this host, whose engines it helps to sweep.
+    directory : DirectoryHolder
+        Documents and servers.
+    backends : Backends
+        Adapters of backend servers.
+    platform : Platform
+        Stores the claims.
+    dispatcher : pykka.ActorRef
+        Places plain calls.
+    fleet : FleetKnowledge
+        Answers about other hosts.
+    sweep : SweepConfig
+        Bounds of the sweep.
+    sweep_period_s : float
+        Time between two sweeps, seconds.
+    """
+
+    def __init__(
+        self,
+        owner: HoldOwner,
+        data_centre: str,
+        directory: DirectoryHolder,
+        backends: Backends,
+        platform: Platform,
+        dispatcher,
+        fleet: FleetKnowledge = FleetKnowledge(),
+        sweep: SweepConfig = SweepConfig(),
+        sweep_period_s: float = _SWEEP_PERIOD_S,
+    ):
+        self._directory = directory
+        self._data_centre = data_centre
+        self._sweep_period_s = sweep_period_s
+        self._hold_workers = HoldWorkers(backends.find_engine)
+        self.holds = HoldKeeperActor.start(
+            owner,
+            self._hold_workers,
+            self._list_engines,
+            fleet.list_members,
+            fleet.list_live_hosts,
+            time.monotonic,
+            sweep,
+        )
+        bounded = BulkheadPlatform(platform, backends.bulkheads.platform)
+        self._claim_workers = ClaimWorkers(bounded)
+        self.claims = ClaimsActor.start(
+            f"{owner.host}.{owner.incarnation}",
+            self._claim_workers,
+            fleet.is_owner_gone,
+            time.monotonic,
+            time.time,
+        )
+        desk = ClaimDesk(self.claims, time.monotonic)
+        self.plain = PlainRunner(dispatcher, backends.find_plain, desk, time.monotonic)
+
+    def start(self, timers: Timers) -> None:
+        """Start the worker threads and subscribe to the timers."""
+        self._hold_workers.start(self.holds.tell)
+        self._claim_workers.start(self.claims.tell)
+        timers.subscribe(
+            "holds", _KEEPER_PERIOD_S, lambda now: self.holds.tell(KeeperTick())
+        )
+        timers.subscribe(
+            "claims", _CLAIM_PERIOD_S, lambda now: self.claims.tell(ClaimTick())
+        )
+        timers.subscribe(
+            "sweep", self._sweep_period_s, lambda now: self.holds.tell(SweepTick())
+        )
+
+    def stop(self) -> None:
+        """Stop the threads; holds that stay are swept by other hosts."""
+        self._hold_workers.stop()
+        self._claim_workers.stop()
+        self.holds.stop(block=False)
+        self.claims.stop(block=False)
+
+    def count_holds(self) -> tuple[int, int]:
+        """Return the numbers of open holds and of unconfirmed cancels."""
+        return self.holds.ask(CountHolds())
+
+    def _list_engines(self) -> tuple[list[str], list[str]]:
+        servers = self._directory.current.servers
+        engines = [s for s in servers if s.role != ServerRole.PLAIN]
+        local = [s.name for s in engines if s.data_centre == self._data_centre]
+        return local, [s.name for s in engines]
--- /dev/null
+++ b/src/sesameport/daemon/sweep_view.py
@@ -0,0 +1,37 @@
+"""Read from the fleet's view what the sweep and the claims need to know."""
+
+from sesameport.daemon.fleet_view import FleetView
+from sesameport.requests import Member
+
+__all__ = ["is_owner_gone", "members_for_sweep"]
+
+
+def members_for_sweep(view: FleetView) -> dict[str, Member]:
+    """Return each host's newest incarnation and those that certainly ended.
+
+    A suspected or silent host is not gone: only departures that membership is certain
+    of count (replaced, left, or no longer listed).
+    """
+    ended: dict[str, list[str]] = {}
+    for departure in view.gone:
+        ended.setdefault(departure.host, []).append(departure.incarnation)
+    found = {}
+    for member in view.members:
+        gone = frozenset(ended.pop(member.name, ()))
+        found[member.name] = Member(
+            member.incarnation,
+            gone=member.incarnation in gone,
+            earlier=gone - {member.incarnation},
+        )
+    for host, incarnations in ended.items():
+        # The host itself is no longer a member; its last incarnation is gone too.
+        found[host] = Member(
+            incarnations[-1], gone=True, earlier=frozenset(incarnations[:-1])
+        )
+    return found
+
+
+def is_owner_gone(view: FleetView, owner: str) -> bool:
+    """Tell whether ``<host>.<incarnation>`` certainly ended."""
+    host, _, incarnation = owner.rpartition(".")
+    return any((d.host, d.incarnation) == (host, incarnation) for d in view.gone)
