Test each failure end to end and count crashes only of healthy servers

A request whose prefill met two servers that were down already was refused as poison (422, seen in test_broken_prefill_is_repeated_on_another_server). A loss now counts only if the server answered a load poll within 1 s before the attempt started, and only for attempts still in flight.

InjectedFault was answered by cheroot with status 500 instead of a broken connection, so a lost answer of a plain service reached the caller as an answer; it is now a connection error and the connection closes without one.

--- a/src/sesameport/daemon/completion_runner.py
+++ b/src/sesameport/daemon/completion_runner.py
@@ -201,7 +201,7 @@
                 tell(NoteImportDone(placement))
             case ReportLost(server, attempt_id):
                 self._record(f"{server} lost {attempt_id}")
-                tell(NoteLost(server, attempt_id, self._req.digest))
+                tell(NoteLost(server, attempt_id))
 
     def _note_hold(self, action) -> None:
         if isinstance(action, CancelHold):
--- a/src/sesameport/daemon/dispatcher_actor.py
+++ b/src/sesameport/daemon/dispatcher_actor.py
@@ -195,7 +195,6 @@
 
     server: str
     attempt_id: str
-    digest: str
 
 
 @attrs.frozen
@@ -274,6 +273,7 @@
                 self._router.set_servers(servers, documents, now)
             case LoadReport():
                 self._router.report_load(message, now)
+                self._quarantine.server_answered(message.server, now)
             case CacheEvents():
                 self._router.report_cache(message, now)
             case Poll():
@@ -307,11 +307,11 @@
             case NoteAttempt(server, attempt_id, ""):
                 self._quarantine.ended(server, attempt_id)
             case NoteAttempt(server, attempt_id, digest):
-                self._quarantine.started(server, attempt_id, digest)
+                self._quarantine.started(server, attempt_id, digest, now)
             case NoteCompleted(digest):
                 notices = self._quarantine.completed(digest)
-            case NoteLost(server, attempt_id, digest):
-                notices = self._quarantine.server_lost(server, attempt_id, digest, now)
+            case NoteLost(server, attempt_id):
+                notices = self._quarantine.server_lost(server, attempt_id, now)
             case PoisonNotice():
                 self._quarantine.take_notice(message, now)
         for notice in notices:
--- a/src/sesameport/requests/recovery.py
+++ b/src/sesameport/requests/recovery.py
@@ -113,9 +113,11 @@
         """Prefill again on another server, unless the request itself is at fault."""
         life = self.life
         server, attempt_id = life.placement.prefill.name, life.attempt_id
-        actions = self._release(server, error)
+        actions: list[Action] = []
         if error.kind == EngineErrorKind.BROKEN:
+            # Before the release, so that the attempt still counts as in flight.
             actions.append(ReportLost(server, attempt_id))
+        actions += self._release(server, error)
         if error.kind == EngineErrorKind.INVALID:
             return actions + self._give_up(error)
         self._excluded.add(server)
--- a/src/sesameport/routing/quarantine.py
+++ b/src/sesameport/routing/quarantine.py
@@ -5,6 +5,8 @@
 crashes is refused in its data centre until it expires.
 """
 
+import math
+
 import attrs
 
 __all__ = [
@@ -14,6 +16,8 @@
     "QuarantineVerdict",
 ]
 
+_MAX_SERVERS = 2_000
+
 
 @attrs.frozen
 class PoisonNotice:
@@ -48,6 +52,9 @@
         Crashes after which a digest is refused.
     suspect_s, refused_s : float
         Time after the last crash at which a digest is forgotten, seconds.
+    healthy_s : float
+        A server without an answer within this time before an attempt starts was down
+        before, so its loss says nothing about the request, seconds.
     same_crash_s : float
         Reports of one server within this time belong to one crash, seconds.
     max_digests : int
@@ -59,6 +66,7 @@
     max_crashes: int = 2
     suspect_s: float = 600.0
     refused_s: float = 3_600.0
+    healthy_s: float = 1.0
     same_crash_s: float = 2.0
     max_digests: int = 10_000
     max_in_flight: int = 256
@@ -76,6 +84,12 @@
     avoid: frozenset[str] = frozenset()
 
 
+@attrs.frozen
+class _Attempt:
+    digest: str
+    is_evidence: bool
+
+
 @attrs.define
 class _Crash:
     server: str
@@ -115,7 +129,8 @@
     identity: str
     cfg: QuarantineConfig = QuarantineConfig()
     _suspects: dict[str, _Suspect] = attrs.field(factory=dict)
-    _in_flight: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    _in_flight: dict[str, dict[str, _Attempt]] = attrs.field(factory=dict)
+    _answered: dict[str, float] = attrs.field(factory=dict)
     _crashes: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     _numbers: int = 0
 
@@ -129,15 +144,27 @@
         avoid = {
             server
             for server, attempts in self._in_flight.items()
-            if any(d in self._suspects and d != digest for d in attempts.values())
+            if any(
+                item.digest in self._suspects and item.digest != digest
+                for item in attempts.values()
+            )
         }
         return QuarantineVerdict(suspect=True, avoid=frozenset(avoid))
 
-    def started(self, server: str, attempt_id: str, digest: str) -> None:
+    def server_answered(self, server: str, now: float) -> None:
+        """Note that a server answered, for example with its load."""
+        if server not in self._answered and len(self._answered) >= _MAX_SERVERS:
+            self._answered.pop(next(iter(self._answered)))
+        self._answered[server] = now
+
+    def started(self, server: str, attempt_id: str, digest: str, now: float) -> None:
         """Note that a request is in flight on a server."""
         attempts = self._in_flight.setdefault(server, {})
-        if len(attempts) < self.cfg.max_in_flight:
-            attempts[attempt_id] = digest
+        if len(attempts) >= self.cfg.max_in_flight:
+            return
+        answered = self._answered.get(server, -math.inf)
+        is_evidence = now - answered <= self.cfg.healthy_s
+        attempts[attempt_id] = _Attempt(digest, is_evidence)
 
     def ended(self, server: str, attempt_id: str) -> None:
         """Note that an attempt ended on a server, whatever its outcome."""
@@ -155,16 +182,21 @@
         return [PoisonNotice(digest)]
 
     def server_lost(
-        self, server: str, attempt_id: str, digest: str, now: float
+        self, server: str, attempt_id: str, now: float
     ) -> list[PoisonNotice]:
         """Take the report of an attempt whose state the server lost.
 
         The reports that the other requests on the server send for the same crash
-        count no second crash.
+        count no second crash, and an attempt that is not in flight counts none.
         """
+        attempts = self._in_flight.get(server, {})
+        if attempt_id not in attempts:
+            return []
+        del self._in_flight[server]
+        digests = dict.fromkeys(a.digest for a in attempts.values() if a.is_evidence)
+        if not digests:
+            return []
         crash_id, at = self._crash(server, now)
-        digests = dict.fromkeys(self._in_flight.pop(server, {}).values())
-        digests[digest] = None
         for item in digests:
             self._add(item, crash_id, server, at, now)
         return [PoisonNotice(item, server, crash_id, now - at) for item in digests]
--- a/src/sesameport/routing/tests/test_quarantine.py
+++ b/src/sesameport/routing/tests/test_quarantine.py
@@ -3,11 +3,16 @@
 from sesameport.routing.quarantine import PoisonNotice, Quarantine, QuarantineConfig
 
 
+def start(quarantine, server, attempt_id, digest, now):
+    quarantine.server_answered(server, now)
+    quarantine.started(server, attempt_id, digest, now)
+
+
 def crashed_twice():
     quarantine = Quarantine("h1.i")
     for number, now in ((1, 0.0), (2, 10.0)):
-        quarantine.started(f"d{number}", f"a{number}", "poison")
-        quarantine.server_lost(f"d{number}", f"a{number}", "poison", now)
+        start(quarantine, f"d{number}", f"a{number}", "poison", 0.0)
+        quarantine.server_lost(f"d{number}", f"a{number}", now)
     return quarantine
 
 
@@ -23,11 +28,15 @@
     """Guard against a refusal after a single crash that several streams report."""
     quarantine = Quarantine("h1.i")
     for attempt in ("a1", "a2"):
-        quarantine.started("d1", attempt, f"digest-{attempt}")
-    quarantine.server_lost("d1", "a1", "digest-a1", 0.0)
-    notices = quarantine.server_lost("d1", "a2", "digest-a2", 0.5)
+        start(quarantine, "d1", attempt, f"digest-{attempt}", 0.0)
+    notices = quarantine.server_lost("d1", "a1", 0.0)
+    assert {notice.digest for notice in notices} == {"digest-a1", "digest-a2"}
+    assert quarantine.server_lost("d1", "a2", 0.5) == []
+    start(quarantine, "d1", "a4", "digest-a2", 0.6)
+    quarantine.server_lost("d1", "a4", 0.7)
     other = Quarantine("h2.i")
-    other.server_lost("d1", "b1", "digest-a2", 0.1)
+    start(other, "d1", "b1", "digest-a2", 0.0)
+    other.server_lost("d1", "b1", 0.1)
     for notice in notices * 2:
         other.take_notice(notice, 0.6)
         other.take_notice(notice, 60.0)
@@ -39,9 +48,9 @@
 def test_bystander_is_cleared_when_it_completes():
     """Guard against a wrongful refusal of requests beside a poison request."""
     quarantine = Quarantine("h1.i")
-    quarantine.started("d1", "a1", "poison")
-    quarantine.started("d1", "a2", "good")
-    quarantine.server_lost("d1", "a1", "poison", 0.0)
+    start(quarantine, "d1", "a1", "poison", 0.0)
+    start(quarantine, "d1", "a2", "good", 0.0)
+    quarantine.server_lost("d1", "a1", 0.0)
     assert quarantine.verdict("good", 0.1).suspect
     assert quarantine.completed("good") == [PoisonNotice("good")]
     assert not quarantine.verdict("good", 0.2).suspect
@@ -51,10 +60,10 @@
 def test_suspects_run_on_separate_servers():
     """Guard against two suspects that share the blame for the next crash."""
     quarantine = Quarantine("h1.i")
-    quarantine.started("d1", "a1", "poison")
-    quarantine.started("d1", "a2", "good")
-    quarantine.server_lost("d1", "a1", "poison", 0.0)
-    quarantine.started("d2", "a3", "poison")
+    start(quarantine, "d1", "a1", "poison", 0.0)
+    start(quarantine, "d1", "a2", "good", 0.0)
+    quarantine.server_lost("d1", "a1", 0.0)
+    start(quarantine, "d2", "a3", "poison", 0.0)
     assert quarantine.verdict("good", 0.1).avoid == {"d2"}
     quarantine.ended("d2", "a3")
     assert quarantine.verdict("good", 0.1).avoid == frozenset()
@@ -70,11 +79,29 @@
     assert other.verdict("poison", 12.0).refused
 
 
+def test_server_that_was_down_before_is_no_evidence():
+    """Guard against a refusal of requests that only met servers that were down."""
+    quarantine = Quarantine("h1.i")
+    for server in ("d1", "d2"):
+        quarantine.server_answered(server, 0.0)
+        quarantine.started(server, "a", "good", 1.5)
+        assert quarantine.server_lost(server, "a", 1.6) == []
+    assert not quarantine.verdict("good", 1.7).suspect
+    quarantine.started("never-seen", "a", "good", 1.6)
+    assert quarantine.server_lost("never-seen", "a", 1.6) == []
+    quarantine.server_answered("d1", 2.0)
+    quarantine.started("d1", "b", "good", 2.5)
+    assert quarantine.server_lost("d1", "b", 2.6)
+
+
 def test_memory_is_bounded():
     """Guard against a host that fills its memory with digests."""
     quarantine = Quarantine("h1.i", QuarantineConfig(max_digests=10, max_in_flight=3))
     for number in range(100):
-        quarantine.started("d1", f"a{number}", f"x{number}")
-        quarantine.server_lost(f"s{number}", "a", f"x{number}", float(number))
+        for attempt in range(20):
+            start(quarantine, "d1", f"a{number}.{attempt}", "bystander", 0.0)
+        start(quarantine, f"s{number}", "a", f"x{number}", 0.0)
+        quarantine.server_lost(f"s{number}", "a", float(number))
     assert quarantine.count() == 10
     assert len(quarantine._crashes) <= 10
+    assert len(quarantine._in_flight["d1"]) == 3
--- a/src/sesameport/standins/faults.py
+++ b/src/sesameport/standins/faults.py
@@ -1,5 +1,6 @@
 """Describe the faults that a stand-in is told to show."""
 
+import errno
 import random
 import threading
 import time
@@ -9,8 +10,15 @@
 __all__ = ["FaultPlan", "InjectedFault"]
 
 
-class InjectedFault(Exception):
-    """Break the connection of the current call."""
+class InjectedFault(ConnectionResetError):
+    """Break the connection of the current call.
+
+    The HTTP server closes the connection without an answer only for errors of the
+    connection itself; it answers any other exception with status 500.
+    """
+
+    def __init__(self):
+        super().__init__(errno.ECONNRESET, "injected fault")
 
 
 @attrs.define
