--- /dev/null
+++ b/src/sesameport/adapters/tests/test_silent_connections.py
@@ -0,0 +1,74 @@
+"""Check that a silent open connection is closed and not used again."""
+
+import socket
+import threading
+
+import pytest
+
+from sesameport.adapters import HttpPlainService
+from sesameport.interfaces import EngineErrorKind
+from sesameport.world import PlainRequest, Urgency
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class SilentServer:
+    """Answer the first request of each connection and nothing after it."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(conn)
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += conn.recv(4_096)
+        conn.sendall(ANSWER)
+
+    def stop(self):
+        for conn in (self.listener, *self.connections):
+            conn.close()
+
+
+@pytest.fixture
+def server():
+    server = SilentServer()
+    yield server
+    server.stop()
+
+
+def request(repeatable):
+    return PlainRequest(
+        "r", "desk", "", "GET", "/x", (), b"", repeatable, Urgency.URGENT, 1e9
+    )
+
+
+def test_silent_connection_is_closed_and_replaced(server):
+    """Guard against calls that keep going to a connection that stays silent."""
+    service = HttpPlainService(server.address)
+    kinds = []
+    for _ in range(3):
+        found = service.call(request(True), "a", 0.3)
+        kinds.append("ok" if found.is_ok() else found.unwrap_err().kind)
+    assert kinds == ["ok", EngineErrorKind.SILENT, "ok"]
+    assert len(server.connections) == 2
+
+
+def test_call_that_may_not_be_repeated_uses_a_new_connection(server):
+    """Guard against a booking that is lost in an aged connection (I7)."""
+    service = HttpPlainService(server.address)
+    assert service.call(request(True), "a", 0.3).is_ok()
+    for _ in range(3):
+        assert service.call(request(False), "a", 0.3).is_ok()
+    assert len(server.connections) == 4
