--- a/src/sesameport/daemon/hold_keeper.py
+++ b/src/sesameport/daemon/hold_keeper.py
@@ -138,6 +138,8 @@
         Returns the monotonic time, seconds.
     cfg : SweepConfig
         Bounds of the sweep.
+    note_server_gone : callable
+        Takes the name of a server with holds that is gone for sure.
     """
 
     use_daemon_thread = True
@@ -151,8 +153,10 @@
         list_live_hosts: Callable[[], Iterable[str]],
         clock: Callable[[], float],
         cfg: SweepConfig = SweepConfig(),
+        note_server_gone: Callable[[str], None] = lambda server: None,
     ):
         super().__init__()
+        self._note_server_gone = note_server_gone
         self._own = own
         self._workers = workers
         self._list_servers = list_servers
@@ -210,6 +214,7 @@
             if now - self._absent_since.setdefault(server, now) >= _ABSENT_S:
                 del self._absent_since[server]
                 self._ledger.server_gone(server)
+                self._note_server_gone(server)
 
     def _sweep(self) -> None:
         local, _ = self._list_servers()
--- a/src/sesameport/daemon/request_parts.py
+++ b/src/sesameport/daemon/request_parts.py
@@ -13,6 +13,7 @@
     ClaimWorkers,
 )
 from sesameport.daemon.directory import DirectoryHolder
+from sesameport.daemon.dispatcher_messages import NoteServerGone
 from sesameport.daemon.engines import Backends
 from sesameport.daemon.hold_keeper import (
     CountHolds,
@@ -104,6 +105,7 @@
             fleet.list_live_hosts,
             time.monotonic,
             sweep,
+            lambda server: dispatcher.tell(NoteServerGone(server)),
         )
         bounded = BulkheadPlatform(platform, backends.bulkheads.platform)
         self._claim_workers = ClaimWorkers(bounded)
--- a/src/sesameport/requests/tests/test_retries.py
+++ b/src/sesameport/requests/tests/test_retries.py
@@ -94,6 +94,8 @@
     call = plain(True)
     send(call)
     fail(call, 1, Kind.BROKEN)
+    send(call, "s2")
+    fail(call, 2, Kind.UNREACHABLE)
     (refused,) = call.handle(NoPlainServer(), 0.2)
     assert refused.refusal.execution == Execution.MAY_HAVE_RUN
     call = plain(True)
