--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -2,12 +2,11 @@
 
 import random
 import secrets
-import threading
 import time
 
 import attrs
 
-from sesameport.adapters import TimerService
+from sesameport.adapters import BulkheadLimits, Bulkheads, TimerService
 from sesameport.daemon.admission import AdmissionDesk
 from sesameport.daemon.caller_api import CallerApi
 from sesameport.daemon.cluster import Cluster
@@ -24,10 +23,12 @@
 from sesameport.daemon.http_server import HttpServer
 from sesameport.daemon.key_gate import KeyGate
 from sesameport.daemon.load_poller import LoadPoller, choose_subset
-from sesameport.daemon.plain_runner import PlainRunner
+from sesameport.daemon.request_parts import RequestParts
 from sesameport.daemon.shutdown import Drain
 from sesameport.documents import Settings
+from sesameport.requests import HoldOwner, RetryBudget
 from sesameport.routing import Router, RouterConfig
+from sesameport.routing.quarantine import PoisonNotice, Quarantine
 from sesameport.telemetry.decisions import DecisionKind
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.recorder import Recorder
@@ -41,7 +42,6 @@
 
 _POLL_PERIOD_S = 0.01
 _KEYS_PERIOD_S = 0.5
-_CANCEL_TRIES = 8
 
 
 class Daemon:
@@ -60,22 +60,19 @@
         self.started_at = time.monotonic()
         self.recorder = Recorder(cfg.host.name, cfg.host.data_centre, self.started_at)
         self.timers = TimerService(on_error=_log_timer_error)
-        self.backends = Backends(self.directory, cfg.requests.silent_s)
+        threads = cfg.host.max_threads
+        limits = BulkheadLimits(threads // 2, threads * 3 // 8)
+        self.backends = Backends(
+            self.directory, cfg.requests.silent_s, Bulkheads(limits)
+        )
         router = Router(
             RouterConfig(cfg.host.data_centre, cfg.requests.max_waiting),
             random.Random(),
         )
-        self._dispatcher = DispatcherActor.start(router, time.monotonic)
-        services = RunnerServices(
-            self._dispatcher,
-            self.backends.find_engine,
-            self._cancel,
-            self._record,
-        )
-        own = Host(cfg.host.name, cfg.host.data_centre)
+        identity = f"{cfg.host.name}.{self.incarnation}"
         self.cluster = Cluster(
             cfg,
-            own,
+            Host(cfg.host.name, cfg.host.data_centre),
             self.incarnation,
             self.directory,
             self.timers,
@@ -83,15 +80,38 @@
             self.backends.find_engine,
         )
         self.keys = KeyGate(cfg, self.cluster.fleet.view, time.monotonic)
-        plain = PlainRunner(self.directory, self.backends, time.monotonic)
-        identity = f"{cfg.host.name}.{self.incarnation}"
+        self._dispatcher = DispatcherActor.start(
+            router,
+            time.monotonic,
+            RetryBudget(cfg.requests.retry_share),
+            Quarantine(identity),
+            self.cluster.send_to_data_centre,
+        )
+        self.cluster.link.subscribe(
+            PoisonNotice, lambda sender, notice: self._dispatcher.tell(notice)
+        )
+        self.parts = RequestParts(
+            HoldOwner(cfg.host.name, self.incarnation),
+            cfg.host.data_centre,
+            self.directory,
+            self.backends,
+            self.cluster.platform,
+            self._dispatcher,
+            self.cluster.fleet_knowledge(),
+        )
+        services = RunnerServices(
+            self._dispatcher,
+            self.backends.find_engine,
+            self.parts.holds.tell,
+            self._record,
+        )
         self.admission = AdmissionDesk(
             self.directory,
             services,
             self.cluster.rates,
             self.keys.is_usable,
             identity,
-            plain.call,
+            self.parts.plain.call,
             cfg.host.max_threads - cfg.host.urgent_threads,
             self.recorder,
         )
@@ -122,6 +142,8 @@
         )
         self.status_http = HttpServer(cfg.host.status_listen, status, threads=2)
         self.directory.subscribe(self._directory_changed)
+        # The fleet actor may have published before the subscription.
+        self._directory_changed(self.directory.current)
 
     def start(self) -> "Daemon":
         """Start serving and return the daemon."""
@@ -129,6 +151,7 @@
         self.timers.subscribe("keys", _KEYS_PERIOD_S, self._check_keys)
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
+        self.parts.start(self.timers)
         self.timers.start()
         self.http.start()
         self.status_http.start()
@@ -148,6 +171,7 @@
         self.http.stop()
         self.status_http.stop()
         self._dispatcher.stop(block=False)
+        self.parts.stop()
 
     @property
     def own_host(self) -> Host:
@@ -222,18 +246,6 @@
         refusal = Refusal(kind, Execution.MAY_HAVE_RUN)
         self._dispatcher.tell(StopRequest(request_id, refusal))
 
-    def _cancel(self, server: str, attempt_id: str) -> None:
-        threading.Thread(
-            target=self._cancel_now, args=(server, attempt_id), daemon=True
-        ).start()
-
-    def _cancel_now(self, server: str, attempt_id: str) -> None:
-        for attempt in range(_CANCEL_TRIES):
-            engine = self.backends.find_engine(server)
-            if engine is None or engine.cancel(attempt_id).is_ok():
-                return
-            time.sleep(0.1 * 2**attempt)
-
 
 def _log_timer_error(name: str, exc: Exception) -> None:
     _LOG.error("timer callback failed", extra={"timer": name, "error": repr(exc)})
--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -67,6 +67,8 @@
     )
     while not daemons[0].admission.count():
         time.sleep(0.01)
+    # The withdrawal is in force within milliseconds; the stream is to run by then.
+    time.sleep(1.0)
     text = demo_document("assessor-llm")
     digest = text.split('keys = ["')[1].split('"')[0]
     changed = text.replace(digest, "sha256:" + "0" * 64)
--- /dev/null
+++ b/src/sesameport/routing/tests/test_quarantine.py
@@ -0,0 +1,107 @@
+"""Check the quarantine of requests that crash backend servers."""
+
+from sesameport.routing.quarantine import PoisonNotice, Quarantine, QuarantineConfig
+
+
+def start(quarantine, server, attempt_id, digest, now):
+    quarantine.server_answered(server, now)
+    quarantine.started(server, attempt_id, digest, now)
+
+
+def crashed_twice():
+    quarantine = Quarantine("h1.i")
+    for number, now in ((1, 0.0), (2, 10.0)):
+        start(quarantine, f"d{number}", f"a{number}", "poison", 0.0)
+        quarantine.server_lost(f"d{number}", f"a{number}", now)
+    return quarantine
+
+
+def test_two_crashes_refuse_and_expire():
+    """Guard against one request that crashes every server of a data centre."""
+    quarantine = crashed_twice()
+    assert quarantine.verdict("poison", 11.0).refused
+    assert not quarantine.verdict("poison", 10.0 + 3_600.0).refused
+    assert quarantine.count() == 0
+
+
+def test_one_crash_is_counted_once():
+    """Guard against a refusal after a single crash that several streams report."""
+    quarantine = Quarantine("h1.i")
+    for attempt in ("a1", "a2"):
+        start(quarantine, "d1", attempt, f"digest-{attempt}", 0.0)
+    notices = quarantine.server_lost("d1", "a1", 0.0)
+    assert {notice.digest for notice in notices} == {"digest-a1", "digest-a2"}
+    assert quarantine.server_lost("d1", "a2", 0.5) == []
+    start(quarantine, "d1", "a4", "digest-a2", 0.6)
+    quarantine.server_lost("d1", "a4", 0.7)
+    other = Quarantine("h2.i")
+    start(other, "d1", "b1", "digest-a2", 0.0)
+    other.server_lost("d1", "b1", 0.1)
+    for notice in notices * 2:
+        other.take_notice(notice, 0.6)
+        other.take_notice(notice, 60.0)
+    for view in (quarantine, other):
+        verdict = view.verdict("digest-a2", 61.0)
+        assert verdict.suspect and not verdict.refused
+
+
+def test_bystander_is_cleared_when_it_completes():
+    """Guard against a wrongful refusal of requests beside a poison request."""
+    quarantine = Quarantine("h1.i")
+    start(quarantine, "d1", "a1", "poison", 0.0)
+    start(quarantine, "d1", "a2", "good", 0.0)
+    quarantine.server_lost("d1", "a1", 0.0)
+    assert quarantine.verdict("good", 0.1).suspect
+    assert quarantine.completed("good") == [PoisonNotice("good")]
+    assert not quarantine.verdict("good", 0.2).suspect
+    assert quarantine.verdict("poison", 0.2).suspect
+
+
+def test_suspects_run_on_separate_servers():
+    """Guard against two suspects that share the blame for the next crash."""
+    quarantine = Quarantine("h1.i")
+    start(quarantine, "d1", "a1", "poison", 0.0)
+    start(quarantine, "d1", "a2", "good", 0.0)
+    quarantine.server_lost("d1", "a1", 0.0)
+    start(quarantine, "d2", "a3", "poison", 0.0)
+    assert quarantine.verdict("good", 0.1).avoid == {"d2"}
+    quarantine.ended("d2", "a3")
+    assert quarantine.verdict("good", 0.1).avoid == frozenset()
+
+
+def test_other_hosts_refuse_as_well():
+    """Guard against a caller that sends the poison request to the next host."""
+    other = Quarantine("h2.i")
+    other.take_notice(PoisonNotice("poison", "d1", "h1.i#1", 0.0), 5.0)
+    other.take_notice(PoisonNotice("poison", "d2", "h1.i#2", 0.0), 9.0)
+    assert other.verdict("poison", 10.0).refused
+    other.take_notice(PoisonNotice("poison"), 11.0)
+    assert other.verdict("poison", 12.0).refused
+
+
+def test_server_that_was_down_before_is_no_evidence():
+    """Guard against a refusal of requests that only met servers that were down."""
+    quarantine = Quarantine("h1.i")
+    for server in ("d1", "d2"):
+        quarantine.server_answered(server, 0.0)
+        quarantine.started(server, "a", "good", 1.5)
+        assert quarantine.server_lost(server, "a", 1.6) == []
+    assert not quarantine.verdict("good", 1.7).suspect
+    quarantine.started("never-seen", "a", "good", 1.6)
+    assert quarantine.server_lost("never-seen", "a", 1.6) == []
+    quarantine.server_answered("d1", 2.0)
+    quarantine.started("d1", "b", "good", 2.5)
+    assert quarantine.server_lost("d1", "b", 2.6)
+
+
+def test_memory_is_bounded():
+    """Guard against a host that fills its memory with digests."""
+    quarantine = Quarantine("h1.i", QuarantineConfig(max_digests=10, max_in_flight=3))
+    for number in range(100):
+        for attempt in range(20):
+            start(quarantine, "d1", f"a{number}.{attempt}", "bystander", 0.0)
+        start(quarantine, f"s{number}", "a", f"x{number}", 0.0)
+        quarantine.server_lost(f"s{number}", "a", float(number))
+    assert quarantine.count() == 10
+    assert len(quarantine._crashes) <= 10
+    assert len(quarantine._in_flight["d1"]) == 3
