--- /dev/null
+++ b/src/sesameport/bench/fleet_costs.py
@@ -0,0 +1,287 @@
+"""Measure the cost of membership and configuration and how fast a write spreads.
+
+Run ``python -m sesameport.bench.fleet_costs`` for all figures, or name some of
+``spread``, ``traffic``, ``cpu``, ``state`` and ``outage``. Messages, bytes, times and
+hops are counted in virtual time and repeat exactly. CPU is measured with the process
+clock and depends on the machine.
+"""
+
+import random
+import sys
+import time
+import tracemalloc
+
+import attrs
+
+from sesameport.adapters.peer_codec import PeerCodec
+from sesameport.bench.fleet_loop import MessageLoop
+from sesameport.bench.fleet_pacing import run_outage
+from sesameport.bench.fleet_platform import VirtualFleet
+from sesameport.fleet.membership import Membership
+from sesameport.fleet.peer_messages import DocumentPush
+from sesameport.fleet.rendezvous import split_delegates
+from sesameport.interfaces import Sender
+from sesameport.world import BackendServer, Host, ServerRole
+
+__all__ = ["Spread", "Traffic", "measure_spread", "measure_traffic", "tree_depth"]
+
+SETTLE_S = 20.0
+"""Virtual time before a measurement, in which the hosts find each other."""
+
+SIZES = (9, 60, 340)
+CENTRES = tuple(f"dc{i}" for i in range(7))
+WIRE_BYTES = 80
+"""Bytes that CURVE, ZMTP, TCP and IP add to one message: 33 + 9 + 20 + 20, rounded."""
+
+
+@attrs.frozen
+class Spread:
+    """Hold the time and the hops of one platform write until all hosts have it.
+
+    Times are in seconds from the write. ``hops`` counts the levels of the push tree,
+    ``messages`` all pushes that carried the document.
+    """
+
+    hosts: int
+    centres: int
+    half_s: float
+    all_s: float
+    hops: int
+    messages: int
+
+
+@attrs.frozen
+class Traffic:
+    """Hold what one host sends per second without changes, mean and highest host."""
+
+    hosts: int
+    part: str
+    messages: float
+    kilobytes: float
+    highest_kilobytes: float
+
+
+def centres_for(hosts: int) -> tuple[str, ...]:
+    """Return 3 data centres for today's size and 7 for larger fleets."""
+    return CENTRES[:3] if hosts <= 9 else CENTRES
+
+
+def tree_depth(hosts: int, fan_out: int = 4) -> int:
+    """Return the hops of a push tree over ``hosts`` hosts including its root."""
+    depth = 0
+    level = [tuple(str(i) for i in range(1, hosts))]
+    while any(level):
+        depth += 1
+        children = [split_delegates(names, fan_out) for names in level]
+        level = [rest for group in children for _, rest in group]
+    return depth
+
+
+def measure_spread(hosts: int, centres: tuple[str, ...], delay_s: float, seed: int):
+    """Write one document and return how it spreads."""
+    fleet = VirtualFleet(hosts, centres, seed, delay_s=delay_s)
+    fleet.loop.run(12)
+    written_at = fleet.loop.now
+    reached: dict[str, float] = {}
+    pushes = []
+
+    def observe(host):
+        if host not in reached and "a" in fleet.node(host).documents():
+            reached[host] = fleet.loop.now - written_at
+
+    def size_of(_sender, message):
+        if isinstance(message, DocumentPush) and message.documents:
+            pushes.append(message)
+        return 0
+
+    fleet.loop.observer = observe
+    fleet.loop.size_of = size_of
+    fleet.platform.write("a", "one")
+    fleet.loop.run(1)
+    times = sorted(reached.values())
+    if len(times) < hosts:
+        raise RuntimeError(f"only {len(times)} of {hosts} hosts have the document")
+    per_centre = -(-hosts // len(centres))
+    return Spread(
+        hosts,
+        len(centres),
+        times[len(times) // 2],
+        times[-1],
+        tree_depth(per_centre),
+        len(pushes),
+    )
+
+
+def measure_traffic(hosts: int, part: str, seconds: float = 10.0) -> Traffic:
+    """Return the steady traffic of ``membership`` or ``configuration``."""
+    loop = membership_loop(hosts) if part == "membership" else None
+    if loop is None:
+        loop = VirtualFleet(hosts, centres_for(hosts), seed=1).loop
+    loop.run(SETTLE_S)
+    codecs: dict[str, PeerCodec] = {}
+
+    def size_of(sender, message):
+        codec = codecs.setdefault(sender.host, PeerCodec(sender))
+        return len(codec.encode(message)) + WIRE_BYTES
+
+    loop.sent.clear()
+    loop.size_of = size_of
+    loop.run(seconds)
+    sent, total = loop.sent, loop.bytes_sent
+    return Traffic(
+        hosts,
+        part,
+        sum(sent.values()) / hosts / seconds,
+        sum(total.values()) / hosts / seconds / 1_000,
+        max(total.values()) / seconds / 1_000,
+    )
+
+
+def membership_loop(hosts: int) -> MessageLoop:
+    """Return a loop with the membership of many hosts."""
+    centres = centres_for(hosts)
+    listed = tuple(Host(f"h{i}", centres[i % len(centres)]) for i in range(hosts))
+    loop = MessageLoop(seed=1)
+    for host in listed:
+        node = Membership(host, host.name.rjust(16, "0"), random.Random(host.name))
+        loop.add(
+            Sender(host.name, host.name.rjust(16, "0"), host.data_centre), node, 0.25
+        )
+        loop.perform(host.name, node.merge_list(listed, 0.0))
+    return loop
+
+
+def measure_cpu(hosts: int, part: str, seconds: float = 5.0) -> float:
+    """Return the CPU time of one host per second, milliseconds.
+
+    The loop itself and the codec are included: every message is encoded and decoded
+    once, as on a real link, but sockets and encryption are not.
+    """
+    loop = membership_loop(hosts) if part == "membership" else None
+    if loop is None:
+        loop = VirtualFleet(hosts, centres_for(hosts), seed=1).loop
+    loop.run(SETTLE_S)
+    codec = PeerCodec(Sender("h0", "0" * 16, "dc0"))
+
+    def size_of(_sender, message):
+        codec.register(type(message))
+        codec.decode(codec.encode(message))
+        return 0
+
+    loop.size_of = size_of
+    started = time.process_time()
+    loop.run(seconds)
+    return (time.process_time() - started) / hosts / seconds * 1_000
+
+
+def measure_state(hosts: int, documents: int, document_bytes: int) -> dict[str, float]:
+    """Return the bytes that one host's state takes per host, server and document."""
+    sizes = {}
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    listed = tuple(
+        Host(f"host-{i}", CENTRES[i % 7], "10.0.0.1:80", "10.0.0.1:81", "k" * 40)
+        for i in range(hosts)
+    )
+    servers = tuple(
+        BackendServer(f"s{i}", "a", "c", CENTRES[i % 7], "10.0.0.1:9", ServerRole.BOTH)
+        for i in range(hosts)
+    )
+    after = tracemalloc.get_traced_memory()[0]
+    sizes["host and server list, per pair"] = (after - before) / hosts
+    node = Membership(listed[0], "0" * 16, random.Random(1))
+    node.merge_list(listed, 0.0)
+    for update in [node.table.update_of(m) for m in node.members()]:
+        alive = attrs.evolve(
+            update, incarnation=update.host.rjust(16), refutation=0, state="alive"
+        )
+        node.table.apply(alive, 0.0)
+    member_end = tracemalloc.get_traced_memory()[0]
+    sizes["membership, per host"] = (member_end - after) / hosts
+    fleet = VirtualFleet(1, ("dc0",))
+    fleet.loop.run(5)
+    store_start = tracemalloc.get_traced_memory()[0]
+    for i in range(documents):
+        fleet.platform.write(f"d{i}", f"{i}" * document_bytes)
+        fleet.loop.run(0.1)
+    store_end = tracemalloc.get_traced_memory()[0]
+    sizes[f"document of {document_bytes} bytes"] = (store_end - store_start) / documents
+    tracemalloc.stop()
+    del servers
+    return sizes
+
+
+def _print_spread() -> None:
+    print("spread of one write (seeds 1 to 3, worst)")
+    for hosts, centres, delay_s in (
+        (9, CENTRES[:3], 0.002),
+        (340, CENTRES, 0.002),
+        (340, CENTRES, 0.1),
+        (340, CENTRES[:1], 0.002),
+    ):
+        runs = [measure_spread(hosts, centres, delay_s, seed) for seed in range(1, 4)]
+        worst = max(runs, key=lambda run: run.all_s)
+        print(
+            f"  {hosts} hosts, {len(centres)} data centres, delay {delay_s * 1e3:g} ms:"
+            f" half {worst.half_s:.3f} s, all {worst.all_s:.3f} s,"
+            f" {worst.hops} hops, {worst.messages} pushes with the document"
+        )
+
+
+def _print_traffic() -> None:
+    print("steady traffic sent by one host, with transport overhead")
+    for part in ("membership", "configuration"):
+        for hosts in SIZES:
+            result = measure_traffic(hosts, part)
+            print(
+                f"  {part}, {hosts} hosts: {result.messages:.2f} messages/s,"
+                f" {result.kilobytes:.2f} KB/s mean,"
+                f" {result.highest_kilobytes:.2f} KB/s highest host"
+            )
+
+
+def _print_cpu() -> None:
+    print("CPU of one host, pure code and codec")
+    for part in ("membership", "configuration"):
+        for hosts in SIZES:
+            print(f"  {part}, {hosts} hosts: {measure_cpu(hosts, part):.2f} ms/s")
+
+
+def _print_state() -> None:
+    print("state of one host, bytes")
+    for name, size in measure_state(340, 20, 100_000).items():
+        print(f"  {name}: {size:,.0f}")
+
+
+def _print_outage() -> None:
+    print("platform calls per second of all hosts, highest second (seed 1)")
+    for hosts in SIZES:
+        result = run_outage(hosts)
+        print(
+            f"  {hosts} hosts: before {result.before}, during {result.during},"
+            f" after {result.after}; mean trials {result.trials_per_s:.1f}/s"
+        )
+
+
+_PARTS = {
+    "spread": _print_spread,
+    "traffic": _print_traffic,
+    "cpu": _print_cpu,
+    "state": _print_state,
+    "outage": _print_outage,
+}
+
+
+def main(names: list[str]) -> int:
+    """Print the named figures, or all; return the exit code."""
+    unknown = [name for name in names if name not in _PARTS]
+    if unknown:
+        print(f"unknown: {', '.join(unknown)}; known: {', '.join(_PARTS)}")
+        return 2
+    for name in names or _PARTS:
+        _PARTS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/sesameport/fleet/configuration_state.py
+++ b/src/sesameport/fleet/configuration_state.py
@@ -85,6 +85,7 @@
         self.seeds: list[str] = []
         self.incarnations: dict[str, str] = {}
         self._relays = cfg.relays
+        self._chosen: dict[str, list[str]] = {}
 
     def set_members(
         self, local: Sequence[str], remote: dict[str, list[str]], seeds: Sequence[str]
@@ -93,6 +94,7 @@
         self.local = sorted({*local, self.own.name})
         self.remote = {name: list(hosts) for name, hosts in remote.items() if hosts}
         self.seeds = list(seeds)
+        self._chosen.clear()
         known = {*self.local, *(host for hosts in remote.values() for host in hosts)}
         for host in list(self.incarnations):
             if host not in known:
@@ -104,11 +106,21 @@
 
     def relays(self) -> list[str]:
         """Return the relays of the own data centre, first rank first."""
-        return choose_relays(self.local, self.own.data_centre, self._relays)
+        return self.relays_of(self.own.data_centre)
 
     def relays_of(self, data_centre: str) -> list[str]:
-        """Return the relays of another data centre."""
-        return choose_relays(self.remote[data_centre], data_centre, self._relays)
+        """Return the relays of a data centre.
+
+        They are kept until the members change: hashing all names on every tick took
+        most of the CPU time of a host in a large data centre.
+        """
+        relays = self._chosen.get(data_centre)
+        if relays is None:
+            own = data_centre == self.own.data_centre
+            hosts = self.local if own else self.remote[data_centre]
+            relays = choose_relays(hosts, data_centre, self._relays)
+            self._chosen[data_centre] = relays
+        return relays
 
     def is_first_relay(self) -> bool:
         """Tell whether this host is the relay that pushes documents."""
