--- a/src/sesameport/bench/fleet_costs.py
+++ b/src/sesameport/bench/fleet_costs.py
@@ -6,6 +6,7 @@
 process clock and depends on the machine.
 """
 
+import hashlib
 import random
 import sys
 import time
@@ -19,6 +20,7 @@
 from sesameport.bench.fleet_loop import MessageLoop
 from sesameport.bench.fleet_pacing import run_outage
 from sesameport.bench.fleet_platform import VirtualFleet
+from sesameport.documents import load_service
 from sesameport.fleet.membership import Membership
 from sesameport.fleet.peer_messages import DocumentPush, MemberState, Probe
 from sesameport.fleet.rendezvous import split_delegates
@@ -184,7 +186,7 @@
     return (time.process_time() - started) / hosts / seconds * 1_000
 
 
-def measure_state(hosts: int, documents: int, document_bytes: int) -> dict[str, float]:
+def measure_state(hosts: int, documents: int, workspaces: int) -> dict[str, float]:
     """Return the bytes that one host's state takes per host, server and document."""
     sizes = {}
     tracemalloc.start()
@@ -208,19 +210,33 @@
         node.table.apply(alive, 0.0)
     member_end = tracemalloc.get_traced_memory()[0]
     sizes["membership, per host"] = (member_end - after) / hosts
-    fleet = VirtualFleet(1, ("dc0",))
+    fleet = VirtualFleet(
+        1, ("dc0",), check=lambda name, value: load_service(value.decode(), name)
+    )
     fleet.loop.run(5)
+    texts = [_document_text(f"d{i}", workspaces) for i in range(documents)]
     store_start = tracemalloc.get_traced_memory()[0]
-    for i in range(documents):
-        fleet.platform.write(f"d{i}", "x" * document_bytes)
+    for i, text in enumerate(texts):
+        fleet.platform.write(f"d{i}", text)
         fleet.loop.run(0.1)
+    if len(fleet.node("h0").documents()) < documents:
+        raise RuntimeError("a document was not accepted")
     store_end = tracemalloc.get_traced_memory()[0]
-    sizes[f"document of {document_bytes} bytes"] = (store_end - store_start) / documents
+    name = f"document of {workspaces} workspaces, {len(texts[0])} bytes of TOML"
+    sizes[name] = (store_end - store_start) / documents
     tracemalloc.stop()
     del servers
     return sizes
 
 
+def _document_text(name: str, workspaces: int) -> str:
+    lines = [f'name = "{name}"', 'kind = "plain"', "[[routes]]", 'path = "/x/"']
+    for i in range(workspaces):
+        digest = hashlib.sha256(f"{name}{i}".encode()).hexdigest()
+        lines += ["[[workspaces]]", f'name = "w{i}"', f'keys = ["sha256:{digest}"]']
+    return "\n".join(lines)
+
+
 def measure_link(messages: int = 5_000) -> float:
     """Return the CPU time of one probe from send to callback, microseconds.
 
@@ -301,7 +317,7 @@
 
 def _print_state() -> None:
     print("state of one host, bytes")
-    for name, size in measure_state(340, 20, 100_000).items():
+    for name, size in measure_state(340, 8, 1_100).items():
         print(f"  {name}: {size:,.0f}")
 
 
