--- a/src/sesameport/fleet/standing_share.py
+++ b/src/sesameport/fleet/standing_share.py
@@ -13,8 +13,10 @@
 _EAGER_ASK_S = 1.0
 # Asks whose grant is still accepted. A grant may wait for a platform write.
 _OPEN_ASKS = 64
-# The return of a share is sent this often, because it has no answer.
-_LEAVING_SENDS = 3
+# The return of a share is repeated until it is answered, at most this often. A host
+# that shuts down does not wait longer for an owner that it cannot reach.
+_LEAVING_SENDS = 8
+_LEAVING_PERIOD_S = 0.25
 
 
 @attrs.define
@@ -30,6 +32,7 @@
     cfg: ShareSettings
     millionths: int = 0
     has_left: bool = False
+    is_answered: bool = True
     _epoch: int = 0
     _number: int = 0
     _reported: tuple[int, int] = (0, 0)
@@ -37,8 +40,9 @@
     _asks: dict[int, float] = attrs.field(factory=dict)
     _next_ask_id: int = 1
     _next_ask_at: float = float("-inf")
+    _idle_s: float = 0.0
     _stopped: bool = False
-    _leaving_sends: int = 0
+    _leaving_asks: set[int] = attrs.field(factory=set)
 
     def size(self, limit: Limit) -> tuple[float, float]:
         """Return rate and capacity of the standing bucket of a workspace."""
@@ -53,6 +57,8 @@
     def adopt(self, grant: StandingGrant, now: float) -> bool:
         """Put a grant in force; True when the share changed."""
         sent_at = self._asks.pop(grant.ask_id, None)
+        if grant.ask_id in self._leaving_asks:
+            self.has_left = True
         if sent_at is None or self._stopped:
             return False
         if (grant.epoch, grant.number) <= (self._epoch, self._number):
@@ -63,9 +69,18 @@
         changed = grant.millionths != self.millionths
         self._epoch, self._number = grant.epoch, grant.number
         self.millionths = grant.millionths
+        self._idle_s = grant.idle_s
         self._until = max(self._until, until)
         return changed
 
+    def is_ask_due(self, now: float) -> bool:
+        """Tell whether the next `tick` may return an ask."""
+        return now >= self._next_ask_at and not self.has_left
+
+    def idle_s(self) -> float:
+        """Return the time for which the rate may be passed on, seconds."""
+        return self._idle_s if self.millionths else 0.0
+
     def expire(self, now: float) -> bool:
         """Drop the share when its lease has passed; True when it did."""
         if not self.millionths or now < self._until:
@@ -79,7 +94,14 @@
         self.millionths = 0
         self._next_ask_at = float("-inf")
 
-    def tick(self, now: float, fits: bool, is_leaving: bool) -> StandingAsk | None:
+    def tick(
+        self,
+        now: float,
+        fits: bool,
+        is_leaving: bool,
+        idle_digest: int = 0,
+        busy: tuple[str, ...] = (),
+    ) -> StandingAsk | None:
         """Return the ask that is due, if any.
 
         Parameters
@@ -91,20 +113,26 @@
             the grant reported as adopted, because the owner gives away the rest.
         is_leaving : bool
             Whether the share is to be given back.
+        idle_digest : int
+            Digest of the workspaces whose buckets are paused; 0 if none is.
+        busy : tuple of str
+            Workspaces of the digest that are not paused.
         """
         if fits:
             self._reported = (self._epoch, self._number)
-        if now < self._next_ask_at or self.has_left or (is_leaving and not fits):
+        if not self.is_ask_due(now) or (is_leaving and not fits):
             return None
         self._next_ask_at = now + _EAGER_ASK_S
+        ask_id = self._next_ask_id
         if is_leaving:
-            self._leaving_sends += 1
-            self.has_left = self._leaving_sends >= _LEAVING_SENDS
+            self._next_ask_at = now + _LEAVING_PERIOD_S
+            self._leaving_asks.add(ask_id)
+            self.has_left = len(self._leaving_asks) >= _LEAVING_SENDS
         elif self.millionths and fits:
             self._next_ask_at = now + self.cfg.standing_ask_s
-        ask_id = self._next_ask_id
         self._next_ask_id += 1
         self._asks[ask_id] = now
+        self.is_answered = False
         if len(self._asks) > _OPEN_ASKS:
             del self._asks[next(iter(self._asks))]
         return StandingAsk(
@@ -113,4 +141,8 @@
             adopted_epoch=self._reported[0],
             adopted_number=self._reported[1],
             is_leaving=is_leaving,
+            idle_epoch=self._epoch,
+            idle_number=self._number if idle_digest else 0,
+            workspaces_digest=idle_digest,
+            busy=busy,
         )
--- a/src/sesameport/fleet/tests/test_share_rules.py
+++ b/src/sesameport/fleet/tests/test_share_rules.py
@@ -14,12 +14,14 @@
     check_region_bursts,
     check_region_change,
     region_limits,
+    workspaces_digest,
 )
 from sesameport.fleet.share_messages import (
     GrantedLot,
     LotAsk,
     LotGrant,
     LotWant,
+    ShortWorkspace,
     StandingAsk,
     StandingGrant,
 )
@@ -142,10 +144,10 @@
 
 def test_recorded_share_is_lowered_after_the_host_adopted_the_lower_one():
     """Guards against a share that is given to a second host too early."""
-    records = StandingRecords("svc", 7200.0, 0.02)
+    records = StandingRecords("svc", 7200.0, 0.02, idle_s=12.0)
     records.start("", 3, 0.0)
     records.handle("h", "h1", StandingAsk("svc", 1), 0.0)
-    [(_, first)] = records.confirm(records.body())
+    [(_, first)] = records.confirm(records.body(), 0.0)
     assert first.millionths == MILLION
     records.handle("k", "k1", StandingAsk("svc", 1), 1.0)
     lower = records.handle("h", "h1", StandingAsk("svc", 2, 3, first.number), 2.0)
@@ -159,7 +161,7 @@
 
 
 def test_ask_that_arrives_after_the_return_records_nothing():
-    records = StandingRecords("svc", 7200.0, 0.02)
+    records = StandingRecords("svc", 7200.0, 0.02, idle_s=12.0)
     records.start("", 1, 0.0)
     records.handle("h", "h1", StandingAsk("svc", 2, is_leaving=True), 0.0)
     assert records.handle("h", "h1", StandingAsk("svc", 1), 0.1) is None
@@ -183,8 +185,8 @@
 def test_standing_share_is_not_used_after_its_lease():
     """Guards against a paused host that spends before its next tick."""
     shares = standing_holder()
-    assert isinstance(shares.charge("w", 100.0, 7199.0), Admitted)
-    assert not isinstance(shares.charge("w", 100.0, 7200.1), Admitted)
+    assert isinstance(shares.charge("w", 100.0, 7199.0, may_wait=False), Admitted)
+    assert not isinstance(shares.charge("w", 100.0, 7200.1, may_wait=False), Admitted)
 
 
 def test_refund_does_not_pass_through_a_full_bucket():
@@ -197,15 +199,63 @@
     assert lender.refund(300.0, 21.0, 21.5) == pytest.approx(300.0)
 
 
+def test_lent_lot_counts_until_it_is_over_on_the_slowest_clock():
+    lender = Lender(100.0, 1000.0, 0.0, CFG.drift)
+    assert lender.lend(1, 400.0, 8.0, 10.0) == 400.0
+    longest = 8.0 * (1 + CFG.drift) / (1 - CFG.drift)
+    lender.advance(10.0 + longest)
+    assert (lender.lent, lender.level) == (400.0, 600.0)
+    lender.take_back(1, 0.0, 11.0 + longest)
+    assert lender.lent == 0.0 and lender.level < 700.0
+
+
+def test_passed_rate_falls_with_the_share_that_passed_it():
+    """Guards against a pool that earns a rate which another host was given."""
+    lender = Lender(0.0, 1e9, 0.0, 0.0)
+    lender.pass_rate("h1", 100.0, 50.0, 0.0)
+    lender.limit_passed("h1", 200.0, 10.0)
+    lender.limit_passed("h1", 40.0, 20.0)
+    lender.advance(30.0)
+    assert lender.level == pytest.approx(20 * 100.0 + 10 * 40.0)
+    lender.advance(90.0)
+    assert lender.level == pytest.approx(20 * 100.0 + 30 * 40.0)
+
+
+def test_lots_of_a_removed_workspace_count_when_it_is_added_again():
+    node, _, now = owning_node()
+    now += 8.0 - 4.0
+    pool = node.owner.lenders["w"]
+    node.receive(OTHER, LotAsk("svc", 1, (LotWant("w", 500.0),)), now)
+    node.set_limits({}, now)
+    node.set_limits(LIMITS, now)
+    assert node.owner.lenders["w"].lent == pool.lent > 0.0
+    shares = standing_holder()
+    ask = LotAsk("svc", 1, (LotWant("w", 500.0),), from_standing=True)
+    shares.handle_lot_ask(OTHER, ask, 8.0)
+    shares.set_limits({}, 8.0)
+    shares.set_limits(LIMITS, 8.0)
+    assert shares.workspaces["w"].standing.lent == 500.0
+
+
 def test_excess_becomes_debt_that_the_next_charge_pays():
     shares = standing_holder()
-    receipt = shares.charge("w", 1000.0, 8.0).receipt
+    receipt = shares.charge("w", 1000.0, 8.0, may_wait=False).receipt
     assert shares.settle(receipt, 1600.0, 8.0) == 0.0
-    assert not isinstance(shares.charge("w", 500.0, 8.0), Admitted)
-    assert isinstance(shares.charge("w", 300.0, 8.0), Admitted)
+    assert not isinstance(shares.charge("w", 500.0, 8.0, may_wait=False), Admitted)
+    assert isinstance(shares.charge("w", 300.0, 8.0, may_wait=False), Admitted)
     assert shares.workspaces["w"].debt == 0.0
 
 
+def test_pool_is_asked_before_the_standing_bucket_is_spent():
+    """Guards against a standing bucket that is empty when the owner is cut off."""
+    shares = standing_holder()
+    assert isinstance(shares.charge("w", 100.0, 8.0), LotsNeeded)
+    [(_, ask)] = shares.flush(8.0)
+    short = (ShortWorkspace("w", 1.0),)
+    shares.handle_grant(OWNER, LotGrant("svc", ask.ask_id, "h1", short=short), 8.01)
+    assert isinstance(shares.charge("w", 100.0, 8.01), Admitted)
+
+
 def test_request_above_the_burst_is_refused_for_good():
     assert borrower().charge("w", 8001.0, 0.0) == RateRefused(None)
 
@@ -245,13 +295,71 @@
         for other in fleet.hosts:
             fleet.network.cut |= {(host.name, other.name), (other.name, host.name)}
     answers = []
-    for _ in range(8):
+    for _ in range(24):
         fleet.hosts[3].charge("w", 700.0, 0.05, answers.append)
         fleet.queue.run_until(fleet.queue.now + 1.0)
+    # Two full buckets of 500 tokens are left, and 125 tokens/s after the pause.
+    assert sum(1 for receipt in answers[:3] if receipt is not None) == 1
     assert sum(1 for receipt in answers if receipt is not None) >= 2
     assert fleet.overdraft("w", 1000.0, 8000.0) <= 1e-3
 
 
+def passing(elapsed, **changes):
+    """Let one host pass its rate; return the pool's gain in that time."""
+    node, platform, now = owning_node()
+    node.receive(OTHER, StandingAsk("svc", 1), now)
+    [grant] = [m for t, m in run_tick(node, platform, now + 1.0) if t == "h"]
+    ask = StandingAsk(
+        "svc", 2, 1, grant.number, idle_epoch=1, idle_number=grant.number,
+        workspaces_digest=workspaces_digest(LIMITS),
+    )  # fmt: skip
+    node.receive(OTHER, attrs.evolve(ask, **changes), now + 3.0)
+    pool = node.owner.lenders["w"]
+    pool.take(8000.0, now + 3.0)
+    pool.capacity = 1e9
+    pool.advance(now + 3.0 + elapsed)
+    return pool.level - elapsed * pool.rate_per_s
+
+
+def test_pool_earns_a_passed_rate_until_the_grant_is_too_old():
+    """Guards against two hosts that earn the same rate at one time."""
+    share = 250.0 / (1 + CFG.drift)
+    assert passing(5.0) == pytest.approx(5.0 * share)
+    assert passing(30.0) == pytest.approx((CFG.idle_s - 2.0) * share)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"busy": ("w",)},
+        {"idle_number": 99},
+        {"idle_epoch": 9},
+        {"workspaces_digest": 1},
+        {"is_leaving": True},
+    ],
+    ids=lambda changes: next(iter(changes)),
+)
+def test_pool_earns_no_rate_that_is_not_passed(changes):
+    assert passing(5.0, **changes) == pytest.approx(0.0)
+
+
+def test_host_pauses_for_longer_than_the_pool_earns():
+    shares = standing_holder(attrs.evolve(CFG, standing_ask_s=1.0))
+    grant = StandingGrant("svc", 1, "h1", 1, 2, MILLION, 7200.0, CFG.idle_s)
+    [(_, first)] = shares.tick(20.0)
+    shares.handle_standing_grant(OWNER, attrs.evolve(grant, ask_id=first.ask_id), 20.0)
+    [(_, ask)] = shares.tick(22.0)
+    assert (ask.idle_epoch, ask.idle_number, ask.busy) == (1, 2, ())
+    longest = CFG.idle_s * (1 + CFG.drift) / (1 - CFG.drift)
+    standing = shares.workspaces["w"].standing
+    standing.take(1000.0, 22.0)
+    standing.advance(22.0 + longest)
+    assert standing.level == pytest.approx(1000.0)
+    shares.tick(22.0 + longest)
+    standing.advance(22.0 + longest + 1.1)
+    assert standing.level > 1100.0
+
+
 def test_leaving_host_gives_back_its_standing_share():
     fleet = fast_fleet()
     fleet.queue.run_until(60.0)
@@ -264,6 +372,19 @@
     assert shares == [500_000, 500_000, 0]
 
 
+def test_leaving_owner_gives_back_its_own_standing_share():
+    """Guards against a share that is returned to an owner that just resigned."""
+    fleet = fast_fleet()
+    fleet.queue.run_until(60.0)
+    owner = next(h for h in fleet.hosts if h.node.owner.is_owner(h.now))
+    assert owner.node.shares.standing.millionths > 300_000
+    owner.node.leave(owner.now)
+    assert owner.node.shares.standing.has_left
+    fleet.queue.run_until(130.0)
+    shares = [h.node.shares.standing.millionths for h in fleet.hosts if h is not owner]
+    assert shares == [500_000, 500_000]
+
+
 def document(*shares, burst=8000.0):
     return ServiceDocument(
         "svc",
