Step down before any message that follows a pause

After a pause the first thing the Fleet actor handled could be a message on configuration or a read, while only membership looked for a late tick. The actor now checks before every message; a test moves the clock by 60 s and sees the step-down before the answer.

--- a/src/sesameport/daemon/fleet_actor.py
+++ b/src/sesameport/daemon/fleet_actor.py
@@ -79,6 +79,8 @@
     def on_receive(self, message: Any) -> Any:
         """Handle one message; only ``NextRead`` has an answer."""
         now = self._timers.now()
+        # After a pause, whoever holds a role must hear of it before anything is done.
+        self._perform(self._membership.check_pause(now))
         if isinstance(message, Tick):
             self._perform(self._membership.tick(now))
             self._perform(self._configuration.tick(now))
--- a/src/sesameport/daemon/tests/test_fleet_actor.py
+++ b/src/sesameport/daemon/tests/test_fleet_actor.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from result import Err
 
 from sesameport.adapters import HttpPlatform, TimerService
 from sesameport.adapters.peer_link import ZmqPeerLink
@@ -10,7 +11,8 @@
 from sesameport.daemon.fleet_handle import FleetHandle
 from sesameport.daemon.fleet_messages import FleetOptions
 from sesameport.daemon.fleet_view import FleetTopic
-from sesameport.interfaces import Sender
+from sesameport.fleet.peer_messages import DigestAsk
+from sesameport.interfaces import PlatformError, PlatformErrorKind, Sender
 from sesameport.standins.platform import PlatformStandin
 from sesameport.world import Host
 
@@ -135,6 +137,71 @@
     assert wait_for(lambda: [(d.host, d.reason) for d in late.view().gone] == [gone])
 
 
+class ManualTimers:
+    """Hold the time and call subscribers only when told."""
+
+    def __init__(self):
+        self.time = 100.0
+        self.callbacks = []
+
+    def now(self):
+        return self.time
+
+    def subscribe(self, _name, _period_s, callback, jitter=0.1):
+        self.callbacks.append(callback)
+
+
+class RecordingLink:
+    """Record sends and hand messages to subscribers."""
+
+    def __init__(self, events):
+        self.events = events
+        self.callbacks = {}
+
+    def send(self, _host, message):
+        self.events.append(type(message).__name__)
+
+    def subscribe(self, message_type, callback):
+        self.callbacks[message_type] = callback
+
+
+class LostPlatform:
+    """Fail every read."""
+
+    def hosts(self):
+        return Err(PlatformError(PlatformErrorKind.UNAVAILABLE))
+
+    def list(self, _kind):
+        return self.hosts()
+
+
+def test_paused_host_steps_down_before_it_answers_any_message():
+    """Guards against a role used between a pause and the late timer tick."""
+    events = []
+    timers, link = ManualTimers(), RecordingLink(events)
+    host = Host("h0", "rajkot-a")
+    subscribers = [
+        (FleetTopic.STEPPED_DOWN, lambda view: events.append("stepped-down"))
+    ]
+    fleet = FleetHandle(
+        FleetOptions(host, "i", CENTRES),
+        LostPlatform(),
+        link,
+        timers,
+        lambda hosts: None,
+        subscribers=subscribers,
+    )
+    sender = Sender("h1", "i1", "rajkot-a")
+    timers.callbacks[0](timers.time)
+    link.callbacks[DigestAsk](sender, DigestAsk(1, ""))
+    assert wait_for(lambda: events == ["DigestAnswer"])
+    timers.time += 60
+    link.callbacks[DigestAsk](sender, DigestAsk(2, ""))
+    assert wait_for(lambda: len(events) == 3)
+    assert events == ["DigestAnswer", "stepped-down", "DigestAnswer"]
+    fleet.stop()
+
+
 def test_document_of_another_name_or_encoding_is_a_finding():
     assert check_document("stock", text("one"))[1] == []
     assert "differs" in check_document("other", text("one"))[1][0].message
--- a/src/sesameport/fleet/membership.py
+++ b/src/sesameport/fleet/membership.py
@@ -172,6 +172,10 @@
 
     # -- events ---------------------------------------------------------------
 
+    def check_pause(self, now: float) -> list:
+        """Step down if this host was paused; call it before any other work."""
+        return self._note_pause(now)
+
     def merge_list(self, hosts: tuple[Host, ...], now: float) -> list:
         """Merge the platform's list of hosts."""
         effects = self._note_pause(now)
