--- a/src/sesameport/adapters/__init__.py
+++ b/src/sesameport/adapters/__init__.py
@@ -9,6 +9,8 @@
     Bulkheads,
 )
 from sesameport.adapters.engine import HttpEngine, HttpTokenStream
+from sesameport.adapters.peer_connections import PeerLinkCounters
+from sesameport.adapters.peer_link import ZmqPeerLink
 from sesameport.adapters.plain import HttpPlainService
 from sesameport.adapters.platform import HttpPlatform
 from sesameport.adapters.timers import TimerService
@@ -24,5 +26,7 @@
     "HttpPlainService",
     "HttpPlatform",
     "HttpTokenStream",
+    "PeerLinkCounters",
     "TimerService",
+    "ZmqPeerLink",
 ]
