--- a/src/sesameport/daemon/tests/test_whole_path.py
+++ b/src/sesameport/daemon/tests/test_whole_path.py
@@ -59,6 +59,7 @@
     def call(i):
         prompt = f"Note {i} " * (i * 7 + 1)
         answer = complete(daemons[i % 3], prompt, 6 + i % 5, stream=bool(i % 2))
+        assert answer.status == 200, answer.data
         if i % 2:
             return stream_texts(answer) == (expected_tokens(prompt, 6 + i % 5), True)
         text = answer.json()["choices"][0]["text"]
