--- a/src/sesameport/adapters/tests/measure_bulkheads.py
+++ b/src/sesameport/adapters/tests/measure_bulkheads.py
@@ -35,7 +35,8 @@
         places = bulkheads.of_server(centre, "desk", "plain")
         services[centre] = BulkheadPlainService(service, places)
     standins["c"].faults.delay_s = SLOW_S if slow else 0.0
-    rng, latencies, refused = random.Random(5), [], 0
+    rng, latencies = random.Random(5), []
+    refused = {"others": 0, "c": 0}
     pool = concurrent.futures.ThreadPoolExecutor(THREADS)
 
     def call(centre: str, due: float) -> tuple[str, float, bool]:
@@ -53,7 +54,7 @@
         futures.append(pool.submit(call, rng.choice(CENTRES), due))
     for fut in futures:
         centre, latency, answered = fut.result()
-        refused += not answered
+        refused["c" if centre == "c" else "others"] += not answered
         if centre != "c":
             latencies.append(latency)
     pool.shutdown()
