--- a/src/sesameport/daemon/tests/test_recovery.py
+++ b/src/sesameport/daemon/tests/test_recovery.py
@@ -4,7 +4,6 @@
 import threading
 import time
 
-import attrs
 import pytest
 import urllib3
 
@@ -34,7 +33,11 @@
         "rajkot-a",
         requests=RequestSettings(silent_s=0.5),
     )
-    daemon = Daemon(attrs.evolve(cfg)).start()
+    daemon = Daemon(cfg).start()
+    wait_until(lambda: complete(daemon, "Ready", 1).status == 200)
+    wait_until(lambda: order_route_ready(daemon))
+    for engine in deployment.engines.values():
+        engine.runs.clear()
     yield deployment, daemon
     for engine in deployment.engines.values():
         engine.faults.down = engine.faults.stall_transfers = False
@@ -42,6 +45,12 @@
     deployment.stop()
 
 
+def order_route_ready(daemon):
+    url = f"http://{daemon.http.address}/stock/hide"
+    headers = {"Authorization": f"Bearer {DESK_KEY}"}
+    return urllib3.request("GET", url, headers=headers).status == 200
+
+
 def in_background(prompt, count, daemon):
     answers = []
     call = threading.Thread(
