--- a/src/sesameport/daemon/cluster.py
+++ b/src/sesameport/daemon/cluster.py
@@ -20,7 +20,6 @@
 from sesameport.daemon.fleet_handle import FleetHandle
 from sesameport.daemon.fleet_messages import FleetOptions
 from sesameport.daemon.fleet_view import FleetTopic, FleetView
-from sesameport.daemon.request_parts import FleetKnowledge
 from sesameport.daemon.shares_actor import (
     LeaveShares,
     MembersKnown,
@@ -28,7 +27,6 @@
     StepDown,
     start_shares,
 )
-from sesameport.daemon.sweep_view import is_owner_gone, members_for_sweep
 from sesameport.documents import Settings
 from sesameport.fleet.membership import MembershipSettings
 from sesameport.fleet.pacing import CallPacer
@@ -150,15 +148,6 @@
             subscribers,
         )
 
-    def fleet_knowledge(self) -> FleetKnowledge:
-        """Return what the sweep and the claims ask about other hosts."""
-        view, home = self.fleet.view, self.sender.data_centre
-        return FleetKnowledge(
-            lambda: members_for_sweep(view()),
-            lambda: view().alive.get(home, ()),
-            lambda owner: is_owner_gone(view(), owner),
-        )
-
     def send_to_data_centre(self, message) -> None:
         """Send a message to every other live host of this data centre."""
         for name in self.fleet.view().alive.get(self.sender.data_centre, ()):
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -25,6 +25,7 @@
 from sesameport.daemon.load_poller import LoadPoller, choose_subset
 from sesameport.daemon.request_parts import RequestParts
 from sesameport.daemon.shutdown import Drain
+from sesameport.daemon.sweep_view import fleet_knowledge
 from sesameport.documents import Settings
 from sesameport.requests import HoldOwner, RetryBudget
 from sesameport.routing import Router, RouterConfig
@@ -97,7 +98,7 @@
             self.backends,
             self.cluster.platform,
             self._dispatcher,
-            self.cluster.fleet_knowledge(),
+            fleet_knowledge(self.cluster.fleet.view, cfg.host.data_centre),
         )
         services = RunnerServices(
             self._dispatcher,
--- a/src/sesameport/daemon/sweep_view.py
+++ b/src/sesameport/daemon/sweep_view.py
@@ -1,9 +1,12 @@
 """Read from the fleet's view what the sweep and the claims need to know."""
 
+from collections.abc import Callable
+
 from sesameport.daemon.fleet_view import FleetView
+from sesameport.daemon.request_parts import FleetKnowledge
 from sesameport.requests import Member
 
-__all__ = ["is_owner_gone", "members_for_sweep"]
+__all__ = ["fleet_knowledge", "is_owner_gone", "members_for_sweep"]
 
 
 def members_for_sweep(view: FleetView) -> dict[str, Member]:
@@ -35,3 +38,14 @@
     """Tell whether ``<host>.<incarnation>`` certainly ended."""
     host, _, incarnation = owner.rpartition(".")
     return any((d.host, d.incarnation) == (host, incarnation) for d in view.gone)
+
+
+def fleet_knowledge(
+    read_view: Callable[[], FleetView], data_centre: str
+) -> FleetKnowledge:
+    """Answer the questions of the sweep and the claims from the newest view."""
+    return FleetKnowledge(
+        lambda: members_for_sweep(read_view()),
+        lambda: read_view().alive.get(data_centre, ()),
+        lambda owner: is_owner_gone(read_view(), owner),
+    )
