--- /dev/null
+++ b/src/sesameport/routing/messages.py
@@ -0,0 +1,93 @@
+"""Define what the router decides and how it is set up."""
+
+import attrs
+
+from sesameport.world import BackendServer, Refusal
+
+__all__ = ["Expired", "PairingPolicy", "Placement", "RouterConfig"]
+
+
+@attrs.frozen
+class PairingPolicy:
+    """Set the measures against herding; the bench switches them off one by one.
+
+    Attributes
+    ----------
+    candidates : int
+        Servers sampled per role and decision.
+    count_own : bool
+        Whether own dispatches since the report's moment are counted.
+    plan_start : bool
+        Whether a prefill waits until a slot and a link share are expected.
+    share_slots : bool
+        Whether a host takes only its share of the slots that a stale report shows.
+    greed : float
+        Multiple of the host's even share of free slots that it may take.
+    over_commit : float
+        Requests per decode server, over all hosts, that may arrive above its slots.
+    relax_s : float
+        Time constant with which the headroom follows the reported free slots; about
+        the report's lag plus one prefill, seconds.
+    near_equal_s : float
+        Expected first tokens closer than this are chosen among at random, seconds.
+    max_backlog_s : float
+        Prefill backlog above which patient requests wait in the router, seconds.
+    """
+
+    candidates: int = 4
+    count_own: bool = True
+    plan_start: bool = True
+    share_slots: bool = True
+    greed: float = 2.0
+    over_commit: float = 1.0
+    relax_s: float = 0.4
+    near_equal_s: float = 0.03
+    max_backlog_s: float = 0.3
+
+
+@attrs.frozen
+class RouterConfig:
+    """Bound the router. ``data_centre`` is that of the host that decides.
+
+    Attributes
+    ----------
+    max_waiting, max_waiting_per_workspace : int
+        Bounds of the queue of one service, requests.
+    hosts : int
+        Hosts that place work on the same servers.
+    remote_latency_s : float
+        One-way latency to another data centre, seconds.
+    """
+
+    data_centre: str
+    max_waiting: int = 400
+    max_waiting_per_workspace: int = 200
+    hosts: int = 9
+    remote_latency_s: float = 0.0015
+    policy: PairingPolicy = PairingPolicy()
+
+
+@attrs.frozen
+class Placement:
+    """Say where a request runs and when its prefill starts (monotonic seconds).
+
+    ``ticket`` identifies the reservation inside the router, ``priority`` is passed to
+    engines (lower first) and ``reason`` is text for decision records.
+    """
+
+    request_id: str
+    prefill: BackendServer
+    decode: BackendServer
+    start_at: float
+    ticket: int = 0
+    priority: int = 0
+    kv_bytes: int = 0
+    reason: str = ""
+
+
+@attrs.frozen
+class Expired:
+    """Say that a waiting request is refused before it ran."""
+
+    request_id: str
+    refusal: Refusal
--- /dev/null
+++ b/src/sesameport/routing/pairing.py
@@ -0,0 +1,224 @@
+"""Choose prefill server, decode server and start time in one decision.
+
+A prefill result lives for under a second, so a prefill starts only when a decode slot
+and a share of the link are expected free as it ends.
+"""
+
+import random
+
+import attrs
+
+from sesameport.routing.cache_view import CacheView
+from sesameport.routing.candidates import ServerIndex
+from sesameport.routing.links import LinkShares
+from sesameport.routing.load_view import LoadView, ServerLoad
+from sesameport.routing.messages import RouterConfig
+from sesameport.world import CompletionRequest, Urgency
+
+__all__ = ["NotYet", "Pair", "Pairing"]
+
+# A slot may become free this long after the prefill ends without risk to the result.
+_SLOT_SLACK_S = 0.15
+# Transfers longer than this leave no room for a retry within the result's lifetime.
+_MAX_TRANSFER_S = 0.5
+_LATER_S = (0.05, 0.1, 0.2, 0.4)
+# A start this close is decided now; a later one is decided again with newer reports.
+_START_HORIZON_S = 0.02
+_HOLDERS = 2
+_PREFILLS_COMPARED = 2
+_BUSY_RETRY_S = 0.03
+# Prefer the own data centre over an equal server elsewhere by more than the latency:
+# remote work loads the shared links.
+_REMOTE_PENALTY_S = 0.02
+
+
+@attrs.frozen
+class NotYet:
+    """Say that a request cannot start now, and when to decide again."""
+
+    at: float
+    reason: str
+
+
+@attrs.frozen
+class Pair:
+    """Hold one choice, with the expected times in monotonic seconds."""
+
+    prefill: str
+    decode: str
+    start_at: float
+    prefill_end: float
+    first_token: float
+    work_tokens: float
+    reason: str = ""
+
+
+@attrs.frozen
+class _Prefill:
+    name: str
+    data_centre: str
+    end: float
+    backlog_s: float
+    work_tokens: float
+    cost: float
+
+
+@attrs.define
+class Pairing:
+    """Decide on pairs of servers from the views of one host."""
+
+    cfg: RouterConfig
+    loads: LoadView
+    cache: CacheView
+    links: LinkShares
+    index: ServerIndex
+    rng: random.Random
+
+    def choose(
+        self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
+    ) -> Pair | NotYet:
+        """Choose a pair for a request, or say when to decide again."""
+        count = self.cfg.policy.candidates
+        usable = self._usable(exclude, now)
+        names = self.index.sample(req.service, "prefill", count, usable, self.rng)
+        for name in self.cache.holders(req.prefix_digests, _HOLDERS):
+            if name not in names and self._holds_role(name, req.service, usable):
+                names.append(name)
+        decodes = self.index.sample(req.service, "decode", count, usable, self.rng)
+        if not names or not decodes:
+            return NotYet(now + _LATER_S[-1], "no usable server")
+        prefills = sorted(
+            (self._prefill(name, req, now) for name in names), key=lambda p: p.cost
+        )
+        prefills = self._shuffle_near_equal(prefills)[:_PREFILLS_COMPARED]
+        if self.cfg.policy.plan_start and self._backlogged(prefills[0], req, now):
+            later = max(prefills[0].backlog_s - self.cfg.policy.max_backlog_s, 0.01)
+            return NotYet(now + later, "prefill backlog")
+        return self._best(req, prefills, decodes, now)
+
+    def choose_decode(
+        self, req: CompletionRequest, source: str, now: float, exclude=frozenset()
+    ) -> tuple[str, float] | None:
+        """Choose a decode server for a live prefill result, and when to try it.
+
+        ``source`` is the data centre of the result. A try costs little and the result
+        expires soon, so a server is tried even when no slot is expected; one that was
+        busy a moment ago is tried again after a short randomised pause.
+        """
+        count = self.cfg.policy.candidates
+        usable = self._usable(exclude, now)
+        names = self.index.sample(req.service, "decode", count, usable, self.rng)
+        best = None
+        for name in names:
+            load = self.loads.servers[name]
+            ready = now
+            if load.last_busy + _BUSY_RETRY_S > now:
+                ready = now + _BUSY_RETRY_S * self.rng.uniform(0.7, 1.3)
+            target = load.server.data_centre
+            cost = ready - now
+            cost += self.links.transfer_s(source, target, req.kv_bytes, now)
+            cost -= 0.02 * max(-2.0, min(2.0, self.loads.free_slots(load)))
+            cost += self.rng.uniform(0, self.cfg.policy.near_equal_s)
+            if best is None or cost < best[0]:
+                best = (cost, name, ready)
+        return None if best is None else best[1:]
+
+    def _best(self, req, prefills, decodes, now) -> Pair | NotYet:
+        pairs: list[tuple[float, Pair]] = []
+        again, reason = now + _LATER_S[-1], "no decode slot expected"
+        for prefill in prefills:
+            for name in decodes:
+                load = self.loads.servers[name]
+                transfer = self._transfer_s(prefill, load, req, now)
+                if transfer > _MAX_TRANSFER_S and self.cfg.policy.plan_start:
+                    reason = "link share too small"
+                    continue
+                wait = self._slot_wait(load, prefill.end, now)
+                if wait is None:
+                    continue
+                if wait > _START_HORIZON_S:
+                    again = min(again, now + wait)
+                    continue
+                first = prefill.end + wait + transfer
+                cost = first + self._distance(load) + prefill.cost - prefill.end
+                pair = Pair(
+                    prefill.name,
+                    name,
+                    now + wait,
+                    prefill.end + wait,
+                    first,
+                    prefill.work_tokens,
+                )
+                pairs.append((cost, pair))
+        if not pairs:
+            return NotYet(again, reason)
+        return self._explained(self._pick(pairs), now, len(pairs))
+
+    def _pick(self, pairs) -> Pair:
+        least = min(cost for cost, _ in pairs)
+        bound = least + self.cfg.policy.near_equal_s
+        return self.rng.choice([pair for cost, pair in pairs if cost <= bound])
+
+    def _explained(self, pair: Pair, now: float, count: int) -> Pair:
+        load = self.loads.servers[pair.decode]
+        reason = (
+            f"prefill ends in {pair.prefill_end - now:.3f} s, first token in "
+            f"{pair.first_token - now:.3f} s, free slots {self.loads.free_slots(load)}"
+            f" by a report of age {load.age(now):.2f} s, {count} pairs compared"
+        )
+        return attrs.evolve(pair, reason=reason)
+
+    def _slot_wait(self, load: ServerLoad, end: float, now: float) -> float | None:
+        if self.loads.slot_expected(load, now, end + _SLOT_SLACK_S):
+            return 0.0
+        for later in _LATER_S:
+            if self.loads.slot_expected(load, now, end + _SLOT_SLACK_S + later):
+                return later
+        return None
+
+    def _prefill(self, name: str, req: CompletionRequest, now: float) -> _Prefill:
+        load = self.loads.servers[name]
+        cached = self.cache.cached_tokens(name, req.prefix_digests)
+        work = max(1.0, req.prompt_tokens - cached)
+        backlog = self.loads.backlog_s(load, now)
+        distance = self._distance(load)
+        end = now + backlog + work / load.speed
+        return _Prefill(
+            name, load.server.data_centre, end, backlog, work, end + distance
+        )
+
+    def _backlogged(self, prefill: _Prefill, req, now: float) -> bool:
+        if req.urgency == Urgency.URGENT:
+            # Engines serve urgent prefills first, so the backlog matters less.
+            return prefill.backlog_s > 2 * self.cfg.policy.max_backlog_s
+        return prefill.backlog_s > self.cfg.policy.max_backlog_s
+
+    def _transfer_s(self, prefill: _Prefill, load: ServerLoad, req, now) -> float:
+        if prefill.name == load.server.name:
+            return 0.0
+        target = load.server.data_centre
+        return self.links.transfer_s(prefill.data_centre, target, req.kv_bytes, now)
+
+    def _distance(self, load: ServerLoad) -> float:
+        if load.server.data_centre == self.cfg.data_centre:
+            return 0.0
+        return 2 * self.cfg.remote_latency_s + _REMOTE_PENALTY_S
+
+    def _shuffle_near_equal(self, prefills: list[_Prefill]) -> list[_Prefill]:
+        bound = prefills[0].cost + self.cfg.policy.near_equal_s
+        near = [item for item in prefills if item.cost <= bound]
+        self.rng.shuffle(near)
+        return near + prefills[len(near) :]
+
+    def _usable(self, exclude, now):
+        def usable(name: str) -> bool:
+            load = self.loads.servers.get(name)
+            return load is not None and name not in exclude and load.usable(now)
+
+        return usable
+
+    def _holds_role(self, name: str, service: str, usable) -> bool:
+        load = self.loads.servers.get(name)
+        if load is None or not usable(name):
+            return False
+        return load.server.service == service and load.server.can_prefill()
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -3,137 +3,362 @@
 The router is pure: every method takes the monotonic time and returns messages.
 """
 
+import itertools
 import random
+from collections import OrderedDict
+from collections.abc import Iterator
 
 import attrs
 
 from sesameport.interfaces import CacheEvents, LoadReport
+from sesameport.routing.cache_view import CacheView
+from sesameport.routing.candidates import ServerIndex
+from sesameport.routing.links import LinkShares
+from sesameport.routing.load_view import LoadView
+from sesameport.routing.messages import Expired, Placement, RouterConfig
+from sesameport.routing.pairing import NotYet, Pair, Pairing
+from sesameport.routing.waiting import WaitingOrder
 from sesameport.world import (
     BackendServer,
     CompletionRequest,
+    LatencyTargets,
+    PlainRequest,
     Refusal,
     RefusalType,
-    ServerState,
     ServiceDocument,
+    Urgency,
 )
 
 __all__ = ["Expired", "Placement", "Router", "RouterConfig"]
 
-
-@attrs.frozen
-class RouterConfig:
-    """Bound the router. ``data_centre`` is that of the host that decides."""
-
-    data_centre: str
-    max_waiting: int = 400
-
-
-@attrs.frozen
-class Placement:
-    """Say where a request runs and when its prefill starts (monotonic seconds)."""
-
-    request_id: str
-    prefill: BackendServer
-    decode: BackendServer
-    start_at: float
-
-
-@attrs.frozen
-class Expired:
-    """Say that a waiting request is refused before it ran."""
-
-    request_id: str
-    refusal: Refusal
+_POLL_S = 0.01
+_HEADS_PER_POLL = 16
+# Failed placements in one poll after which the rest of the queue is not tried.
+_FAILURES_PER_POLL = 4
+_REASONS_KEPT = 2_000
+_PATIENT_PRIORITY = 1
+_SLOWEST_SPEED_SHARE = 0.8
+_NO_TARGETS = LatencyTargets()
 
 
 @attrs.define
 class Router:
-    """Hold the waiting requests and the knowledge of backend servers."""
+    """Hold the waiting requests and the knowledge of backend servers.
+
+    The router counts every placement until ``prefill_ended`` and ``decode_ended`` were
+    called for it. Both may be called more than once.
+    """
 
     cfg: RouterConfig
     rng: random.Random
     _servers: dict[str, BackendServer] = attrs.field(factory=dict)
     _documents: dict[str, ServiceDocument] = attrs.field(factory=dict)
-    _waiting: list[CompletionRequest] = attrs.field(factory=list)
-    _decoding: dict[str, int] = attrs.field(factory=dict)
-    _prefilling: dict[str, int] = attrs.field(factory=dict)
+    _orders: dict[str, WaitingOrder] = attrs.field(factory=dict)
+    _retry_at: dict[str, float] = attrs.field(factory=dict)
+    _tickets: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+    _last: OrderedDict[str, Placement] = attrs.field(factory=OrderedDict)
+    _reasons: OrderedDict[str, str] = attrs.field(factory=OrderedDict)
+    _plain_calls: dict[str, int] = attrs.field(factory=dict)
+    _cache: CacheView = attrs.field(factory=CacheView)
+    _links: LinkShares = attrs.field(factory=LinkShares)
+    _loads: LoadView = attrs.field(init=False)
+    _index: ServerIndex = attrs.field(init=False)
+    _pairing: Pairing = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the views."""
+        self._loads = LoadView(self.cfg.policy, self.cfg.hosts, self.rng)
+        self._index = ServerIndex(self.cfg.data_centre)
+        self._pairing = Pairing(
+            self.cfg, self._loads, self._cache, self._links, self._index, self.rng
+        )
 
     def set_servers(self, servers, documents, now: float) -> None:
         """Replace the known servers and service documents (by name)."""
+        gone = set(self._servers)
         self._servers = {server.name: server for server in servers}
         self._documents = dict(documents)
+        for name in gone - set(self._servers):
+            self._cache.forget(name)
+        self._loads.set_servers(self._servers.values(), self._documents)
+        self._index.set_servers(self._servers.values())
+        self._links.set_links(
+            link for doc in self._documents.values() for link in doc.links
+        )
+        for name, doc in self._documents.items():
+            weights = {item.name: item.weight for item in doc.workspaces}
+            self._order(name).set_weights(weights)
+
+    def set_hosts(self, count: int) -> None:
+        """Set the number of live hosts that place work on the same servers."""
+        self._loads.hosts = max(1, count)
 
     def report_load(self, report: LoadReport, now: float) -> None:
         """Take in a lagging load report."""
+        self._loads.report(report, now)
 
     def report_cache(self, events: CacheEvents, now: float) -> None:
         """Take in cache events of one server."""
+        self._cache.take(events)
+
+    def report_busy(self, server: str, now: float) -> None:
+        """Note that a decode server answered busy; nothing ran there."""
+        self._loads.busy(server, now)
+
+    def report_failure(self, server: str, now: float) -> None:
+        """Send no new work to a server for a while; it crashed or did not answer."""
+        self._loads.suspect(server, now)
+        self._cache.forget(server)
 
     def enqueue(self, req: CompletionRequest, now: float) -> Refusal | None:
-        """Queue a request, or return a refusal when the queue is full."""
-        if len(self._waiting) >= self.cfg.max_waiting:
-            return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
-        self._waiting.append(req)
+        """Queue a request, or return a true refusal: it has not run."""
+        refusal = self._order(req.service).offer(req, self._target(req), now)
+        if refusal is not None:
+            self._note(req.request_id, f"refused: {refusal.detail}")
+            return refusal
+        self._retry_at[req.service] = now
         return None
 
+    def requeue(self, req: CompletionRequest, now: float) -> None:
+        """Queue a request at the front again, after its placement came to nothing."""
+        self._order(req.service).put_back(req, self._target(req), now)
+        self._retry_at[req.service] = now
+
     def remove(self, request_id: str) -> None:
         """Drop a waiting request."""
-        self._waiting = [r for r in self._waiting if r.request_id != request_id]
+        for order in self._orders.values():
+            if order.remove(request_id):
+                return
 
     def poll(self, now: float) -> list[Placement | Expired]:
-        """Return the requests that start now and those that expired."""
+        """Return the requests that start now and those that expired.
+
+        The cost is bounded: a constant number of requests is tried per service.
+        """
         out: list[Placement | Expired] = []
-        kept = []
-        for req in self._waiting:
-            if req.deadline <= now:
-                out.append(Expired(req.request_id, Refusal(RefusalType.DEADLINE)))
-                continue
-            placement = self.place(req, now)
-            if placement is None:
-                kept.append(req)
-                continue
-            out.append(placement)
-        self._waiting = kept
+        for service, order in self._orders.items():
+            for entry in order.due(now):
+                detail = "no slot became free before the deadline"
+                self._note(entry.req.request_id, f"expired: {detail}")
+                retry = max(1.0, round(order.expected_wait_s(entry.req.workspace), 1))
+                refusal = Refusal(
+                    RefusalType.DEADLINE, detail=detail, retry_after_s=retry
+                )
+                out.append(Expired(entry.req.request_id, refusal))
+            if len(order):
+                self._retry_at[service] = self._poll_order(order, now, out)
         return out
 
+    def next_poll_at(self, now: float) -> float | None:
+        """Return when ``poll`` has something to do; None when nothing waits."""
+        times = []
+        for service, order in self._orders.items():
+            if not len(order):
+                continue
+            times.append(max(now, self._retry_at.get(service, now)))
+            due = order.next_due()
+            if due is not None:
+                times.append(max(now, due))
+        return min(times) if times else None
+
     def place(
         self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
     ) -> Placement | None:
         """Choose servers for a request and count it there; None if none is free."""
-        prefills, decodes = [], []
-        for server in self._servers.values():
-            if server.service != req.service or server.name in exclude:
-                continue
-            if server.state != ServerState.LIVE:
-                continue
-            if server.can_prefill() and self._prefilling.get(server.name, 0) < 4:
-                prefills.append(server)
-            if server.can_decode():
-                if self._decoding.get(server.name, 0) < self._slots(server):
-                    decodes.append(server)
-        if not prefills or not decodes:
+        choice = self._pairing.choose(req, now, exclude)
+        if isinstance(choice, NotYet):
+            self._note(req.request_id, f"waits: {choice.reason}")
             return None
-        prefill = min(prefills, key=lambda s: self._prefilling.get(s.name, 0))
-        decode = min(decodes, key=lambda s: self._decoding.get(s.name, 0))
-        self._count(self._prefilling, prefill.name, 1)
-        self._count(self._decoding, decode.name, 1)
-        return Placement(req.request_id, prefill, decode, now)
+        return self._reserve(req, choice, now)
+
+    def place_decode(
+        self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
+    ) -> Placement | None:
+        """Choose a decode server for a KV handle that is still alive.
+
+        The earlier reservation of the request is released. ``start_at`` is when to try
+        the server: after a busy answer there is a short pause. None means that no
+        decode server is usable.
+        """
+        last = self._last.get(req.request_id)
+        source = last.prefill.data_centre if last else self.cfg.data_centre
+        choice = self._pairing.choose_decode(req, source, now, exclude)
+        if choice is None:
+            return None
+        if last is not None:
+            self.decode_ended(last, now)
+        name, start_at = choice
+        decode = self._servers[name]
+        ticket = next(self._tickets)
+        self._loads.place_decode(
+            ticket, name, req.expected_output_tokens, start_at, now
+        )
+        self._links.begin(ticket, source, decode.data_centre, req.kv_bytes, now)
+        self._loads.start_decode(ticket, start_at)
+        prefill = last.prefill if last else decode
+        reason = f"decode again on {name}, the prefill result is still kept"
+        placement = Placement(
+            req.request_id,
+            prefill,
+            decode,
+            start_at,
+            ticket,
+            self._priority(req),
+            req.kv_bytes,
+            reason,
+        )
+        return self._remember(placement)
+
+    def place_plain(
+        self, req: PlainRequest, now: float, exclude: frozenset[str] = frozenset()
+    ) -> BackendServer | None:
+        """Choose a server of a plain service and count the call there.
+
+        ``plain_ended`` releases it.
+        """
+
+        def usable(name: str) -> bool:
+            load = self._loads.servers[name]
+            return name not in exclude and load.usable(now)
+
+        count = self.cfg.policy.candidates
+        names = self._index.sample(req.service, "plain", count, usable, self.rng)
+        if not names:
+            return None
+
+        def cost(name: str) -> float:
+            away = self._servers[name].data_centre != self.cfg.data_centre
+            return self._plain_calls.get(name, 0) + 0.5 * away
+
+        name = min(names, key=cost)
+        self._plain_calls[name] = self._plain_calls.get(name, 0) + 1
+        return self._servers[name]
+
+    def plain_ended(self, server: str, now: float) -> None:
+        """Release a plain call."""
+        left = self._plain_calls.get(server, 0) - 1
+        if left > 0:
+            self._plain_calls[server] = left
+        else:
+            self._plain_calls.pop(server, None)
 
     def prefill_ended(self, placement: Placement, now: float) -> None:
-        """Release the prefill share of a placement."""
-        self._count(self._prefilling, placement.prefill.name, -1)
+        """Release the prefill share of a placement; its decode is called now."""
+        self._loads.end_prefill(placement.ticket, now)
+        self._loads.start_decode(placement.ticket, now)
+        last = self._last.get(placement.request_id)
+        if last is not None and last.ticket == placement.ticket:
+            self._links.begin(
+                placement.ticket,
+                placement.prefill.data_centre,
+                placement.decode.data_centre,
+                placement.kv_bytes,
+                now,
+            )
 
-    def decode_ended(self, placement: Placement, now: float) -> None:
-        """Release the decode slot of a placement."""
-        self._count(self._decoding, placement.decode.name, -1)
+    def first_token(self, placement: Placement, now: float) -> None:
+        """Release the link share: the KV cache was imported."""
+        self._links.end(placement.ticket)
 
-    def _slots(self, server: BackendServer) -> int:
-        doc = self._documents.get(server.service)
+    def decode_ended(
+        self, placement: Placement, now: float, output_tokens: int | None = None
+    ) -> None:
+        """Release the decode slot of a placement.
+
+        ``output_tokens``, where known, updates the measured token interval.
+        """
+        ticket = placement.ticket
+        self._loads.end_decode(ticket, now, output_tokens)
+        self._loads.end_prefill(ticket, now)
+        self._loads.forget(ticket)
+        self._links.end(ticket)
+        last = self._last.get(placement.request_id)
+        if last is not None and last.ticket == ticket:
+            del self._last[placement.request_id]
+
+    def explain(self, request_id: str) -> str:
+        """Return the reason of the last decision on a request, or an empty text."""
+        return self._reasons.get(request_id, "")
+
+    def waiting_count(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(order) for order in self._orders.values())
+
+    def open_count(self, now: float) -> int:
+        """Return the number of reservations that were not released."""
+        return (
+            self._loads.open_count()
+            + self._links.open_count(now)
+            + sum(self._plain_calls.values())
+        )
+
+    def _poll_order(self, order: WaitingOrder, now: float, out: list) -> float:
+        failures = 0
+        again = now + _POLL_S
+        for entry in order.heads(_HEADS_PER_POLL):
+            choice = self._pairing.choose(entry.req, now)
+            if isinstance(choice, NotYet):
+                failures += 1
+                self._note(entry.req.request_id, f"waits: {choice.reason}")
+                if failures >= _FAILURES_PER_POLL:
+                    break
+                continue
+            order.take(entry, now)
+            out.append(self._reserve(entry.req, choice, now))
+        return again
+
+    def _reserve(self, req: CompletionRequest, pair: Pair, now: float) -> Placement:
+        ticket = next(self._tickets)
+        self._loads.place_prefill(ticket, pair.prefill, pair.work_tokens, now)
+        self._loads.place_decode(
+            ticket, pair.decode, req.expected_output_tokens, pair.first_token, now
+        )
+        self._cache.confirm(pair.prefill, req.prefix_digests)
+        placement = Placement(
+            req.request_id,
+            self._servers[pair.prefill],
+            self._servers[pair.decode],
+            pair.start_at,
+            ticket,
+            self._priority(req),
+            req.kv_bytes,
+            pair.reason,
+        )
+        return self._remember(placement)
+
+    def _remember(self, placement: Placement) -> Placement:
+        self._last[placement.request_id] = placement
+        self._note(placement.request_id, placement.reason)
+        return placement
+
+    def _order(self, service: str) -> WaitingOrder:
+        order = self._orders.get(service)
+        if order is None:
+            order = WaitingOrder(
+                self.cfg.max_waiting, self.cfg.max_waiting_per_workspace
+            )
+            self._orders[service] = order
+        return order
+
+    def _target(self, req: CompletionRequest) -> float:
+        """Return the latest start that meets the request's target."""
+        doc = self._documents.get(req.service)
+        targets = doc.targets if doc else _NO_TARGETS
+        speed = 8_000.0
         for item in doc.server_classes if doc else ():
-            if item.name == server.server_class:
-                return item.slots
-        return 20
+            if item.role != "decode":
+                speed = item.prefill_tokens_per_s
+        prefill = req.prompt_tokens / (speed * _SLOWEST_SPEED_SHARE)
+        if req.urgency == Urgency.URGENT:
+            return req.arrived + targets.first_token_s - prefill
+        decode = req.expected_output_tokens * targets.between_tokens_s
+        return req.deadline - prefill - decode
+
+    def _priority(self, req: CompletionRequest) -> int:
+        return 0 if req.urgency == Urgency.URGENT else _PATIENT_PRIORITY
 
-    @staticmethod
-    def _count(counts: dict[str, int], name: str, change: int) -> None:
-        counts[name] = counts.get(name, 0) + change
+    def _note(self, request_id: str, reason: str) -> None:
+        self._reasons[request_id] = reason
+        self._reasons.move_to_end(request_id)
+        if len(self._reasons) > _REASONS_KEPT:
+            self._reasons.popitem(last=False)
