Bound what a host sends ahead of slots

Cause: a result that was turned away gave headroom back and counted as a running request, so a host started ever more prefills under overload.

--- a/src/sesameport/bench/fakes.py
+++ b/src/sesameport/bench/fakes.py
@@ -141,6 +141,8 @@
         lost = list(self.importing) + list(self.running)
         self.importing.clear()
         self.running.clear()
+        self._ends.clear()
+        self._version += 1
         self.alive = False
         self._load.set(self.clock.now, 0)
         return lost
--- a/src/sesameport/routing/load_view.py
+++ b/src/sesameport/routing/load_view.py
@@ -23,6 +23,10 @@
 _RECENT_S = 3.0
 _INTERVAL_S = 0.03
 _SMOOTHING = 0.1
+_OVERDUE_SHARE = 0.25
+# A decode call counts as accepted when no busy answer came for this long. Calls that
+# are still retried hold no slot, so none becomes free when they end.
+_ACCEPTED_S = 0.1
 
 
 @attrs.define
@@ -85,6 +89,7 @@
     servers: dict[str, ServerLoad] = attrs.field(factory=dict)
     interval_s: dict[str, float] = attrs.field(factory=dict)
     _where: dict[int, list[str]] = attrs.field(factory=dict)
+    _turned_away: dict[int, tuple[str, float]] = attrs.field(factory=dict)
 
     def set_servers(self, servers, documents) -> None:
         """Replace the servers; what is known of those that stay is kept."""
@@ -139,7 +144,7 @@
         if load is None:
             return
         self._relax(load, now)
-        load.headroom = min(load.headroom, 0.0) - 0.5
+        load.headroom = min(load.headroom, -self.policy.busy_penalty)
         load.last_busy = now
         load.moment = max(load.moment, now)
         own = sum(1 for item in load.decodes.values() if item.started is not None)
@@ -150,29 +155,35 @@
         own = len(load.decodes) if self.policy.count_own else 0
         return load.slots - load.others - own
 
-    def expected_releases(self, load: ServerLoad, now: float, until: float) -> float:
-        """Return the number of own requests expected to end by ``until``."""
+    def release_rate(self, load: ServerLoad, now: float) -> float:
+        """Return the expected ends of own requests per second, from their lengths."""
         total = 0.0
         for item in load.decodes.values():
-            if item.started is None:
+            if item.started is None or item.started > now - _ACCEPTED_S:
                 continue
             # An overdue request may end at any time within a quarter of its length.
-            least = 0.25 * (item.expected_end - item.started)
-            remaining = max(item.expected_end - now, least, 1e-3)
-            total += min(1.0, max(0.0, until - now) / remaining)
+            least = _OVERDUE_SHARE * (item.expected_end - item.started)
+            total += 1.0 / max(item.expected_end - now, least, 1e-3)
         return total
 
-    def slot_expected(self, load: ServerLoad, now: float, until: float) -> bool:
-        """Tell whether this host may expect a slot at ``until``."""
+    def slot_at(self, load: ServerLoad, now: float) -> float:
+        """Return when this host may expect a slot on a server, monotonic seconds.
+
+        The slots missing now are expected at the rate at which own requests end.
+        """
         if not self.policy.plan_start:
-            return True
-        releases = self.expected_releases(load, now, until)
-        if not self.policy.share_slots:
-            return self.free_slots(load) + releases >= 1.0
-        self._relax(load, now)
-        if load.threshold_until <= now:
-            self._draw(load, now)
-        return load.headroom + releases >= load.threshold
+            return now
+        if self.policy.share_slots:
+            self._relax(load, now)
+            if load.threshold_until <= now:
+                self._draw(load, now)
+            missing = load.threshold - load.headroom
+        else:
+            missing = 1.0 - self.free_slots(load)
+        if missing <= 0.0:
+            return now
+        rate = self.release_rate(load, now)
+        return now + missing / rate if rate else math.inf
 
     def backlog_s(self, load: ServerLoad, now: float) -> float:
         """Return the expected wait for prefill on a server, seconds."""
@@ -221,13 +232,36 @@
             if item is not None:
                 load.ended_prefills.append((item[0], now, item[1]))
 
-    def end_decode(self, ticket: int, now: float, tokens: int | None = None) -> None:
-        """Release the slot of a placement; a repeated call has no effect."""
+    def turned_away(self, ticket: int, service: str, at: float) -> None:
+        """Note that a placement tries another server after a busy answer."""
+        self._turned_away[ticket] = (service, at + _ACCEPTED_S)
+
+    def waiting_results(self, service: str, now: float) -> int:
+        """Return the own prefill results that were turned away and have no slot yet."""
+        over = [key for key, (_, until) in self._turned_away.items() if until <= now]
+        for ticket in over:
+            del self._turned_away[ticket]
+        return sum(1 for name, _ in self._turned_away.values() if name == service)
+
+    def end_decode(
+        self,
+        ticket: int,
+        now: float,
+        tokens: int | None = None,
+        held_slot: bool = True,
+    ) -> None:
+        """Release the slot of a placement; a repeated call has no effect.
+
+        A placement that was turned away held no slot, so it adds no headroom.
+        """
+        self._turned_away.pop(ticket, None)
         for name in self._where.get(ticket, ()):
             load = self.servers.get(name)
             item = load.decodes.pop(ticket, None) if load else None
             if item is None:
                 continue
+            if not held_slot:
+                continue
             self._relax(load, now)
             load.headroom += 1.0
             if item.started is None:
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -25,6 +25,10 @@
         Multiple of the host's even share of free slots that it may take.
     over_commit : float
         Requests per decode server, over all hosts, that may arrive above its slots.
+    busy_penalty : float
+        Headroom below zero to which a busy answer takes a decode server, requests.
+    max_waiting_results : int
+        Own prefill results that wait for a slot, from which no prefill is started.
     relax_s : float
         Time constant with which the headroom follows the reported free slots; about
         the report's lag plus one prefill, seconds.
@@ -40,6 +44,8 @@
     share_slots: bool = True
     greed: float = 2.0
     over_commit: float = 1.0
+    busy_penalty: float = 0.5
+    max_waiting_results: int = 1
     relax_s: float = 0.4
     near_equal_s: float = 0.03
     max_backlog_s: float = 0.3
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -21,12 +21,13 @@
 _SLOT_SLACK_S = 0.15
 # Transfers longer than this leave no room for a retry within the result's lifetime.
 _MAX_TRANSFER_S = 0.5
-_LATER_S = (0.05, 0.1, 0.2, 0.4)
+_LATEST_RETRY_S = 0.1
 # A start this close is decided now; a later one is decided again with newer reports.
 _START_HORIZON_S = 0.02
 _HOLDERS = 2
 _PREFILLS_COMPARED = 2
 _BUSY_RETRY_S = 0.03
+_RESULT_RETRY_S = 0.02
 # Prefer the own data centre over an equal server elsewhere by more than the latency:
 # remote work loads the shared links.
 _REMOTE_PENALTY_S = 0.02
@@ -78,7 +79,12 @@
         self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
     ) -> Pair | NotYet:
         """Choose a pair for a request, or say when to decide again."""
-        count = self.cfg.policy.candidates
+        policy = self.cfg.policy
+        if policy.plan_start:
+            waiting = self.loads.waiting_results(req.service, now)
+            if waiting >= policy.max_waiting_results:
+                return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
+        count = policy.candidates
         usable = self._usable(exclude, now)
         names = self.index.sample(req.service, "prefill", count, usable, self.rng)
         for name in self.cache.holders(req.prefix_digests, _HOLDERS):
@@ -86,7 +92,7 @@
                 names.append(name)
         decodes = self.index.sample(req.service, "decode", count, usable, self.rng)
         if not names or not decodes:
-            return NotYet(now + _LATER_S[-1], "no usable server")
+            return NotYet(now + _LATEST_RETRY_S, "no usable server")
         prefills = sorted(
             (self._prefill(name, req, now) for name in names), key=lambda p: p.cost
         )
@@ -125,17 +131,16 @@
 
     def _best(self, req, prefills, decodes, now) -> Pair | NotYet:
         pairs: list[tuple[float, Pair]] = []
-        again, reason = now + _LATER_S[-1], "no decode slot expected"
-        for prefill in prefills:
-            for name in decodes:
-                load = self.loads.servers[name]
+        again, reason = now + _LATEST_RETRY_S, "no decode slot expected"
+        for name in decodes:
+            load = self.loads.servers[name]
+            slot_at = self.loads.slot_at(load, now)
+            for prefill in prefills:
                 transfer = self._transfer_s(prefill, load, req, now)
                 if transfer > _MAX_TRANSFER_S and self.cfg.policy.plan_start:
                     reason = "link share too small"
                     continue
-                wait = self._slot_wait(load, prefill.end, now)
-                if wait is None:
-                    continue
+                wait = max(0.0, slot_at - prefill.end - _SLOT_SLACK_S)
                 if wait > _START_HORIZON_S:
                     again = min(again, now + wait)
                     continue
@@ -168,14 +173,6 @@
         )
         return attrs.evolve(pair, reason=reason)
 
-    def _slot_wait(self, load: ServerLoad, end: float, now: float) -> float | None:
-        if self.loads.slot_expected(load, now, end + _SLOT_SLACK_S):
-            return 0.0
-        for later in _LATER_S:
-            if self.loads.slot_expected(load, now, end + _SLOT_SLACK_S + later):
-                return later
-        return None
-
     def _prefill(self, name: str, req: CompletionRequest, now: float) -> _Prefill:
         load = self.loads.servers[name]
         cached = self.cache.cached_tokens(name, req.prefix_digests)
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -31,10 +31,11 @@
 
 __all__ = ["Expired", "Placement", "Router", "RouterConfig"]
 
-_POLL_S = 0.01
+_EARLIEST_POLL_S = 0.02
+_LATEST_POLL_S = 0.1
 _HEADS_PER_POLL = 16
 # Failed placements in one poll after which the rest of the queue is not tried.
-_FAILURES_PER_POLL = 4
+_FAILURES_PER_POLL = 3
 _REASONS_KEPT = 2_000
 _PATIENT_PRIORITY = 1
 _SLOWEST_SPEED_SHARE = 0.8
@@ -186,6 +187,7 @@
         if choice is None:
             return None
         if last is not None:
+            self._loads.end_decode(last.ticket, now, held_slot=False)
             self.decode_ended(last, now)
         name, start_at = choice
         decode = self._servers[name]
@@ -195,6 +197,7 @@
         )
         self._links.begin(ticket, source, decode.data_centre, req.kv_bytes, now)
         self._loads.start_decode(ticket, start_at)
+        self._loads.turned_away(ticket, req.service, start_at)
         prefill = last.prefill if last else decode
         reason = f"decode again on {name}, the prefill result is still kept"
         placement = Placement(
@@ -294,11 +297,12 @@
 
     def _poll_order(self, order: WaitingOrder, now: float, out: list) -> float:
         failures = 0
-        again = now + _POLL_S
+        again = now + _LATEST_POLL_S
         for entry in order.heads(_HEADS_PER_POLL):
             choice = self._pairing.choose(entry.req, now)
             if isinstance(choice, NotYet):
                 failures += 1
+                again = min(again, max(choice.at, now + _EARLIEST_POLL_S))
                 self._note(entry.req.request_id, f"waits: {choice.reason}")
                 if failures >= _FAILURES_PER_POLL:
                     break
