Keep lanes reachable when a poll stops early

Cause: heads() lost the lane it had yielded last when the caller stopped, so its requests waited for nothing while slots were free.

--- a/src/sesameport/routing/load_view.py
+++ b/src/sesameport/routing/load_view.py
@@ -24,6 +24,7 @@
 _INTERVAL_S = 0.03
 _SMOOTHING = 0.1
 _OVERDUE_SHARE = 0.25
+_LEAST_GREED = 0.5
 # A decode call counts as accepted when no busy answer came for this long. Calls that
 # are still retried hold no slot, so none becomes free when they end.
 _ACCEPTED_S = 0.1
@@ -88,6 +89,7 @@
     rng: random.Random
     servers: dict[str, ServerLoad] = attrs.field(factory=dict)
     interval_s: dict[str, float] = attrs.field(factory=dict)
+    greed: dict[str, float] = attrs.field(factory=dict)
     _where: dict[int, list[str]] = attrs.field(factory=dict)
     _turned_away: dict[int, tuple[str, float]] = attrs.field(factory=dict)
 
@@ -232,8 +234,14 @@
             if item is not None:
                 load.ended_prefills.append((item[0], now, item[1]))
 
-    def turned_away(self, ticket: int, service: str, at: float) -> None:
+    def was_turned_away(self, ticket: int) -> bool:
+        """Tell whether a placement was made after a busy answer."""
+        return ticket in self._turned_away
+
+    def turned_away(self, ticket: int, service: str, at: float, again: bool) -> None:
         """Note that a placement tries another server after a busy answer."""
+        if not again:
+            self._adapt(service, accepted=False)
         self._turned_away[ticket] = (service, at + _ACCEPTED_S)
 
     def waiting_results(self, service: str, now: float) -> int:
@@ -267,6 +275,7 @@
             if item.started is None:
                 continue
             load.ended.append((item.started, now))
+            self._adapt(load.server.service, accepted=True)
             if tokens:
                 self._measure(load, (now - item.started) / tokens)
 
@@ -287,22 +296,39 @@
         old = self.interval_s.get(key, interval)
         self.interval_s[key] = old + _SMOOTHING * (interval - old)
 
+    def _adapt(self, service: str, accepted: bool) -> None:
+        # Additive increase, multiplicative decrease: hosts that alone have work take
+        # more of the free slots, hosts that collide take less.
+        greed = self.greed.get(service, self.policy.greed)
+        if accepted:
+            greed += self.policy.greed_step
+        else:
+            greed *= self.policy.greed_cut
+        greed = min(float(self.hosts), max(_LEAST_GREED, greed))
+        self.greed[service] = greed
+
     def _draw(self, load: ServerLoad, now: float) -> None:
         load.threshold = self.rng.random()
         load.threshold_until = now + self.policy.relax_s
 
     def _target(self, load: ServerLoad) -> float:
-        free = max(0.0, self.free_slots(load))
-        return (self.policy.greed * free + self.policy.over_commit) / self.hosts
+        free = max(0.0, self.free_slots(load) + self.policy.over_commit)
+        greed = self.greed.get(load.server.service, self.policy.greed)
+        return greed * free / self.hosts
 
     def _relax(self, load: ServerLoad, now: float) -> None:
         target = self._target(load)
         if load.headroom_at is None:
             load.headroom = target
         else:
-            passed = max(0.0, now - load.headroom_at)
-            keep = math.exp(-passed / self.policy.relax_s)
-            load.headroom = target + (load.headroom - target) * keep
+            passed = max(0.0, now - load.headroom_at) / self.policy.relax_s
+            if load.headroom > target:
+                # What is not used goes to other hosts, which see it in reports.
+                above = (load.headroom - target) * math.exp(-passed)
+                load.headroom = target + above
+            else:
+                # A debt is paid by own releases; only free slots pay it earlier.
+                load.headroom = min(target, load.headroom + passed * target)
         load.headroom_at = now
 
     @staticmethod
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -22,7 +22,9 @@
     share_slots : bool
         Whether a host takes only its share of the slots that a stale report shows.
     greed : float
-        Multiple of the host's even share of free slots that it may take.
+        Multiple of the host's even share of free slots that it takes at first.
+    greed_step, greed_cut : float
+        Increase of the multiple per accepted decode, and factor per busy answer.
     over_commit : float
         Requests per decode server, over all hosts, that may arrive above its slots.
     busy_penalty : float
@@ -43,8 +45,10 @@
     plan_start: bool = True
     share_slots: bool = True
     greed: float = 2.0
-    over_commit: float = 1.0
-    busy_penalty: float = 0.5
+    greed_step: float = 0.2
+    greed_cut: float = 0.7
+    over_commit: float = 0.3
+    busy_penalty: float = 0.0
     max_waiting_results: int = 1
     relax_s: float = 0.4
     near_equal_s: float = 0.03
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -186,6 +186,7 @@
         choice = self._pairing.choose_decode(req, source, now, exclude)
         if choice is None:
             return None
+        again = last is not None and self._loads.was_turned_away(last.ticket)
         if last is not None:
             self._loads.end_decode(last.ticket, now, held_slot=False)
             self.decode_ended(last, now)
@@ -197,7 +198,7 @@
         )
         self._links.begin(ticket, source, decode.data_centre, req.kv_bytes, now)
         self._loads.start_decode(ticket, start_at)
-        self._loads.turned_away(ticket, req.service, start_at)
+        self._loads.turned_away(ticket, req.service, start_at, again)
         prefill = last.prefill if last else decode
         reason = f"decode again on {name}, the prefill result is still kept"
         placement = Placement(
--- a/src/sesameport/routing/waiting.py
+++ b/src/sesameport/routing/waiting.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Entry", "WaitingOrder"]
 
-_URGENT, _PATIENT, _LATE = 0, 1, 2
+_URGENT, _LATE, _PATIENT, _LAST = range(4)
 _LONG_TOKENS = 2_000
 _TIMERS_PER_POLL = 64
 _AGING_SHARE = 0.5
@@ -74,7 +74,7 @@
     max_per_workspace: int
     _entries: dict[str, Entry] = attrs.field(factory=dict)
     _lanes: dict[_LaneKey, deque[Entry]] = attrs.field(factory=dict)
-    _heaps: tuple[list, list, list] = attrs.field(factory=lambda: ([], [], []))
+    _heaps: tuple[list, ...] = attrs.field(factory=lambda: ([], [], [], []))
     _timers: list = attrs.field(factory=list)
     _workspaces: dict[str, _Workspace] = attrs.field(factory=dict)
     _active: list = attrs.field(factory=list)
@@ -171,25 +171,26 @@
         """
         held = []
         try:
-            for tier in (_URGENT, _PATIENT, _LATE):
-                heap = self._heaps[tier]
+            for heap in self._heaps:
                 while heap and limit > 0:
                     item = self._pop_lane(heap)
                     if item is None:
                         break
                     key, entry = item
                     limit -= 1
+                    # The caller may stop here, so the lane is kept for the clean-up.
+                    held.append(key)
                     yield entry
-                    if entry.gone and self._lanes.get(key):
-                        self._push_lane(key)
-                        continue
-                    if not entry.gone:
-                        held.append(key)
+                    if entry.gone:
+                        held.pop()
+                        if self._lanes.get(key):
+                            self._push_lane(key)
                 if limit <= 0:
                     return
         finally:
             for key in held:
-                self._push_lane(key)
+                if self._lanes.get(key):
+                    self._push_lane(key)
 
     def expected_wait_s(self, workspace: str) -> float:
         """Return the expected wait of a workspace's next request, seconds.
@@ -237,16 +238,17 @@
         aging_at = req.arrived + _AGING_SHARE * (target - req.arrived)
         if tier == _PATIENT and aging_at <= now:
             tier = _URGENT
+        late = _LATE if req.urgency == Urgency.URGENT else _LAST
         if target < now:
-            tier = _LATE
+            tier = late
         entry = Entry(req, target, tier, now)
         self._entries[req.request_id] = entry
         space.waiting += 1
         space.tokens += entry.tokens
         if tier == _PATIENT:
             self._time(aging_at, entry, _URGENT)
-        if tier != _LATE:
-            self._time(target, entry, _LATE)
+        if tier != late:
+            self._time(target, entry, late)
         self._time(req.deadline, entry, None)
         self._append(entry, first)
 
