Bound each host's decodes by a delay-based send window

Cause: headroom per server either wasted prefill or left slots idle, because hosts do not see each other's prefills. The wait of own results for a slot is seen at once.

--- a/src/sesameport/bench/run.py
+++ b/src/sesameport/bench/run.py
@@ -49,7 +49,7 @@
     "no-near-equal": _sesameport(attrs.evolve(_POLICY, near_equal_s=0.0)),
     "no-own-counting": _sesameport(attrs.evolve(_POLICY, count_own=False)),
     "no-start-planning": _sesameport(attrs.evolve(_POLICY, plan_start=False)),
-    "no-slot-shares": _sesameport(attrs.evolve(_POLICY, share_slots=False)),
+    "fixed-share": _sesameport(attrs.evolve(_POLICY, window_step=0.0, window_cut=0.0)),
 }
 
 
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -19,21 +19,17 @@
         Whether own dispatches since the report's moment are counted.
     plan_start : bool
         Whether a prefill waits until a slot and a link share are expected.
-    share_slots : bool
-        Whether a host takes only its share of the slots that a stale report shows.
-    greed : float
-        Multiple of the host's even share of free slots that it takes at first.
-    greed_step, greed_cut : float
-        Increase of the multiple per accepted decode, and factor per busy answer.
-    over_commit : float
-        Requests per decode server, over all hosts, that may arrive above its slots.
-    busy_penalty : float
-        Headroom below zero to which a busy answer takes a decode server, requests.
+    window_step, window_cut : float
+        Growth of the send window per result that is accepted at once, requests, and
+        its relative cut per target wait that a result waited too long.
+    target_wait_s : float
+        Wait of a prefill result for a decode slot that keeps the slots full, seconds.
+    urgent_extra : float
+        Requests by which urgent ones may exceed the window.
+    busy_retry_s : float
+        Pause before a server that answered busy is tried again, seconds.
     max_waiting_results : int
         Own prefill results that wait for a slot, from which no prefill is started.
-    relax_s : float
-        Time constant with which the headroom follows the reported free slots; about
-        the report's lag plus one prefill, seconds.
     near_equal_s : float
         Expected first tokens closer than this are chosen among at random, seconds.
     max_backlog_s : float
@@ -43,14 +39,12 @@
     candidates: int = 4
     count_own: bool = True
     plan_start: bool = True
-    share_slots: bool = True
-    greed: float = 2.0
-    greed_step: float = 0.2
-    greed_cut: float = 0.7
-    over_commit: float = 0.3
-    busy_penalty: float = 0.0
+    window_step: float = 0.2
+    window_cut: float = 0.03
+    target_wait_s: float = 0.08
+    urgent_extra: float = 1.0
+    busy_retry_s: float = 0.03
     max_waiting_results: int = 1
-    relax_s: float = 0.4
     near_equal_s: float = 0.03
     max_backlog_s: float = 0.3
 
@@ -92,6 +86,7 @@
     ticket: int = 0
     priority: int = 0
     kv_bytes: int = 0
+    output_tokens: int = 0
     reason: str = ""
 
 
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -13,12 +13,15 @@
 from sesameport.routing.links import LinkShares
 from sesameport.routing.load_view import LoadView, ServerLoad
 from sesameport.routing.messages import RouterConfig
+from sesameport.routing.window import SendWindow
 from sesameport.world import CompletionRequest, Urgency
 
 __all__ = ["NotYet", "Pair", "Pairing"]
 
-# A slot may become free this long after the prefill ends without risk to the result.
-_SLOT_SLACK_S = 0.15
+# Servers with this many free slots are equal: reports are too old to rank them.
+_SPARE_SLOTS = 2.0
+# Time between two ends of requests on one full server, seconds.
+_SLOT_TURN_S = 0.05
 # Transfers longer than this leave no room for a retry within the result's lifetime.
 _MAX_TRANSFER_S = 0.5
 _LATEST_RETRY_S = 0.1
@@ -26,7 +29,6 @@
 _START_HORIZON_S = 0.02
 _HOLDERS = 2
 _PREFILLS_COMPARED = 2
-_BUSY_RETRY_S = 0.03
 _RESULT_RETRY_S = 0.02
 # Prefer the own data centre over an equal server elsewhere by more than the latency:
 # remote work loads the shared links.
@@ -74,16 +76,18 @@
     links: LinkShares
     index: ServerIndex
     rng: random.Random
+    hosts: int = 1
+    windows: dict[str, SendWindow] = attrs.field(factory=dict)
 
     def choose(
         self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
     ) -> Pair | NotYet:
         """Choose a pair for a request, or say when to decide again."""
         policy = self.cfg.policy
-        if policy.plan_start:
-            waiting = self.loads.waiting_results(req.service, now)
-            if waiting >= policy.max_waiting_results:
-                return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
+        window = self.window(req.service)
+        waiting = window.waiting_results(now) if policy.plan_start else 0
+        if waiting >= policy.max_waiting_results:
+            return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
         count = policy.candidates
         usable = self._usable(exclude, now)
         names = self.index.sample(req.service, "prefill", count, usable, self.rng)
@@ -97,10 +101,34 @@
             (self._prefill(name, req, now) for name in names), key=lambda p: p.cost
         )
         prefills = self._shuffle_near_equal(prefills)[:_PREFILLS_COMPARED]
-        if self.cfg.policy.plan_start and self._backlogged(prefills[0], req, now):
-            later = max(prefills[0].backlog_s - self.cfg.policy.max_backlog_s, 0.01)
-            return NotYet(now + later, "prefill backlog")
-        return self._best(req, prefills, decodes, now)
+        start_at = now
+        if policy.plan_start:
+            if self._backlogged(prefills[0], req, now):
+                later = max(prefills[0].backlog_s - policy.max_backlog_s, 0.01)
+                return NotYet(now + later, "prefill backlog")
+            extra = policy.urgent_extra if req.urgency == Urgency.URGENT else 0.0
+            start_at = window.room_at(now, prefills[0].end - now, extra)
+            if start_at > now + _START_HORIZON_S:
+                return NotYet(start_at, "no decode slot expected in time")
+        return self._best(req, prefills, decodes, start_at, now)
+
+    def window(self, service: str) -> SendWindow:
+        """Return the send window of a service; it starts with an even share."""
+        window = self.windows.get(service)
+        if window is None:
+            share = self.loads.slots_of(service) / self.hosts
+            window = SendWindow(self.cfg.policy, max(1.0, share))
+            self.windows[service] = window
+        return window
+
+    def rescale(self, slots_before: dict[str, int], hosts: int) -> None:
+        """Keep each window's part of the slots when servers or hosts change."""
+        for service, window in self.windows.items():
+            slots = self.loads.slots_of(service)
+            before = slots_before.get(service, slots)
+            if slots and before:
+                window.size *= slots / before * self.hosts / hosts
+        self.hosts = hosts
 
     def choose_decode(
         self, req: CompletionRequest, source: str, now: float, exclude=frozenset()
@@ -118,8 +146,8 @@
         for name in names:
             load = self.loads.servers[name]
             ready = now
-            if load.last_busy + _BUSY_RETRY_S > now:
-                ready = now + _BUSY_RETRY_S * self.rng.uniform(0.7, 1.3)
+            if load.last_busy + self.cfg.policy.busy_retry_s > now:
+                ready = now + self.cfg.policy.busy_retry_s * self.rng.uniform(0.7, 1.3)
             target = load.server.data_centre
             cost = ready - now
             cost += self.links.transfer_s(source, target, req.kv_bytes, now)
@@ -129,36 +157,32 @@
                 best = (cost, name, ready)
         return None if best is None else best[1:]
 
-    def _best(self, req, prefills, decodes, now) -> Pair | NotYet:
+    def _best(self, req, prefills, decodes, start_at, now) -> Pair | NotYet:
         pairs: list[tuple[float, Pair]] = []
-        again, reason = now + _LATEST_RETRY_S, "no decode slot expected"
+        wait = start_at - now
         for name in decodes:
             load = self.loads.servers[name]
-            slot_at = self.loads.slot_at(load, now)
+            lacking = self._lacking_s(load, now)
             for prefill in prefills:
                 transfer = self._transfer_s(prefill, load, req, now)
                 if transfer > _MAX_TRANSFER_S and self.cfg.policy.plan_start:
-                    reason = "link share too small"
                     continue
-                wait = max(0.0, slot_at - prefill.end - _SLOT_SLACK_S)
-                if wait > _START_HORIZON_S:
-                    again = min(again, now + wait)
-                    continue
-                first = prefill.end + wait + transfer
+                end = prefill.end + wait
+                first = end + max(transfer, lacking)
                 cost = first + self._distance(load) + prefill.cost - prefill.end
                 pair = Pair(
-                    prefill.name,
-                    name,
-                    now + wait,
-                    prefill.end + wait,
-                    first,
-                    prefill.work_tokens,
+                    prefill.name, name, start_at, end, first, prefill.work_tokens
                 )
                 pairs.append((cost, pair))
         if not pairs:
-            return NotYet(again, reason)
+            return NotYet(now + _LATEST_RETRY_S, "link share too small")
         return self._explained(self._pick(pairs), now, len(pairs))
 
+    def _lacking_s(self, load: ServerLoad, now: float) -> float:
+        """Return the expected wait for a slot of one server, seconds."""
+        lacking = _SPARE_SLOTS - self.loads.free_slots(load)
+        return max(0.0, lacking) * _SLOT_TURN_S
+
     def _pick(self, pairs) -> Pair:
         least = min(cost for cost, _ in pairs)
         bound = least + self.cfg.policy.near_equal_s
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -68,21 +68,25 @@
 
     def __attrs_post_init__(self) -> None:
         """Build the views."""
-        self._loads = LoadView(self.cfg.policy, self.cfg.hosts, self.rng)
+        self._loads = LoadView(self.cfg.policy)
         self._index = ServerIndex(self.cfg.data_centre)
         self._pairing = Pairing(
             self.cfg, self._loads, self._cache, self._links, self._index, self.rng
         )
+        self._pairing.hosts = self.cfg.hosts
 
     def set_servers(self, servers, documents, now: float) -> None:
         """Replace the known servers and service documents (by name)."""
         gone = set(self._servers)
+        services = self._pairing.windows
+        before = {name: self._loads.slots_of(name) for name in services}
         self._servers = {server.name: server for server in servers}
         self._documents = dict(documents)
         for name in gone - set(self._servers):
             self._cache.forget(name)
         self._loads.set_servers(self._servers.values(), self._documents)
         self._index.set_servers(self._servers.values())
+        self._pairing.rescale(before, self._pairing.hosts)
         self._links.set_links(
             link for doc in self._documents.values() for link in doc.links
         )
@@ -92,7 +96,7 @@
 
     def set_hosts(self, count: int) -> None:
         """Set the number of live hosts that place work on the same servers."""
-        self._loads.hosts = max(1, count)
+        self._pairing.rescale({}, max(1, count))
 
     def report_load(self, report: LoadReport, now: float) -> None:
         """Take in a lagging load report."""
@@ -186,19 +190,20 @@
         choice = self._pairing.choose_decode(req, source, now, exclude)
         if choice is None:
             return None
-        again = last is not None and self._loads.was_turned_away(last.ticket)
-        if last is not None:
-            self._loads.end_decode(last.ticket, now, held_slot=False)
-            self.decode_ended(last, now)
         name, start_at = choice
         decode = self._servers[name]
         ticket = next(self._tickets)
+        window = self._pairing.window(req.service)
+        if last is not None:
+            window.move(last.ticket, ticket)
+            self.decode_ended(last, now)
+        else:
+            window.place(ticket, req.expected_output_tokens)
         self._loads.place_decode(
             ticket, name, req.expected_output_tokens, start_at, now
         )
         self._links.begin(ticket, source, decode.data_centre, req.kv_bytes, now)
-        self._loads.start_decode(ticket, start_at)
-        self._loads.turned_away(ticket, req.service, start_at, again)
+        self._try_decode(ticket, req.service, req.expected_output_tokens, start_at)
         prefill = last.prefill if last else decode
         reason = f"decode again on {name}, the prefill result is still kept"
         placement = Placement(
@@ -209,6 +214,7 @@
             ticket,
             self._priority(req),
             req.kv_bytes,
+            req.expected_output_tokens,
             reason,
         )
         return self._remember(placement)
@@ -249,9 +255,10 @@
     def prefill_ended(self, placement: Placement, now: float) -> None:
         """Release the prefill share of a placement; its decode is called now."""
         self._loads.end_prefill(placement.ticket, now)
-        self._loads.start_decode(placement.ticket, now)
         last = self._last.get(placement.request_id)
         if last is not None and last.ticket == placement.ticket:
+            service = placement.decode.service
+            self._try_decode(placement.ticket, service, placement.output_tokens, now)
             self._links.begin(
                 placement.ticket,
                 placement.prefill.data_centre,
@@ -261,7 +268,8 @@
             )
 
     def first_token(self, placement: Placement, now: float) -> None:
-        """Release the link share: the KV cache was imported."""
+        """Release the link share: the decode server took the request."""
+        self._pairing.window(placement.decode.service).accepted(placement.ticket)
         self._links.end(placement.ticket)
 
     def decode_ended(
@@ -272,6 +280,7 @@
         ``output_tokens``, where known, updates the measured token interval.
         """
         ticket = placement.ticket
+        self._pairing.window(placement.decode.service).end(ticket, now)
         self._loads.end_decode(ticket, now, output_tokens)
         self._loads.end_prefill(ticket, now)
         self._loads.forget(ticket)
@@ -312,12 +321,19 @@
             out.append(self._reserve(entry.req, choice, now))
         return again
 
+    def _try_decode(self, ticket: int, service: str, tokens: int, at: float) -> None:
+        self._loads.start_decode(ticket, at)
+        duration = self._loads.decode_s(service, tokens)
+        self._pairing.window(service).try_decode(ticket, at, duration)
+
     def _reserve(self, req: CompletionRequest, pair: Pair, now: float) -> Placement:
         ticket = next(self._tickets)
         self._loads.place_prefill(ticket, pair.prefill, pair.work_tokens, now)
         self._loads.place_decode(
             ticket, pair.decode, req.expected_output_tokens, pair.first_token, now
         )
+        window = self._pairing.window(req.service)
+        window.place(ticket, req.expected_output_tokens)
         self._cache.confirm(pair.prefill, req.prefix_digests)
         placement = Placement(
             req.request_id,
@@ -327,6 +343,7 @@
             ticket,
             self._priority(req),
             req.kv_bytes,
+            req.expected_output_tokens,
             pair.reason,
         )
         return self._remember(placement)
