--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -26,10 +26,15 @@
         Wait of a prefill result for a decode slot that keeps the slots full, seconds.
     urgent_extra : float
         Requests by which urgent ones may exceed the window.
-    busy_retry_s : float
-        Pause before a server that answered busy is tried again, seconds.
+    urgent_retry_s, patient_retry_s : float
+        Pause before a server that answered busy is tried again, seconds. Urgent
+        results try more often and so get the next slot more often.
+    result_lifetime_s : float
+        Time for which engines keep a prefill result, seconds; results close to it
+        are tried most often.
     max_waiting_results : int
-        Own prefill results that wait for a slot, from which no prefill is started.
+        Own prefill results that wait for a slot, from which no patient prefill is
+        started; urgent ones start up to ``urgent_extra`` more.
     near_equal_s : float
         Expected first tokens closer than this are chosen among at random, seconds.
     max_backlog_s : float
@@ -42,8 +47,10 @@
     window_step: float = 0.2
     window_cut: float = 0.03
     target_wait_s: float = 0.08
-    urgent_extra: float = 1.0
-    busy_retry_s: float = 0.03
+    urgent_extra: float = 2.0
+    urgent_retry_s: float = 0.015
+    patient_retry_s: float = 0.045
+    result_lifetime_s: float = 0.9
     max_waiting_results: int = 1
     near_equal_s: float = 0.03
     max_backlog_s: float = 0.3
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -30,6 +30,7 @@
 _HOLDERS = 2
 _PREFILLS_COMPARED = 2
 _RESULT_RETRY_S = 0.02
+_LEAST_PAUSE_S = 0.005
 # Prefer the own data centre over an equal server elsewhere by more than the latency:
 # remote work loads the shared links.
 _REMOTE_PENALTY_S = 0.02
@@ -86,7 +87,8 @@
         policy = self.cfg.policy
         window = self.window(req.service)
         waiting = window.waiting_results(now) if policy.plan_start else 0
-        if waiting >= policy.max_waiting_results:
+        extra = policy.urgent_extra if req.urgency == Urgency.URGENT else 0.0
+        if waiting >= policy.max_waiting_results + extra:
             return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
         count = policy.candidates
         usable = self._usable(exclude, now)
@@ -106,7 +108,6 @@
             if self._backlogged(prefills[0], req, now):
                 later = max(prefills[0].backlog_s - policy.max_backlog_s, 0.01)
                 return NotYet(now + later, "prefill backlog")
-            extra = policy.urgent_extra if req.urgency == Urgency.URGENT else 0.0
             start_at = window.room_at(now, prefills[0].end - now, extra)
             if start_at > now + _START_HORIZON_S:
                 return NotYet(start_at, "no decode slot expected in time")
@@ -131,7 +132,12 @@
         self.hosts = hosts
 
     def choose_decode(
-        self, req: CompletionRequest, source: str, now: float, exclude=frozenset()
+        self,
+        req: CompletionRequest,
+        source: str,
+        now: float,
+        exclude=frozenset(),
+        waited_s: float = 0.0,
     ) -> tuple[str, float] | None:
         """Choose a decode server for a live prefill result, and when to try it.
 
@@ -142,12 +148,13 @@
         count = self.cfg.policy.candidates
         usable = self._usable(exclude, now)
         names = self.index.sample(req.service, "decode", count, usable, self.rng)
+        pause = self._pause_s(req, waited_s)
         best = None
         for name in names:
             load = self.loads.servers[name]
             ready = now
-            if load.last_busy + self.cfg.policy.busy_retry_s > now:
-                ready = now + self.cfg.policy.busy_retry_s * self.rng.uniform(0.7, 1.3)
+            if load.last_busy + pause > now:
+                ready = now + pause * self.rng.uniform(0.7, 1.3)
             target = load.server.data_centre
             cost = ready - now
             cost += self.links.transfer_s(source, target, req.kv_bytes, now)
@@ -157,6 +164,14 @@
                 best = (cost, name, ready)
         return None if best is None else best[1:]
 
+    def _pause_s(self, req: CompletionRequest, waited_s: float) -> float:
+        """Return the pause after a busy answer: short for urgent and old results."""
+        pause = self.cfg.policy.patient_retry_s
+        if req.urgency == Urgency.URGENT:
+            pause = self.cfg.policy.urgent_retry_s
+        left = 1.0 - waited_s / self.cfg.policy.result_lifetime_s
+        return max(_LEAST_PAUSE_S, pause * left * left)
+
     def _best(self, req, prefills, decodes, start_at, now) -> Pair | NotYet:
         pairs: list[tuple[float, Pair]] = []
         wait = start_at - now
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -187,13 +187,14 @@
         """
         last = self._last.get(req.request_id)
         source = last.prefill.data_centre if last else self.cfg.data_centre
-        choice = self._pairing.choose_decode(req, source, now, exclude)
+        window = self._pairing.window(req.service)
+        waited = window.waited_s(last.ticket, now) if last else 0.0
+        choice = self._pairing.choose_decode(req, source, now, exclude, waited)
         if choice is None:
             return None
         name, start_at = choice
         decode = self._servers[name]
         ticket = next(self._tickets)
-        window = self._pairing.window(req.service)
         if last is not None:
             window.move(last.ticket, ticket)
             self.decode_ended(last, now)
--- a/src/sesameport/routing/window.py
+++ b/src/sesameport/routing/window.py
@@ -76,9 +76,16 @@
         if item is not None and item.first_try is not None and not item.judged:
             self._judge(item.last_try - item.first_try)
 
+    def waited_s(self, ticket: int, now: float) -> float:
+        """Return how long the result of a request has waited for a slot, seconds."""
+        item = self._open.get(ticket)
+        if item is None or item.first_try is None:
+            return 0.0
+        return now - item.first_try
+
     def waiting_results(self, now: float) -> int:
         """Return the own prefill results that were turned away a moment ago."""
-        recent = now - 2 * self.policy.busy_retry_s
+        recent = now - 2 * self.policy.patient_retry_s
         return sum(
             1
             for item in self._open.values()
