Make windows of busy hosts equal and cut them once per congestion

Cause: growth per accepted result left hosts with small windows behind (one host kept a window of 3 with 28 requests waiting), and all windows were cut several times at once.

--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -22,6 +22,8 @@
     window_step, window_cut : float
         Growth of the send window per result that is accepted at once, requests, and
         its relative cut per target wait that a result waited too long.
+    cut_pause_s : float
+        Least time between two cuts, seconds.
     target_wait_s : float
         Wait of a prefill result for a decode slot that keeps the slots full, seconds.
     urgent_extra : float
@@ -46,8 +48,9 @@
     plan_start: bool = True
     window_step: float = 0.2
     window_cut: float = 0.03
+    cut_pause_s: float = 0.3
     target_wait_s: float = 0.08
-    urgent_extra: float = 2.0
+    urgent_extra: float = 4.0
     urgent_retry_s: float = 0.015
     patient_retry_s: float = 0.045
     result_lifetime_s: float = 0.9
@@ -66,6 +69,9 @@
         Bounds of the queue of one service, requests.
     hosts : int
         Hosts that place work on the same servers.
+    patient_first_token_s : float
+        Time to the first token that patient requests are to get; documents give it for
+        urgent requests only.
     remote_latency_s : float
         One-way latency to another data centre, seconds.
     """
@@ -74,6 +80,7 @@
     max_waiting: int = 400
     max_waiting_per_workspace: int = 200
     hosts: int = 9
+    patient_first_token_s: float = 20.0
     remote_latency_s: float = 0.0015
     policy: PairingPolicy = PairingPolicy()
 
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -117,8 +117,8 @@
         """Return the send window of a service; it starts with an even share."""
         window = self.windows.get(service)
         if window is None:
-            share = self.loads.slots_of(service) / self.hosts
-            window = SendWindow(self.cfg.policy, max(1.0, share))
+            share = max(1.0, self.loads.slots_of(service) / self.hosts)
+            window = SendWindow(self.cfg.policy, share, share)
             self.windows[service] = window
         return window
 
@@ -128,7 +128,9 @@
             slots = self.loads.slots_of(service)
             before = slots_before.get(service, slots)
             if slots and before:
-                window.size *= slots / before * self.hosts / hosts
+                change = slots / before * self.hosts / hosts
+                window.size *= change
+                window.share *= change
         self.hosts = hosts
 
     def choose_decode(
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -270,7 +270,9 @@
 
     def first_token(self, placement: Placement, now: float) -> None:
         """Release the link share: the decode server took the request."""
-        self._pairing.window(placement.decode.service).accepted(placement.ticket)
+        self._pairing.window(placement.decode.service).accepted(
+            placement.ticket, now
+        )
         self._links.end(placement.ticket)
 
     def decode_ended(
@@ -375,7 +377,10 @@
         if req.urgency == Urgency.URGENT:
             return req.arrived + targets.first_token_s - prefill
         decode = req.expected_output_tokens * targets.between_tokens_s
-        return req.deadline - prefill - decode
+        latest = min(
+            req.arrived + self.cfg.patient_first_token_s, req.deadline - decode
+        )
+        return latest - prefill
 
     def _priority(self, req: CompletionRequest) -> int:
         return 0 if req.urgency == Urgency.URGENT else _PATIENT_PRIORITY
--- a/src/sesameport/routing/waiting.py
+++ b/src/sesameport/routing/waiting.py
@@ -1,7 +1,7 @@
 """Order the requests of one service that wait for a placement.
 
 Urgent requests go before patient ones. A patient request is promoted to the urgent
-tier when half of its time to the first token is over, so that it is never starved. A
+tier when three quarters of its time to the first token are over, so that it is never starved. A
 request that can no longer meet its target goes behind those that can. Inside a tier,
 workspaces are served by a virtual token counter (VTC, OSDI 2024). Every workspace has
 one lane for short and one for long prompts per tier, so that a long prompt that cannot
@@ -23,7 +23,7 @@
 _URGENT, _LATE, _PATIENT, _LAST = range(4)
 _LONG_TOKENS = 2_000
 _TIMERS_PER_POLL = 64
-_AGING_SHARE = 0.5
+_AGING_SHARE = 0.75
 _RATE_WINDOW_S = 5.0
 # Below this many waiting requests the measured rate says nothing about capacity.
 _REFUSE_FROM_WAITING = 20
--- a/src/sesameport/routing/window.py
+++ b/src/sesameport/routing/window.py
@@ -8,6 +8,8 @@
 any number of hosts, and hosts without work leave their part to others.
 """
 
+import math
+
 import attrs
 
 from sesameport.routing.messages import PairingPolicy
@@ -19,7 +21,7 @@
 # The window may exceed what is in use by this much, so that a host which was idle does
 # not send a burst later.
 _UNUSED = 3.0
-_LARGEST_CUT = 0.5
+_LARGEST_CUT = 0.2
 
 
 @attrs.define
@@ -33,11 +35,16 @@
 
 @attrs.define
 class SendWindow:
-    """Hold the window of one service; ``size`` counts requests."""
+    """Hold the window of one service.
+
+    ``size`` counts requests; ``share`` is the even share of the slots per host.
+    """
 
     policy: PairingPolicy
     size: float
+    share: float = 1.0
     growing_fast: bool = True
+    _cut_at: float = -math.inf
     _open: dict[int, _Open] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
@@ -63,18 +70,18 @@
         item.last_try = now
         item.expected_end = now + duration
 
-    def accepted(self, ticket: int) -> None:
+    def accepted(self, ticket: int, now: float) -> None:
         """Note that a decode server took the request."""
         item = self._open.get(ticket)
         if item is not None and item.first_try is not None and not item.judged:
             item.judged = True
-            self._judge(item.last_try - item.first_try)
+            self._judge(item.last_try - item.first_try, now)
 
     def end(self, ticket: int, now: float) -> None:
         """Release a request; a repeated call has no effect."""
         item = self._open.pop(ticket, None)
         if item is not None and item.first_try is not None and not item.judged:
-            self._judge(item.last_try - item.first_try)
+            self._judge(item.last_try - item.first_try, now)
 
     def waited_s(self, ticket: int, now: float) -> float:
         """Return how long the result of a request has waited for a slot, seconds."""
@@ -119,16 +126,27 @@
             rate += 1.0 / max(item.expected_end - now, least, 1e-3)
         return rate
 
-    def _judge(self, waited: float) -> None:
+    def _judge(self, waited: float, now: float) -> None:
         policy = self.policy
+        if policy.window_step <= 0:
+            return
         if waited > 0:
             self.growing_fast = False
         excess = waited / policy.target_wait_s - 1.0
         if excess > 0:
-            cut = min(_LARGEST_CUT, policy.window_cut * excess)
-            self.size = max(_LEAST_SIZE, self.size * (1.0 - cut))
+            self._cut(excess, now)
             return
-        if policy.window_step <= 0:
-            return
-        step = 1.0 if self.growing_fast else -excess * policy.window_step
+        # Divided by the size, growth per second is the same for large and small
+        # windows, while cuts are relative; so the windows of busy hosts become equal.
+        step = -excess * policy.window_step * self.share / self.size
+        if self.growing_fast:
+            step = 1.0
         self.size = min(self.size + step, max(self.size, len(self._open) + _UNUSED))
+
+    def _cut(self, excess: float, now: float) -> None:
+        # Results that waited at the same time show one congestion, not several.
+        if now < self._cut_at + self.policy.cut_pause_s:
+            return
+        self._cut_at = now
+        cut = min(_LARGEST_CUT, self.policy.window_cut * excess)
+        self.size = max(_LEAST_SIZE, self.size * (1.0 - cut))
