Bound a host's own unfinished prefill of patient requests

Cause: hosts that saw free slots sent several long prompts at once; their results came together and expired.

--- a/src/sesameport/routing/load_view.py
+++ b/src/sesameport/routing/load_view.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -78,6 +78,9 @@
     servers: dict[str, ServerLoad] = attrs.field(factory=dict)
     interval_s: dict[str, float] = attrs.field(factory=dict)
     _where: dict[int, list[str]] = attrs.field(factory=dict)
+    _slots: Counter = attrs.field(factory=Counter)
+    _speeds: Counter = attrs.field(factory=Counter)
+    _own_tokens: Counter = attrs.field(factory=Counter)
 
     def set_servers(self, servers, documents) -> None:
         """Replace the servers; what is known of those that stay is kept."""
@@ -94,6 +97,20 @@
             load = known.get(server.name) or ServerLoad(server, slots, speed)
             load.server, load.slots, load.speed = server, slots, speed
             self.servers[server.name] = load
+        self._sum_up()
+
+    def _sum_up(self) -> None:
+        self._slots.clear()
+        self._speeds.clear()
+        self._own_tokens.clear()
+        for load in self.servers.values():
+            service = load.server.service
+            if load.server.can_decode():
+                self._slots[service] += load.slots
+            if load.server.can_prefill():
+                self._speeds[service] += load.speed
+            own = sum(tokens for _, tokens in load.prefills.values())
+            self._own_tokens[service] += own
 
     def report(self, report: LoadReport, now: float) -> None:
         """Take in a load report; one that is older than the last is ignored."""
@@ -154,15 +171,21 @@
 
     def slots_of(self, service: str) -> int:
         """Return the decode slots of all servers of a service."""
-        return sum(
-            load.slots
-            for load in self.servers.values()
-            if load.server.service == service and load.server.can_decode()
-        )
+        return self._slots[service]
+
+    def prefill_speed_of(self, service: str) -> float:
+        """Return the prefill speed of all servers of a service, tokens per second."""
+        return self._speeds.get(service, 0.0)
+
+    def own_prefill_tokens(self, service: str) -> float:
+        """Return the own prefill tokens that have not ended."""
+        return self._own_tokens.get(service, 0.0)
 
     def place_prefill(self, ticket: int, name: str, tokens: float, at: float) -> None:
         """Count an own prefill."""
-        self.servers[name].prefills[ticket] = (at, tokens)
+        load = self.servers[name]
+        load.prefills[ticket] = (at, tokens)
+        self._own_tokens[load.server.service] += tokens
         self._where.setdefault(ticket, []).append(name)
 
     def place_decode(
@@ -191,6 +214,7 @@
             load = self.servers.get(name)
             item = load.prefills.pop(ticket, None) if load else None
             if item is not None:
+                self._own_tokens[load.server.service] -= item[1]
                 load.ended_prefills.append((item[0], now, item[1]))
 
     def end_decode(self, ticket: int, now: float, tokens: int | None = None) -> None:
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -36,7 +36,10 @@
         are tried most often.
     max_waiting_results : int
         Own prefill results that wait for a slot, from which no patient prefill is
-        started; urgent ones start up to ``urgent_extra`` more.
+        started; urgent ones start up to one more.
+    prefill_ahead_s : float
+        Own unfinished prefill, in seconds of the host's share of the prefill speed,
+        above which no patient prefill is started.
     near_equal_s : float
         Expected first tokens closer than this are chosen among at random, seconds.
     max_backlog_s : float
@@ -55,6 +58,7 @@
     patient_retry_s: float = 0.045
     result_lifetime_s: float = 0.9
     max_waiting_results: int = 1
+    prefill_ahead_s: float = 0.3
     near_equal_s: float = 0.03
     max_backlog_s: float = 0.3
 
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -87,9 +87,13 @@
         policy = self.cfg.policy
         window = self.window(req.service)
         waiting = window.waiting_results(now) if policy.plan_start else 0
-        extra = policy.urgent_extra if req.urgency == Urgency.URGENT else 0.0
-        if waiting >= policy.max_waiting_results + extra:
+        urgent = req.urgency == Urgency.URGENT
+        if waiting >= policy.max_waiting_results + urgent:
             return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
+        if policy.plan_start and not urgent:
+            ahead_s = self._ahead_s(req)
+            if ahead_s > policy.prefill_ahead_s:
+                return NotYet(now + _RESULT_RETRY_S, "own prefills are not done")
         count = policy.candidates
         usable = self._usable(exclude, now)
         names = self.index.sample(req.service, "prefill", count, usable, self.rng)
@@ -108,6 +112,7 @@
             if self._backlogged(prefills[0], req, now):
                 later = max(prefills[0].backlog_s - policy.max_backlog_s, 0.01)
                 return NotYet(now + later, "prefill backlog")
+            extra = policy.urgent_extra if urgent else 0.0
             start_at = window.room_at(now, prefills[0].end - now, extra)
             if start_at > now + _START_HORIZON_S:
                 return NotYet(start_at, "no decode slot expected in time")
@@ -166,6 +171,12 @@
                 best = (cost, name, ready)
         return None if best is None else best[1:]
 
+    def _ahead_s(self, req: CompletionRequest) -> float:
+        """Return how long the host's share of prefill needs for its own work, s."""
+        own = self.loads.own_prefill_tokens(req.service)
+        speed = self.loads.prefill_speed_of(req.service) / self.hosts
+        return own / speed if own > 0 and speed > 0 else 0.0
+
     def _pause_s(self, req: CompletionRequest, waited_s: float) -> float:
         """Return the pause after a busy answer: short for urgent and old results."""
         pause = self.cfg.policy.patient_retry_s
