--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -49,16 +49,16 @@
     candidates: int = 4
     count_own: bool = True
     plan_start: bool = True
-    window_step: float = 0.2
+    window_step: float = 0.1
     window_cut: float = 0.03
     cut_pause_s: float = 0.3
     target_wait_s: float = 0.08
     urgent_extra: float = 4.0
-    urgent_retry_s: float = 0.015
-    patient_retry_s: float = 0.045
+    urgent_retry_s: float = 0.02
+    patient_retry_s: float = 0.03
     result_lifetime_s: float = 0.9
     max_waiting_results: int = 1
-    prefill_ahead_s: float = 0.3
+    prefill_ahead_s: float = 0.2
     near_equal_s: float = 0.03
     max_backlog_s: float = 0.3
 
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -145,7 +145,8 @@
             for entry in order.due(now):
                 detail = "no slot became free before the deadline"
                 self._note(entry.req.request_id, f"expired: {detail}")
-                retry = max(1.0, round(order.expected_wait_s(entry.req.workspace), 1))
+                wait = order.expected_wait_s(entry.req.workspace, entry.req.urgency)
+                retry = max(1.0, round(wait, 1))
                 refusal = Refusal(
                     RefusalType.DEADLINE, detail=detail, retry_after_s=retry
                 )
--- a/src/sesameport/routing/waiting.py
+++ b/src/sesameport/routing/waiting.py
@@ -59,6 +59,7 @@
     weight: float = 1.0
     waiting: int = 0
     tokens: int = 0
+    urgent_tokens: int = 0
     active_mark: int = 0
 
 
@@ -102,7 +103,7 @@
     ) -> Refusal | None:
         """Queue a request, or return an early refusal; it then has not run."""
         space = self._workspace(req.workspace)
-        wait = self.expected_wait_s(req.workspace)
+        wait = self.expected_wait_s(req.workspace, req.urgency)
         retry = max(_LEAST_RETRY_S, round(wait, 1))
         if len(self._entries) >= self.max_waiting:
             detail = f"{len(self._entries)} requests wait, the bound of the queue"
@@ -192,18 +193,24 @@
                 if self._lanes.get(key):
                     self._push_lane(key)
 
-    def expected_wait_s(self, workspace: str) -> float:
+    def expected_wait_s(self, workspace: str, urgency: Urgency) -> float:
         """Return the expected wait of a workspace's next request, seconds.
 
-        It counts the workspace's own queue at its share of the measured rate.
+        It counts what the workspace has queued in front of the request, at its share
+        of the measured rate. Urgent requests wait for urgent ones only.
         """
         rate = self.rate_tokens_per_s()
         space = self._workspaces.get(workspace)
-        if not rate or space is None or not space.tokens:
+        if not rate or space is None:
+            return 0.0
+        ahead = space.tokens
+        if urgency == Urgency.URGENT:
+            ahead = space.urgent_tokens
+        if not ahead:
             return 0.0
         active = [s.weight for s in self._active_workspaces()]
         share = space.weight / max(sum(active), space.weight)
-        return space.tokens / (rate * share)
+        return ahead / (rate * share)
 
     def rate_tokens_per_s(self) -> float:
         """Return the measured rate of placements, tokens per second."""
@@ -245,6 +252,8 @@
         self._entries[req.request_id] = entry
         space.waiting += 1
         space.tokens += entry.tokens
+        if req.urgency == Urgency.URGENT:
+            space.urgent_tokens += entry.tokens
         if tier == _PATIENT:
             self._time(aging_at, entry, _URGENT)
         if tier != late:
@@ -273,6 +282,8 @@
         space = self._workspaces[entry.req.workspace]
         space.waiting -= 1
         space.tokens -= entry.tokens
+        if entry.req.urgency == Urgency.URGENT:
+            space.urgent_tokens -= entry.tokens
         self._clean(entry.lane())
         self._stale += 1
         if self._stale > 2 * len(self._entries) + _STALE_BOUND:
