--- a/src/sesameport/routing/candidates.py
+++ b/src/sesameport/routing/candidates.py
@@ -1,14 +1,39 @@
 """Sample a constant number of candidate servers, whatever the size of the fleet."""
 
 import random
+import zlib
+from collections import defaultdict
 
 import attrs
 
-__all__ = ["ServerIndex"]
+__all__ = ["ServerIndex", "watched_servers"]
 
 _TRIES_PER_CANDIDATE = 3
 
 
+def watched_servers(servers, data_centre: str, per_role: int, salt: int) -> list:
+    """Return the servers that one host reads reports of and sends work to.
+
+    Up to ``per_role`` per service and role, half of them from the own data centre,
+    chosen by rendezvous hashing with the host's ``salt``, so that the choice hardly
+    changes when servers come and go and differs between hosts.
+    """
+    groups = defaultdict(list)
+    for server in servers:
+        groups[server.service, server.role].append(server)
+
+    def rank(server) -> int:
+        return zlib.crc32(f"{salt}/{server.name}".encode())
+
+    watched = []
+    for group in groups.values():
+        near = sorted((s for s in group if s.data_centre == data_centre), key=rank)
+        far = sorted((s for s in group if s.data_centre != data_centre), key=rank)
+        kept = near[: max(per_role // 2, per_role - len(far))]
+        watched += kept + far[: per_role - len(kept)]
+    return watched
+
+
 @attrs.define
 class ServerIndex:
     """Hold the servers of each service by role and data centre.
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -73,6 +73,8 @@
         Bounds of the queue of one service, requests.
     hosts : int
         Hosts that place work on the same servers.
+    watched_per_role : int
+        Servers per service and role that the host knows the load of and uses.
     patient_first_token_s : float
         Time to the first token that patient requests are to get; documents give it for
         urgent requests only.
@@ -84,6 +86,7 @@
     max_waiting: int = 400
     max_waiting_per_workspace: int = 200
     hosts: int = 9
+    watched_per_role: int = 24
     patient_first_token_s: float = 20.0
     remote_latency_s: float = 0.0015
     policy: PairingPolicy = PairingPolicy()
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -12,11 +12,12 @@
 
 from sesameport.interfaces import CacheEvents, LoadReport
 from sesameport.routing.cache_view import CacheView
-from sesameport.routing.candidates import ServerIndex
+from sesameport.routing.candidates import ServerIndex, watched_servers
 from sesameport.routing.links import LinkShares
 from sesameport.routing.load_view import LoadView
 from sesameport.routing.messages import Expired, Placement, RouterConfig
 from sesameport.routing.pairing import NotYet, Pair, Pairing
+from sesameport.routing.plain import PlainCalls
 from sesameport.routing.waiting import WaitingOrder
 from sesameport.world import (
     BackendServer,
@@ -59,21 +60,25 @@
     _tickets: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _last: OrderedDict[str, Placement] = attrs.field(factory=OrderedDict)
     _reasons: OrderedDict[str, str] = attrs.field(factory=OrderedDict)
-    _plain_calls: dict[str, int] = attrs.field(factory=dict)
+    _watched: list[BackendServer] = attrs.field(factory=list)
+    _salt: int = attrs.field(init=False)
     _cache: CacheView = attrs.field(factory=CacheView)
     _links: LinkShares = attrs.field(factory=LinkShares)
     _loads: LoadView = attrs.field(init=False)
     _index: ServerIndex = attrs.field(init=False)
     _pairing: Pairing = attrs.field(init=False)
+    _plain: PlainCalls = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the views."""
+        self._salt = self.rng.getrandbits(32)
         self._loads = LoadView(self.cfg.policy)
         self._index = ServerIndex(self.cfg.data_centre)
         self._pairing = Pairing(
             self.cfg, self._loads, self._cache, self._links, self._index, self.rng
         )
         self._pairing.hosts = self.cfg.hosts
+        self._plain = PlainCalls(self.cfg, self._loads, self._index, self.rng)
 
     def set_servers(self, servers, documents, now: float) -> None:
         """Replace the known servers and service documents (by name)."""
@@ -85,7 +90,13 @@
         for name in gone - set(self._servers):
             self._cache.forget(name)
         self._loads.set_servers(self._servers.values(), self._documents)
-        self._index.set_servers(self._servers.values())
+        self._watched = watched_servers(
+            self._servers.values(),
+            self.cfg.data_centre,
+            self.cfg.watched_per_role,
+            self._salt,
+        )
+        self._index.set_servers(self._watched)
         self._pairing.rescale(before, self._pairing.hosts)
         self._links.set_links(
             link for doc in self._documents.values() for link in doc.links
@@ -98,6 +109,13 @@
         """Set the number of live hosts that place work on the same servers."""
         self._pairing.rescale({}, max(1, count))
 
+    def watched(self) -> list[BackendServer]:
+        """Return the servers whose load and cache events this host is to read.
+
+        Their number is bounded, so that a host's traffic does not grow with the fleet.
+        """
+        return list(self._watched)
+
     def report_load(self, report: LoadReport, now: float) -> None:
         """Take in a lagging load report."""
         self._loads.report(report, now)
@@ -228,31 +246,12 @@
 
         ``plain_ended`` releases it.
         """
-
-        def usable(name: str) -> bool:
-            load = self._loads.servers[name]
-            return name not in exclude and load.usable(now)
-
-        count = self.cfg.policy.candidates
-        names = self._index.sample(req.service, "plain", count, usable, self.rng)
-        if not names:
-            return None
-
-        def cost(name: str) -> float:
-            away = self._servers[name].data_centre != self.cfg.data_centre
-            return self._plain_calls.get(name, 0) + 0.5 * away
-
-        name = min(names, key=cost)
-        self._plain_calls[name] = self._plain_calls.get(name, 0) + 1
-        return self._servers[name]
+        name = self._plain.place(req.service, exclude, now)
+        return None if name is None else self._servers[name]
 
     def plain_ended(self, server: str, now: float) -> None:
         """Release a plain call."""
-        left = self._plain_calls.get(server, 0) - 1
-        if left > 0:
-            self._plain_calls[server] = left
-        else:
-            self._plain_calls.pop(server, None)
+        self._plain.ended(server)
 
     def prefill_ended(self, placement: Placement, now: float) -> None:
         """Release the prefill share of a placement; its decode is called now."""
@@ -271,9 +270,7 @@
 
     def first_token(self, placement: Placement, now: float) -> None:
         """Release the link share: the decode server took the request."""
-        self._pairing.window(placement.decode.service).accepted(
-            placement.ticket, now
-        )
+        self._pairing.window(placement.decode.service).accepted(placement.ticket, now)
         self._links.end(placement.ticket)
 
     def decode_ended(
@@ -306,7 +303,7 @@
         return (
             self._loads.open_count()
             + self._links.open_count(now)
-            + sum(self._plain_calls.values())
+            + self._plain.open_count()
         )
 
     def _poll_order(self, order: WaitingOrder, now: float, out: list) -> float:
--- a/src/sesameport/routing/waiting.py
+++ b/src/sesameport/routing/waiting.py
@@ -1,11 +1,11 @@
 """Order the requests of one service that wait for a placement.
 
-Urgent requests go before patient ones. A patient request is promoted to the urgent
-tier when three quarters of its time to the first token are over, so that it is never starved. A
-request that can no longer meet its target goes behind those that can. Inside a tier,
-workspaces are served by a virtual token counter (VTC, OSDI 2024). Every workspace has
-one lane for short and one for long prompts per tier, so that a long prompt that cannot
-be placed blocks no short one.
+Tiers are served in this order: urgent requests; urgent requests that can no longer meet
+their target; patient requests; patient requests that can no longer meet theirs. A
+patient request joins the first tier when three quarters of its time to the first token
+are over, so that it is never starved. Inside a tier, workspaces are served by a virtual
+token counter (VTC, OSDI 2024). Every workspace has one lane for short and one for long
+prompts per tier, so that a long prompt that cannot be placed blocks no short one.
 """
 
 import heapq
@@ -79,6 +79,7 @@
     _timers: list = attrs.field(factory=list)
     _workspaces: dict[str, _Workspace] = attrs.field(factory=dict)
     _active: list = attrs.field(factory=list)
+    _active_weight: float = 0.0
     _floor: float = 0.0
     _queued: set[_LaneKey] = attrs.field(factory=set)
     _stale: int = 0
@@ -96,7 +97,10 @@
             if name not in weights and not self._workspaces[name].waiting:
                 del self._workspaces[name]
         for name, weight in weights.items():
-            self._workspace(name).weight = weight
+            space = self._workspace(name)
+            if space.waiting:
+                self._active_weight += weight - space.weight
+            space.weight = weight
 
     def offer(
         self, req: CompletionRequest, target: float, now: float
@@ -208,8 +212,7 @@
             ahead = space.urgent_tokens
         if not ahead:
             return 0.0
-        active = [s.weight for s in self._active_workspaces()]
-        share = space.weight / max(sum(active), space.weight)
+        share = space.weight / max(self._active_weight, space.weight)
         return ahead / (rate * share)
 
     def rate_tokens_per_s(self) -> float:
@@ -226,13 +229,6 @@
     def _workspace(self, name: str) -> _Workspace:
         return self._workspaces.setdefault(name, _Workspace())
 
-    def _active_workspaces(self):
-        names = {item[1] for item in self._active}
-        for name in names:
-            space = self._workspaces.get(name)
-            if space is not None and space.waiting:
-                yield space
-
     def _charge(self, req: CompletionRequest, space: _Workspace) -> float:
         tokens = req.prompt_tokens + req.expected_output_tokens
         return tokens / max(space.weight, 1e-6)
@@ -241,6 +237,7 @@
         space = self._workspace(req.workspace)
         if not space.waiting:
             self._lift(req.workspace, space)
+            self._active_weight += space.weight
         tier = _URGENT if req.urgency == Urgency.URGENT else _PATIENT
         aging_at = req.arrived + _AGING_SHARE * (target - req.arrived)
         if tier == _PATIENT and aging_at <= now:
@@ -264,10 +261,10 @@
     def _lift(self, name: str, space: _Workspace) -> None:
         while self._active:
             counter, other, mark = self._active[0]
-            known = self._workspaces.get(other)
-            if known is None or not known.waiting or mark != known.active_mark:
+            if not self._is_current(self._active[0]):
                 heapq.heappop(self._active)
                 continue
+            known = self._workspaces[other]
             if counter < known.counter:
                 heapq.heapreplace(self._active, (known.counter, other, mark))
                 continue
@@ -277,10 +274,16 @@
         space.active_mark += 1
         heapq.heappush(self._active, (space.counter, name, space.active_mark))
 
+    def _is_current(self, item: tuple[float, str, int]) -> bool:
+        known = self._workspaces.get(item[1])
+        return known is not None and known.waiting > 0 and known.active_mark == item[2]
+
     def _leave(self, entry: Entry) -> None:
         entry.gone = True
         space = self._workspaces[entry.req.workspace]
         space.waiting -= 1
+        if not space.waiting:
+            self._active_weight -= space.weight
         space.tokens -= entry.tokens
         if entry.req.urgency == Urgency.URGENT:
             space.urgent_tokens -= entry.tokens
@@ -295,6 +298,8 @@
         self._stale = 0
         self._timers = [item for item in self._timers if not item[2].gone]
         heapq.heapify(self._timers)
+        self._active = [item for item in self._active if self._is_current(item)]
+        heapq.heapify(self._active)
         for key, lane in list(self._lanes.items()):
             kept = deque(e for e in lane if not e.gone and e.tier == key[0])
             if kept:
