Let costly results try more often and grow only limited windows

Cause: windows grew while they did not limit anything, and urgent results took slots from long prompts whose loss wastes ten times as much prefill.

--- a/src/sesameport/bench/host.py
+++ b/src/sesameport/bench/host.py
@@ -276,7 +276,7 @@
             return
         now = self.clock.now
         self.router.report_busy(attempt.placement.decode.name, now)
-        if now >= attempt.result_until:
+        if now >= attempt.result_until or not self.sim.plan.retry_results:
             self.sim.tally.expired_results += 1
             self._again(attempt)
             return
--- a/src/sesameport/bench/simulation.py
+++ b/src/sesameport/bench/simulation.py
@@ -32,6 +32,7 @@
 
     Requests that arrive in the window are measured. Traffic goes on during the
     cool-down, so that the window's requests meet the same load until their end.
+    Without ``retry_results`` a busy answer leads to a new prefill at once.
     """
 
     load: float = 1.0
@@ -40,6 +41,7 @@
     window_s: float = 60.0
     cool_down_s: float = 30.0
     drain_s: float = 45.0
+    retry_results: bool = True
     faults: Faults = Faults()
 
 
--- a/src/sesameport/routing/__init__.py
+++ b/src/sesameport/routing/__init__.py
@@ -13,6 +13,7 @@
 from sesameport.routing.pairing import NotYet, Pair, Pairing
 from sesameport.routing.router import Router
 from sesameport.routing.waiting import Entry, WaitingOrder
+from sesameport.routing.window import SendWindow
 
 __all__ = [
     "CacheView",
@@ -27,6 +28,7 @@
     "Placement",
     "Router",
     "RouterConfig",
+    "SendWindow",
     "ServerIndex",
     "ServerLoad",
     "WaitingOrder",
--- a/src/sesameport/routing/messages.py
+++ b/src/sesameport/routing/messages.py
@@ -28,12 +28,12 @@
         Wait of a prefill result for a decode slot that keeps the slots full, seconds.
     urgent_extra : float
         Requests by which urgent ones may exceed the window.
-    urgent_retry_s, patient_retry_s : float
-        Pause before a server that answered busy is tried again, seconds. Urgent
-        results try more often and so get the next slot more often.
+    retry_s : float
+        Longest pause before a server that answered busy is tried again, seconds. The
+        pause is shorter for results that cost more prefill and for old ones, which
+        so get the next slot more often.
     result_lifetime_s : float
-        Time for which engines keep a prefill result, seconds; results close to it
-        are tried most often.
+        Time for which engines keep a prefill result, seconds.
     max_waiting_results : int
         Own prefill results that wait for a slot, from which no patient prefill is
         started; urgent ones start up to one more.
@@ -52,14 +52,13 @@
     window_step: float = 0.1
     window_cut: float = 0.03
     cut_pause_s: float = 0.3
-    target_wait_s: float = 0.08
+    target_wait_s: float = 0.1
     urgent_extra: float = 4.0
-    urgent_retry_s: float = 0.02
-    patient_retry_s: float = 0.03
+    retry_s: float = 0.04
     result_lifetime_s: float = 0.9
     max_waiting_results: int = 1
     prefill_ahead_s: float = 0.2
-    near_equal_s: float = 0.03
+    near_equal_s: float = 0.015
     max_backlog_s: float = 0.3
 
 
--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -31,6 +31,11 @@
 _PREFILLS_COMPARED = 2
 _RESULT_RETRY_S = 0.02
 _LEAST_PAUSE_S = 0.005
+_CHEAP_PROMPT_TOKENS = 500
+_LEAST_PAUSE_PART = 0.25
+# Part of the even share of slots that a host starts with. After a cold start all slots
+# fill at the same time and none becomes free for a while.
+_FIRST_SHARE = 0.85
 # Prefer the own data centre over an equal server elsewhere by more than the latency:
 # remote work loads the shared links.
 _REMOTE_PENALTY_S = 0.02
@@ -81,13 +86,21 @@
     windows: dict[str, SendWindow] = attrs.field(factory=dict)
 
     def choose(
-        self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
+        self,
+        req: CompletionRequest,
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+        again: bool = False,
     ) -> Pair | NotYet:
-        """Choose a pair for a request, or say when to decide again."""
+        """Choose a pair for a request, or say when to decide again.
+
+        ``again`` is set for a request that was placed before; it may exceed the send
+        window as an urgent one may.
+        """
         policy = self.cfg.policy
         window = self.window(req.service)
         waiting = window.waiting_results(now) if policy.plan_start else 0
-        urgent = req.urgency == Urgency.URGENT
+        urgent = again or req.urgency == Urgency.URGENT
         if waiting >= policy.max_waiting_results + urgent:
             return NotYet(now + _RESULT_RETRY_S, "an own result waits for a slot")
         if policy.plan_start and not urgent:
@@ -119,11 +132,12 @@
         return self._best(req, prefills, decodes, start_at, now)
 
     def window(self, service: str) -> SendWindow:
-        """Return the send window of a service; it starts with an even share."""
+        """Return the send window of a service; it starts below the even share."""
         window = self.windows.get(service)
         if window is None:
             share = max(1.0, self.loads.slots_of(service) / self.hosts)
-            window = SendWindow(self.cfg.policy, share, share)
+            size = max(1.0, share * _FIRST_SHARE)
+            window = SendWindow(self.cfg.policy, size, share)
             self.windows[service] = window
         return window
 
@@ -178,10 +192,9 @@
         return own / speed if own > 0 and speed > 0 else 0.0
 
     def _pause_s(self, req: CompletionRequest, waited_s: float) -> float:
-        """Return the pause after a busy answer: short for urgent and old results."""
-        pause = self.cfg.policy.patient_retry_s
-        if req.urgency == Urgency.URGENT:
-            pause = self.cfg.policy.urgent_retry_s
+        """Return the pause after a busy answer: short for costly and old results."""
+        cheap = min(1.0, _CHEAP_PROMPT_TOKENS / max(1, req.prompt_tokens))
+        pause = self.cfg.policy.retry_s * max(cheap, _LEAST_PAUSE_PART)
         left = 1.0 - waited_s / self.cfg.policy.result_lifetime_s
         return max(_LEAST_PAUSE_S, pause * left * left)
 
--- a/src/sesameport/routing/router.py
+++ b/src/sesameport/routing/router.py
@@ -188,8 +188,11 @@
     def place(
         self, req: CompletionRequest, now: float, exclude: frozenset[str] = frozenset()
     ) -> Placement | None:
-        """Choose servers for a request and count it there; None if none is free."""
-        choice = self._pairing.choose(req, now, exclude)
+        """Choose servers for a request that is placed again, and count it there.
+
+        None means that no slot is expected now; ``explain`` has the reason.
+        """
+        choice = self._pairing.choose(req, now, exclude, again=True)
         if isinstance(choice, NotYet):
             self._note(req.request_id, f"waits: {choice.reason}")
             return None
@@ -200,12 +203,15 @@
     ) -> Placement | None:
         """Choose a decode server for a KV handle that is still alive.
 
-        The earlier reservation of the request is released. ``start_at`` is when to try
+        The earlier reservation of the request is released; if its server is excluded,
+        it counts as full now. ``start_at`` is when to try
         the server: after a busy answer there is a short pause. None means that no
         decode server is usable.
         """
         last = self._last.get(req.request_id)
         source = last.prefill.data_centre if last else self.cfg.data_centre
+        if last and last.decode.name in exclude:
+            self._loads.busy(last.decode.name, now)
         window = self._pairing.window(req.service)
         waited = window.waited_s(last.ticket, now) if last else 0.0
         choice = self._pairing.choose_decode(req, source, now, exclude, waited)
--- a/src/sesameport/routing/window.py
+++ b/src/sesameport/routing/window.py
@@ -18,9 +18,7 @@
 
 _OVERDUE_SHARE = 0.25
 _LEAST_SIZE = 1.0
-# The window may exceed what is in use by this much, so that a host which was idle does
-# not send a burst later.
-_UNUSED = 3.0
+_FAST_STEP = 0.3
 _LARGEST_CUT = 0.2
 
 
@@ -92,7 +90,7 @@
 
     def waiting_results(self, now: float) -> int:
         """Return the own prefill results that were turned away a moment ago."""
-        recent = now - 2 * self.policy.patient_retry_s
+        recent = now - 2 * self.policy.retry_s
         return sum(
             1
             for item in self._open.values()
@@ -136,12 +134,13 @@
         if excess > 0:
             self._cut(excess, now)
             return
+        if len(self._open) < self.size - 1.0:
+            # The window was not what held requests back.
+            return
         # Divided by the size, growth per second is the same for large and small
         # windows, while cuts are relative; so the windows of busy hosts become equal.
         step = -excess * policy.window_step * self.share / self.size
-        if self.growing_fast:
-            step = 1.0
-        self.size = min(self.size + step, max(self.size, len(self._open) + _UNUSED))
+        self.size += _FAST_STEP if self.growing_fast else step
 
     def _cut(self, excess: float, now: float) -> None:
         # Results that waited at the same time show one congestion, not several.
