--- a/src/sesameport/routing/pairing.py
+++ b/src/sesameport/routing/pairing.py
@@ -30,7 +30,7 @@
 _HOLDERS = 2
 _PREFILLS_COMPARED = 2
 _RESULT_RETRY_S = 0.02
-_LEAST_PAUSE_S = 0.005
+_OLD_PAUSE_PART = 0.25
 _CHEAP_PROMPT_TOKENS = 500
 _LEAST_PAUSE_PART = 0.25
 # Part of the even share of slots that a host starts with. After a cold start all slots
@@ -196,7 +196,7 @@
         cheap = min(1.0, _CHEAP_PROMPT_TOKENS / max(1, req.prompt_tokens))
         pause = self.cfg.policy.retry_s * max(cheap, _LEAST_PAUSE_PART)
         left = 1.0 - waited_s / self.cfg.policy.result_lifetime_s
-        return max(_LEAST_PAUSE_S, pause * left * left)
+        return pause * max(_OLD_PAUSE_PART, left)
 
     def _best(self, req, prefills, decodes, start_at, now) -> Pair | NotYet:
         pairs: list[tuple[float, Pair]] = []
