--- a/src/sesameport/bench/capacity.py
+++ b/src/sesameport/bench/capacity.py
@@ -57,7 +57,7 @@
         slot_s += mix.share * sum(mix.output) / 2 * speed.interval_s(speed.slots)
         shared = _PREFIX_TOKENS if mix.prefixes else 0
         tokens += mix.share * (sum(mix.prompt) / 2 - shared)
-    count = len(deployment.data_centres)
+    count = len(deployment.data_centres) * deployment.pairs_per_data_centre
     by_slots = count * speed.slots / slot_s
     by_prefill = count * speed.prefill_tokens_per_s / tokens
     return min(by_slots, by_prefill)
--- a/src/sesameport/bench/deployments.py
+++ b/src/sesameport/bench/deployments.py
@@ -34,8 +34,9 @@
     """Describe a deployment: places, latencies, speeds, workspaces and mix.
 
     ``workspaces`` gives each workspace's share of the traffic; ``flooding`` is the one
-    that offers ``flood_factor`` times its rate. Deadlines are when callers give up;
-    a late answer is still worth more to these users than none.
+    that offers ``flood_factor`` times its rate. Each data centre has
+    ``pairs_per_data_centre`` prefill and as many decode servers. Deadlines are when
+    callers give up; a late answer is still worth more to these users than none.
     """
 
     name: str
@@ -48,6 +49,7 @@
     mixes: tuple[RequestMix, ...]
     flood_factor: float = 3.0
     hosts_per_data_centre: int = 3
+    pairs_per_data_centre: int = 1
     link_bytes_per_s: float = 5e9
     local_bytes_per_s: float = 2e10
     kv_bytes_per_token: int = 131_072
@@ -92,7 +94,7 @@
 
 
 def build_servers(deployment: Deployment) -> list[BackendServer]:
-    """Return one prefill, one decode and one plain server per data centre."""
+    """Return the pairs of prefill and decode servers and the plain servers."""
     servers = []
     roles = (ServerRole.PREFILL, ServerRole.DECODE, ServerRole.PLAIN)
     for data_centre in deployment.data_centres:
@@ -100,8 +102,12 @@
             service = deployment.model_service
             if role == ServerRole.PLAIN:
                 service = deployment.plain_service
-            name = f"{service}-{role}-{data_centre}"
-            servers.append(BackendServer(name, service, role, data_centre, "", role))
+            count = 1 if role == ServerRole.PLAIN else deployment.pairs_per_data_centre
+            for i in range(count):
+                name = f"{service}-{role}-{data_centre}-{i}"
+                servers.append(
+                    BackendServer(name, service, role, data_centre, "", role)
+                )
     return servers
 
 
--- a/src/sesameport/bench/host.py
+++ b/src/sesameport/bench/host.py
@@ -70,7 +70,7 @@
         self.clock = sim.clock
         self.data_centre = data_centre
         self.rng = random.Random(sim.plan.seed * 1_000 + number)
-        self.router = make_router(data_centre, len(sim.deployment.data_centres) * 3)
+        self.router = make_router(data_centre, sim.host_count)
         self.router.rng.seed(sim.plan.seed * 1_000 + 500 + number)
         self.router.set_servers(sim.servers, sim.documents, 0.0)
         self.attempts: dict[str, Attempt] = {}
--- a/src/sesameport/bench/measures.py
+++ b/src/sesameport/bench/measures.py
@@ -57,6 +57,7 @@
     plan = sim.plan
     records = [r for r in sim.tally.records if r.in_window and not r.lost_with_host]
     live = len(sim.deployment.data_centres) - len(sim.lost)
+    live *= sim.deployment.pairs_per_data_centre
     bound = bound_share(
         [record.arrival for record in records],
         plan.window_s,
--- a/src/sesameport/bench/simulation.py
+++ b/src/sesameport/bench/simulation.py
@@ -31,7 +31,8 @@
     """Give load, seed and duration of a run, seconds of virtual time.
 
     Requests that arrive in the window are measured. Traffic goes on during the
-    cool-down, so that the window's requests meet the same load until their end.
+    cool-down, so that the window's requests meet the same load until their end. The
+    drain is longer than the longest deadline, so that nothing may be held after it.
     Without ``retry_results`` a busy answer leads to a new prefill at once.
     """
 
@@ -40,7 +41,7 @@
     warm_up_s: float = 10.0
     window_s: float = 60.0
     cool_down_s: float = 30.0
-    drain_s: float = 45.0
+    drain_s: float = 130.0
     retry_results: bool = True
     faults: Faults = Faults()
 
@@ -61,6 +62,8 @@
             self.engines[server.name] = self._engine(server)
         self.lost: set[str] = set()
         self.links: dict[tuple[str, str], int] = {}
+        places = len(deployment.data_centres)
+        self.host_count = places * deployment.hosts_per_data_centre
         self.hosts = [
             BenchHost(self, data_centre, make_router, seed)
             for seed, data_centre in enumerate(
