Measure uneven hosts and wrong host counts in the bench

Cause: with even traffic a fixed share of slots does as well as the send window, so the window needs a case that shows what it is for.

--- a/src/sesameport/bench/__main__.py
+++ b/src/sesameport/bench/__main__.py
@@ -17,19 +17,12 @@
     parser.add_argument("--case", action="append", choices=cases)
     parser.add_argument("--seed", type=int, action="append")
     parser.add_argument("--window", type=float, default=60.0, help="seconds")
-    parser.add_argument(
-        "--no-result-retry", action="store_true", help="prefill again after busy"
-    )
     parser.add_argument("--json", help="file for the results as JSON")
     parser.add_argument("--plots", help="directory for plots (needs matplotlib)")
     args = parser.parse_args()
     routers = args.router or ["sesameport", "least-loaded", "round-robin"]
-    durations = {
-        "window_s": args.window,
-        "retry_results": not args.no_result_retry,
-    }
     results = [
-        run_case(deployment, router, case, seed, **durations)
+        run_case(deployment, router, case, seed, window_s=args.window)
         for seed in args.seed or [1]
         for deployment in args.deployment or DEPLOYMENTS
         for case in args.case or CASES
--- a/src/sesameport/bench/run.py
+++ b/src/sesameport/bench/run.py
@@ -13,14 +13,18 @@
 __all__ = ["CASES", "ROUTERS", "run_bench", "run_case"]
 
 CASES = {
-    "70%": (0.7, Faults()),
-    "100%": (1.0, Faults()),
-    "130%": (1.3, Faults()),
-    "data-centre-lost": (0.7, Faults(lost_data_centre=True)),
+    "70%": {"load": 0.7},
+    "100%": {"load": 1.0},
+    "130%": {"load": 1.3},
+    "data-centre-lost": {"load": 0.7, "faults": Faults(lost_data_centre=True)},
 }
 FAULT_CASES = {
-    "server-crash": (0.7, Faults(crash_server=True)),
-    "stalled-transfers": (0.7, Faults(stall_transfers=0.01)),
+    "server-crash": {"load": 0.7, "faults": Faults(crash_server=True)},
+    "stalled-transfers": {"load": 0.7, "faults": Faults(stall_transfers=0.01)},
+    "uneven-hosts": {"load": 1.0, "uneven": 3.0},
+    "twice-the-hosts-assumed": {"load": 1.0, "assumed_hosts": 2.0},
+    "two-thirds-assumed": {"load": 1.0, "assumed_hosts": 0.67},
+    "no-result-retry": {"load": 1.0, "retry_results": False},
 }
 
 
@@ -57,8 +61,7 @@
     deployment: str, router: str, case: str, seed: int = 1, **durations
 ) -> Measures:
     """Run one deployment, router and case; ``durations`` are those of RunPlan."""
-    load, faults = {**CASES, **FAULT_CASES}[case]
-    plan = RunPlan(load=load, seed=seed, faults=faults, **durations)
+    plan = RunPlan(seed=seed, **{**CASES, **FAULT_CASES}[case], **durations)
     sim = Simulation(DEPLOYMENTS[deployment], plan, ROUTERS[router])
     sim.run()
     return measure(sim, router, case)
--- a/src/sesameport/bench/simulation.py
+++ b/src/sesameport/bench/simulation.py
@@ -33,7 +33,9 @@
     Requests that arrive in the window are measured. Traffic goes on during the
     cool-down, so that the window's requests meet the same load until their end. The
     drain is longer than the longest deadline, so that nothing may be held after it.
-    Without ``retry_results`` a busy answer leads to a new prefill at once.
+    Without ``retry_results`` a busy answer leads to a new prefill at once. Every third
+    host gets ``uneven`` times the traffic of the others. ``assumed_hosts`` is the count
+    of hosts that routers assume, as a multiple of the true one.
     """
 
     load: float = 1.0
@@ -43,6 +45,8 @@
     cool_down_s: float = 30.0
     drain_s: float = 130.0
     retry_results: bool = True
+    uneven: float = 1.0
+    assumed_hosts: float = 1.0
     faults: Faults = Faults()
 
 
@@ -63,7 +67,8 @@
         self.lost: set[str] = set()
         self.links: dict[tuple[str, str], int] = {}
         places = len(deployment.data_centres)
-        self.host_count = places * deployment.hosts_per_data_centre
+        hosts = places * deployment.hosts_per_data_centre
+        self.host_count = max(1, round(hosts * plan.assumed_hosts))
         self.hosts = [
             BenchHost(self, data_centre, make_router, seed)
             for seed, data_centre in enumerate(
@@ -151,7 +156,13 @@
 
     def _host(self, number: int) -> BenchHost:
         hosts = self.live_hosts()
-        return hosts[number % len(hosts)]
+        number %= len(hosts)
+        if number % 3 and self.plan.uneven > 1.0:
+            # Moves requests so that every third host gets its multiple.
+            factor = self.plan.uneven
+            if self.rng.random() < 1.0 - 3.0 / (factor + 2.0):
+                number -= number % 3
+        return hosts[number]
 
     def _plain_traffic(self, until: float) -> None:
         rate = self.deployment.plain_calls_per_s
