--- a/src/sesameport/fleet/share_accounts.py
+++ b/src/sesameport/fleet/share_accounts.py
@@ -12,11 +12,19 @@
     "RateRefused",
     "Receipt",
     "WorkspaceShare",
+    "pause_full",
+    "settle_receipt",
     "take_idle",
 ]
 
+# Longest time without a new ask after the owner had too little, seconds.
+_LONGEST_OWNER_WAIT_S = 0.5
+# Weight of the newest charge period in the estimate of demand.
+_DEMAND_WEIGHT = 0.3
 # Part of the burst up to which tokens paid in excess offset later debt.
 _CREDIT_PART = 0.05
+# A standing bucket filled to this part passes its rate to the pool.
+_FULL_PART = 0.95
 # A lot with at most this many tokens is spent; the rest is rounding.
 _SPENT = 1e-6
 
@@ -74,11 +82,50 @@
     peers_backoff_s: float = 0.0
     retry_after_s: float = 1.0
 
+    def lot_tokens(self, now: float) -> float:
+        """Return the tokens left in lots."""
+        return sum(lot.tokens for lot in self.lots if lot.expires_at > now)
+
     def available(self, now: float) -> float:
         """Return the tokens that a charge may use now."""
         self.standing.advance(now)
-        lots = sum(lot.tokens for lot in self.lots if lot.expires_at > now)
-        return lots + max(0.0, self.standing.level)
+        return self.lot_tokens(now) + self.standing.level
+
+    def note_owner_short(self, retry_after_s: float, least_s: float, now: float):
+        """Note that the owner had too little, and when to ask it again."""
+        wait = min(_LONGEST_OWNER_WAIT_S, retry_after_s)
+        self.owner_short_until = now + max(least_s, wait)
+        self.retry_after_s = retry_after_s
+
+    def end_period(self, elapsed_s: float) -> bool:
+        """Update the estimate of demand and tell whether the workspace is idle."""
+        newest = self.charged / elapsed_s
+        self.demand_per_s += _DEMAND_WEIGHT * (newest - self.demand_per_s)
+        self.charged = 0.0
+        if self.demand_per_s >= 1.0 or self.lots or self.missing:
+            return False
+        self.demand_per_s = 0.0
+        return True
+
+    def retry_after(self, missing: float) -> float:
+        """Return when the missing tokens are likely to be there, seconds."""
+        rate = max(self.limit.rate_tokens_per_s, 1e-9)
+        return min(60.0, max(self.retry_after_s, missing / rate))
+
+
+def pause_full(
+    workspaces: dict[str, WorkspaceShare], until: float, now: float
+) -> tuple[str, ...]:
+    """Pause the full standing buckets until a time and name the other workspaces."""
+    busy = []
+    for name, share in workspaces.items():
+        lender = share.standing
+        lender.advance(now)
+        if lender.level < _FULL_PART * lender.capacity:
+            busy.append(name)
+            continue
+        lender.pause(until, now)
+    return tuple(busy)
 
 
 def take_idle(
@@ -129,10 +176,9 @@
         share.credit -= offset
         share.debt += excess - offset
         return 0.0
-    left = -excess
-    offset = min(share.debt, left)
+    offset = min(share.debt, -excess)
     share.debt -= offset
-    left -= offset
+    left = -excess - offset
     given = 0.0
     for lot, part in receipt.lots:
         if lot not in share.lots or lot.expires_at <= now:
--- a/src/sesameport/fleet/shares.py
+++ b/src/sesameport/fleet/shares.py
@@ -10,6 +10,7 @@
 import attrs
 
 from sesameport.fleet.buckets import Lender, Lot, spend_lots
+from sesameport.fleet.clocks import wait_out_s
 from sesameport.fleet.pool_owner import LotBook, lend_lots
 from sesameport.fleet.share_accounts import (
     Admitted,
@@ -17,11 +18,12 @@
     RateRefused,
     Receipt,
     WorkspaceShare,
+    pause_full,
     settle_receipt,
     take_idle,
 )
-from sesameport.fleet.share_asks import LotAsks, OpenAsk
-from sesameport.fleet.share_limits import Limit, ShareSettings
+from sesameport.fleet.share_asks import LotAsks
+from sesameport.fleet.share_limits import Limit, ShareSettings, workspaces_digest
 from sesameport.fleet.share_messages import (
     LotAsk,
     LotGrant,
@@ -37,14 +39,12 @@
 
 # A charge is covered when at most this many tokens are missing; it absorbs rounding.
 _ROUNDING = 1e-6
-# Longest times without a new ask after a lender had too little, seconds.
-_LONGEST_OWNER_WAIT_S = 0.5
+_PAUSE_MARGIN_S = 0.1
+# Longest time without a new ask after peers had too little, seconds.
 _LONGEST_PEER_WAIT_S = 3.0
 # Numbers of standing lots start here, so that they differ from the numbers of pool lots
 # of the same process and a return reaches only the bucket that lent the lot.
 _FIRST_STANDING_LOT = 1 << 40
-# Weight of the newest charge period in the estimate of demand.
-_DEMAND_WEIGHT = 0.3
 
 
 @attrs.define
@@ -77,6 +77,8 @@
     _retired: dict[str, Lender] = attrs.field(factory=dict)
     _book: LotBook = attrs.field(init=False)
     _demand_at: float | None = None
+    _digest: int = 0
+    _active: set[str] = attrs.field(factory=set)
 
     def __attrs_post_init__(self):
         self.asks = LotAsks(self.service, self.cfg, self.rng)
@@ -85,6 +87,7 @@
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Put the limits of a new document version in force."""
+        self._digest = workspaces_digest(limits)
         for workspace, limit in limits.items():
             share = self.workspaces.get(workspace)
             if share is None:
@@ -98,6 +101,7 @@
         for workspace in list(self.workspaces):
             if workspace in limits:
                 continue
+            self._active.discard(workspace)
             lender = self.workspaces.pop(workspace).standing
             lender.resize(0.0, 0.0, now)
             self._retired[workspace] = lender
@@ -142,14 +146,17 @@
         share = self.workspaces.get(workspace)
         if share is None or tokens > share.limit.burst_tokens or self.is_leaving:
             return RateRefused(None)
+        self._active.add(workspace)
         if may_wait:
             share.charged += tokens
         missing = tokens + share.debt - share.available(now)
+        if may_wait and self._asks_first(share, now):
+            missing = tokens + share.debt - share.lot_tokens(now)
         if missing > _ROUNDING:
             if may_wait and self._may_ask(share, now):
                 share.missing = min(share.missing + missing, share.limit.burst_tokens)
                 return LotsNeeded(missing)
-            return RateRefused(self._retry_after(share, missing))
+            return RateRefused(share.retry_after(missing))
         if share.debt > 0.0:
             self._withdraw(share, share.debt, now)
             share.debt = 0.0
@@ -170,14 +177,14 @@
 
     def flush(self, now: float) -> list[tuple[str, LotAsk]]:
         """Return the asks for the tokens that waiting charges are missing."""
-        for ask in self.asks.drop_old(now):
-            self._note_unanswered(ask, now)
-        wanting = [
-            (name, share) for name, share in self.workspaces.items() if share.missing
-        ]
-        if not wanting or self.is_leaving:
-            return []
+        for name in self.asks.drop_old(now):
+            if name in self.workspaces:
+                share = self.workspaces[name]
+                share.peers_short_until = now + share.peers_backoff_s
+        wanting = [(name, share) for name, share in self._busy() if share.missing]
         out = []
+        if not wanting or self.is_leaving:
+            return out
         if not self.asks.is_asking(from_standing=False):
             out.extend(self._ask_owner(wanting, now))
         if not self.asks.is_asking(from_standing=True):
@@ -190,15 +197,8 @@
         self._estimate_demand(now)
         out = list(self._return_lots(now, self.cfg.idle_return_s))
         out.extend(self.flush(now))
-        lenders = [share.standing for share in self.workspaces.values()]
-        for workspace, lender in list(self._retired.items()):
-            lenders.append(lender)
-            if lender.fits(now):
-                del self._retired[workspace]
-        fits = all(lender.fits(now) for lender in lenders)
-        ask = self.standing.tick(now, fits, self.is_leaving)
-        if ask is not None:
-            out.append((self.asks.owner_guess(), ask))
+        if self.standing.is_ask_due(now):
+            out.extend(self._ask_standing(now))
         return out
 
     def leave(self, now: float) -> list[tuple[str, LotReturn]]:
@@ -226,9 +226,7 @@
             if ask.from_standing:
                 share.peers_short_until = now + share.peers_backoff_s
                 continue
-            wait = min(_LONGEST_OWNER_WAIT_S, short.retry_after_s)
-            share.owner_short_until = now + max(self.cfg.retry_s, wait)
-            share.retry_after_s = short.retry_after_s
+            share.note_owner_short(short.retry_after_s, self.cfg.retry_s, now)
         for lot in grant.lots:
             share = self.workspaces.get(lot.workspace)
             expires_at = ask.sent_at + lot.lifetime_s
@@ -236,16 +234,10 @@
                 continue
             if ask.from_standing:
                 share.peers_backoff_s = 0.0
-            share.lots.append(
-                Lot(
-                    sender.host,
-                    sender.incarnation,
-                    lot.lot_id,
-                    lot.tokens,
-                    expires_at,
-                    now,
-                )
-            )
+            lender = (sender.host, sender.incarnation)
+            held = Lot(*lender, lot.lot_id, lot.tokens, expires_at, now)
+            share.lots.append(held)
+            self._active.add(lot.workspace)
 
     def handle_standing_grant(
         self, sender: Sender, grant: StandingGrant, now: float
@@ -253,11 +245,9 @@
         """Adopt a standing share unless a newer one is in force."""
         if grant.to_incarnation != self.incarnation:
             return
-        if not grant.is_owner:
-            self.asks.owner = grant.owner
-            return
-        self.asks.owner = sender.host
-        if self.standing.adopt(grant, now):
+        self.asks.follow(sender.host, grant.is_owner, grant.owner)
+        self.standing.is_answered = True
+        if grant.is_owner and self.standing.adopt(grant, now):
             self._resize(now)
 
     def handle_lot_ask(self, sender: Sender, ask: LotAsk, now: float) -> LotGrant:
@@ -266,10 +256,12 @@
         if sent is not None:
             return sent
         self._check_standing(now)
-        lenders = {name: share.standing for name, share in self.workspaces.items()}
+        names = [want.workspace for want in ask.wants]
+        shares = {n: self.workspaces[n] for n in names if n in self.workspaces}
+        lenders = {name: share.standing for name, share in shares.items()}
         reserves = {
             name: share.debt + share.demand_per_s * self.cfg.spare_s
-            for name, share in self.workspaces.items()
+            for name, share in shares.items()
         }
         lifetime = min(self.cfg.lot_lifetime_s, self.standing.remaining_s(now))
         lots, short = lend_lots(
@@ -298,6 +290,20 @@
             if (lender.rate_per_s, lender.capacity) != (rate, capacity):
                 lender.resize(rate, capacity, now)
 
+    def _busy(self) -> list[tuple[str, WorkspaceShare]]:
+        # A tick's work depends on the workspaces in use only.
+        return [(name, self.workspaces[name]) for name in sorted(self._active)]
+
+    def _ask_standing(self, now: float) -> list[tuple[str, StandingAsk]]:
+        if not self.standing.is_answered:
+            self.asks.note_silence()
+        self._retired = {n: x for n, x in self._retired.items() if not x.fits(now)}
+        shares = self.workspaces.values()
+        fits = not self._retired and all(x.standing.fits(now) for x in shares)
+        digest, busy = (0, ()) if self.is_leaving else self._pause_full(now)
+        ask = self.standing.tick(now, fits, self.is_leaving, digest, busy)
+        return [] if ask is None else [(self.asks.owner_guess(), ask)]
+
     def _check_standing(self, now: float) -> None:
         # Checked at every use, because a pause may end long after the lease.
         if self.standing.expire(now):
@@ -311,23 +317,29 @@
         standing = share.standing.take(left, now) if left > 0.0 else 0.0
         return standing, lots
 
+    def _asks_first(self, share: WorkspaceShare, now: float) -> bool:
+        # The pool is spent first, because a standing bucket refills slowly and is
+        # meant for the time when the owner cannot be reached.
+        return (
+            self.asks.is_owner_reachable()
+            and now >= share.owner_short_until
+            and bool(self.asks.owner_guess())
+        )
+
     def _may_ask(self, share: WorkspaceShare, now: float) -> bool:
         if now >= share.owner_short_until and self.asks.is_owner_reachable():
             return True
         peers = self.asks.near_peers or self.asks.far_peers
         return bool(peers) and now >= share.peers_short_until
 
-    def _retry_after(self, share: WorkspaceShare, missing: float) -> float:
-        rate = max(share.limit.rate_tokens_per_s, 1e-9)
-        return min(60.0, max(share.retry_after_s, missing / rate))
-
-    def _note_unanswered(self, ask: OpenAsk, now: float) -> None:
-        if not ask.from_standing:
-            return
-        for name in ask.workspaces:
-            if name in self.workspaces:
-                share = self.workspaces[name]
-                share.peers_short_until = now + share.peers_backoff_s
+    def _pause_full(self, now: float) -> tuple[int, tuple[str, ...]]:
+        # A full bucket wastes its rate. The pool earns it instead while this host
+        # earns nothing; the host's pause is the longer one on any clock.
+        idle_s = self.standing.idle_s()
+        if idle_s <= 0.0:
+            return 0, ()
+        until = now + wait_out_s(idle_s, self.cfg.drift, _PAUSE_MARGIN_S)
+        return self._digest, pause_full(self.workspaces, until, now)
 
     def _ask_owner(
         self, wanting: list[tuple[str, WorkspaceShare]], now: float
@@ -375,13 +387,12 @@
             self._demand_at = now
             return
         elapsed, self._demand_at = now - self._demand_at, now
-        for share in self.workspaces.values():
-            newest = share.charged / elapsed
-            share.demand_per_s += _DEMAND_WEIGHT * (newest - share.demand_per_s)
-            share.charged = 0.0
+        for name, share in self._busy():
+            if share.end_period(elapsed):
+                self._active.discard(name)
 
     def _return_lots(self, now: float, idle_s: float) -> list[tuple[str, LotReturn]]:
-        lots = {name: share.lots for name, share in self.workspaces.items()}
+        lots = {name: share.lots for name, share in self._busy()}
         return [
             (lender, LotReturn(self.service, incarnation, tuple(returned)))
             for (lender, incarnation), returned in take_idle(lots, now, idle_s).items()
