Let the dispatcher follow the new router and retry busy decode servers

Cause: the daemon polled the router every 10 ms, ignored its start times, left a prefill result after three busy answers, and two shutdown tests hung with the new router. The hang was not the router: the test's host was not in the platform's list, so it got no tokens, its request was refused, and the test waited for it without end. After: both pass in 30 s, a charge waits up to 3 s for patient and 0.3 s for urgent requests, and a waiting charge counts for the drain.

--- a/src/sesameport/daemon/admission.py
+++ b/src/sesameport/daemon/admission.py
@@ -35,13 +35,18 @@
 __all__ = ["AdmissionDesk", "RateGate"]
 
 _EXPECTED_OUTPUT_SHARE = 0.5
+# Waiting a little for tokens avoids refusals of requests that are within the rate. An
+# urgent request keeps most of its 1.3 s to the first token.
+_CHARGE_WAIT_S = {Urgency.URGENT: 0.3, Urgency.PATIENT: 3.0}
 
 
 class RateGate(Protocol):
     """Charge requests against the rates of their workspaces."""
 
-    def charge(self, service: str, workspace: str, tokens: float) -> Receipt | Refusal:
-        """Charge tokens and return a receipt, or a refusal."""
+    def charge(
+        self, service: str, workspace: str, tokens: float, wait_s: float
+    ) -> Receipt | Refusal:
+        """Charge tokens, waiting up to a bound, and return a receipt or a refusal."""
         ...
 
     def settle(self, service: str, receipt: Receipt, used: float) -> None:
@@ -73,6 +78,7 @@
         self._max_patient = max_patient
         self._recorder = recorder
         self._plain_running: set[str] = set()
+        self._charging: set[str] = set()
         self.refusing = False
         self.running: dict[str, CompletionRequest] = {}
 
@@ -82,7 +88,7 @@
 
     def count(self) -> int:
         """Return the number of requests that run or wait on this host."""
-        return len(self.running) + len(self._plain_running)
+        return len(self.running) + len(self._charging) + len(self._plain_running)
 
     def models(self) -> list[str]:
         """List the names that callers may put into ``model``."""
@@ -99,22 +105,28 @@
             return checked
         charge = checked.prompt_tokens + checked.expected_output_tokens
         record = self._new_record(checked, checked.arrived, charge)
-        receipt = self._admit(checked, charge)
-        if isinstance(receipt, Refusal):
-            record.refuse(receipt)
-            self._finish(record, request_id, receipt)
-            return receipt
-        runner = CompletionRunner(checked, request_id, self._services, is_gone)
-        outputs = self._follow(checked, runner, record, receipt)
-        next(outputs)
-        return outputs
+        # A request that waits for tokens counts as running, so that a drain waits too.
+        self._charging.add(request_id)
+        try:
+            receipt = self._admit(checked, charge)
+            if isinstance(receipt, Refusal):
+                record.refuse(receipt)
+                self._finish(record, request_id, receipt)
+                return receipt
+            runner = CompletionRunner(checked, request_id, self._services, is_gone)
+            outputs = self._follow(checked, runner, record, receipt)
+            next(outputs)
+            return outputs
+        finally:
+            self._charging.discard(request_id)
 
     def _admit(self, req: CompletionRequest, charge: int) -> Receipt | Refusal | None:
         if req.urgency == Urgency.PATIENT and self.count() >= self._max_patient:
             return Refusal(RefusalType.QUEUE_FULL, retry_after_s=1.0)
         if not req.workspace:
             return None
-        return self._rates.charge(req.service, req.workspace, charge)
+        wait_s = _CHARGE_WAIT_S[req.urgency]
+        return self._rates.charge(req.service, req.workspace, charge, wait_s)
 
     @staticmethod
     def _new_record(req, arrived: float, charge: int) -> RequestRecord:
@@ -274,18 +286,26 @@
 
     def _run_plain(
         self, req: PlainRequest, route: Route, record: RequestRecord
+    ) -> PlainAnswer | Refusal:
+        self._plain_running.add(req.request_id)
+        try:
+            return self._charge_and_call(req, route, record)
+        finally:
+            self._plain_running.discard(req.request_id)
+
+    def _charge_and_call(
+        self, req: PlainRequest, route: Route, record: RequestRecord
     ) -> PlainAnswer | Refusal:
         receipt = None
         if route.cost_tokens and req.workspace:
-            receipt = self._rates.charge(req.service, req.workspace, route.cost_tokens)
+            wait_s = _CHARGE_WAIT_S[req.urgency]
+            receipt = self._rates.charge(
+                req.service, req.workspace, route.cost_tokens, wait_s
+            )
             if isinstance(receipt, Refusal):
                 record.refuse(receipt)
                 return receipt
-        self._plain_running.add(req.request_id)
-        try:
-            answer = self._call_plain(req, route)
-        finally:
-            self._plain_running.discard(req.request_id)
+        answer = self._call_plain(req, route)
         if not isinstance(answer, Refusal):
             record.answered(self._services.clock())
             return answer
--- a/src/sesameport/daemon/cluster.py
+++ b/src/sesameport/daemon/cluster.py
@@ -181,14 +181,7 @@
         self._members_changed(view)
 
     def _members_changed(self, view: FleetView) -> None:
-        regions = self._regions()
-        own_region = self._cfg.region()
-        hosts = [
-            Host(name, centre)
-            for centre, names in view.alive.items()
-            for name in names
-            if regions.get(centre) == own_region
-        ]
+        hosts = self._region_hosts(view)
         self.shares.tell(MembersKnown(tuple(hosts)))
         documents = {name: item.document for name, item in view.documents.items()}
         home = self.sender.data_centre
@@ -196,6 +189,19 @@
         self.control.tell(PutControlState(documents, view.servers, local))
         self.platform.set_hosts(sum(len(names) for names in view.alive.values()))
 
+    def count_region_hosts(self) -> int:
+        """Return the number of live hosts of this region, at least 1."""
+        return max(1, len(self._region_hosts(self.fleet.view())))
+
+    def _region_hosts(self, view: FleetView) -> list[Host]:
+        regions, own_region = self._regions(), self._cfg.region()
+        return [
+            Host(name, centre)
+            for centre, names in view.alive.items()
+            for name in names
+            if regions.get(centre) == own_region
+        ]
+
     def _stepped_down(self, view: FleetView) -> None:
         self.shares.tell(StepDown())
         self.control.tell(StepDownControl())
--- a/src/sesameport/daemon/completion_runner.py
+++ b/src/sesameport/daemon/completion_runner.py
@@ -265,6 +265,10 @@
                     return
             opened = engine.resume(attempt_id, action.offset)
         else:
+            event = self._wait(action.not_before - self._services.clock())
+            if event is not None:
+                self._handle(event)
+                return
             opened = engine.decode(action.call)
         if opened.is_err():
             error = opened.unwrap_err()
--- a/src/sesameport/daemon/dispatcher_actor.py
+++ b/src/sesameport/daemon/dispatcher_actor.py
@@ -1,12 +1,13 @@
 """Own the router and pass its decisions to the threads of the requests."""
 
-import random
+import math
 from collections.abc import Callable
 
 import pykka
 
 from sesameport.daemon.dispatcher_messages import (
     DirectoryChanged,
+    HostsChanged,
     NoteAttempt,
     NoteCompleted,
     NoteDecodeEnded,
@@ -14,6 +15,7 @@
     NoteLost,
     NotePlainEnded,
     NotePrefillEnded,
+    NoteServerFailing,
     NoteServerGone,
     PlaceAgain,
     PlaceDecodeAgain,
@@ -38,12 +40,12 @@
     CompletionRequest,
     Refusal,
     RefusalType,
-    ServerState,
 )
 
 __all__ = [
     "DirectoryChanged",
     "DispatcherActor",
+    "HostsChanged",
     "NoteAttempt",
     "NoteCompleted",
     "NoteDecodeEnded",
@@ -51,6 +53,7 @@
     "NoteLost",
     "NotePlainEnded",
     "NotePrefillEnded",
+    "NoteServerFailing",
     "NoteServerGone",
     "PlaceAgain",
     "PlaceDecodeAgain",
@@ -63,6 +66,7 @@
 ]
 
 _MAX_WAITING_SUSPECTS = 32
+_SUSPECT_PERIOD_S = 0.05
 _NO_SERVER = Refusal(RefusalType.NO_SERVER, retry_after_s=1.0)
 _QUARANTINED = Refusal(RefusalType.QUARANTINED)
 _BUDGET_SPENT = NotPlaced(
@@ -79,6 +83,8 @@
         Pure routing state.
     clock : callable
         Returns the monotonic time, seconds.
+    call_at : callable
+        Makes a single call at a time (``Timers.call_at``).
     budget : RetryBudget
         Budget of retries.
     quarantine : Quarantine
@@ -93,6 +99,7 @@
         self,
         router: Router,
         clock,
+        call_at: Callable[[str, float, Callable[[float], None]], None],
         budget: RetryBudget | None = None,
         quarantine: Quarantine | None = None,
         send_notice: Callable[[PoisonNotice], None] = lambda notice: None,
@@ -100,12 +107,13 @@
         super().__init__()
         self._router = router
         self._clock = clock
+        self._call_at = call_at
         self._budget = budget or RetryBudget()
         self._quarantine = quarantine or Quarantine("")
         self._send_notice = send_notice
         self._inboxes: dict[str, RequestInbox] = {}
         self._suspects: dict[str, CompletionRequest] = {}
-        self._servers: tuple = ()
+        self._poll_due = math.inf
 
     def on_receive(self, message):
         """Handle one message and return its answer."""
@@ -122,8 +130,10 @@
             case StopRequest(request_id, refusal):
                 self._stop(request_id, refusal)
             case DirectoryChanged(servers, documents):
-                self._servers = servers
                 self._router.set_servers(servers, documents, now)
+                return tuple(self._router.watched())
+            case HostsChanged(count):
+                self._router.set_hosts(count)
             case LoadReport():
                 self._router.report_load(message, now)
                 self._quarantine.server_answered(message.server, now)
@@ -145,12 +155,13 @@
                 self._router.decode_ended(placement, now)
                 self._poll(now)
             case NoteImportDone(placement):
-                if hasattr(self._router, "first_token"):
-                    self._router.first_token(placement, now)
+                self._router.first_token(placement, now)
             case NotePlainEnded(server):
-                if hasattr(self._router, "plain_ended"):
-                    self._router.plain_ended(server, now)
+                self._router.plain_ended(server, now)
+            case NoteServerFailing(server):
+                self._router.report_failure(server, now)
             case NoteServerGone(server):
+                self._router.report_failure(server, now)
                 for inbox in self._inboxes.values():
                     inbox.put(ServerGone(server))
 
@@ -164,6 +175,7 @@
             case NoteCompleted(digest):
                 notices = self._quarantine.completed(digest)
             case NoteLost(server, attempt_id):
+                self._router.report_failure(server, now)
                 notices = self._quarantine.server_lost(server, attempt_id, now)
             case PoisonNotice():
                 self._quarantine.take_notice(message, now)
@@ -172,9 +184,7 @@
 
     def _place_again(self, message, now: float):
         if isinstance(message, PlaceDecodeAgain):
-            # Routers without place_decode give every retry a new prefill.
-            place = getattr(self._router, "place_decode", lambda *args: None)
-            placement = place(message.req, now, message.exclude)
+            placement = self._router.place_decode(message.req, now, message.exclude)
             return Placed(placement) if placement else NotPlaced(_NO_SERVER)
         if message.spends_budget and not self._budget.spend():
             return None if isinstance(message, PlacePlain) else _BUDGET_SPENT
@@ -190,17 +200,8 @@
     def _place_plain(self, message: PlacePlain, now: float) -> str | None:
         if not message.spends_budget:
             self._budget.count_fresh()
-        if hasattr(self._router, "place_plain"):
-            server = self._router.place_plain(message.req, now, message.exclude)
-            return server.name if server else None
-        names = [
-            server.name
-            for server in self._servers
-            if server.service == message.req.service
-            and server.state == ServerState.LIVE
-            and server.name not in message.exclude
-        ]
-        return random.choice(names) if names else None
+        server = self._router.place_plain(message.req, now, message.exclude)
+        return server.name if server else None
 
     def _submit(self, req, inbox, now: float) -> Refusal | None:
         verdict = self._quarantine.verdict(req.digest, now)
@@ -240,7 +241,18 @@
         if inbox is not None:
             inbox.put(Stopped(refusal))
 
+    def _schedule_poll(self, now: float) -> None:
+        """Ask for a poll when the router next has something to decide."""
+        due = self._router.next_poll_at(now)
+        if self._suspects:
+            due = min(due or math.inf, now + _SUSPECT_PERIOD_S)
+        if due is None or self._poll_due <= due:
+            return
+        self._poll_due = due
+        self._call_at("poll", due, lambda _: self.actor_ref.tell(Poll()))
+
     def _poll(self, now: float) -> None:
+        self._poll_due = math.inf
         self._place_suspects(now)
         for decision in self._router.poll(now):
             inbox = self._inboxes.get(decision.request_id)
@@ -253,3 +265,4 @@
                 self._router.decode_ended(decision, now)
                 continue
             inbox.put(Placed(decision))
+        self._schedule_poll(now)
--- a/src/sesameport/daemon/dispatcher_messages.py
+++ b/src/sesameport/daemon/dispatcher_messages.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "DirectoryChanged",
+    "HostsChanged",
     "NoteAttempt",
     "NoteCompleted",
     "NoteDecodeEnded",
@@ -18,6 +19,7 @@
     "NoteLost",
     "NotePlainEnded",
     "NotePrefillEnded",
+    "NoteServerFailing",
     "NoteServerGone",
     "PlaceAgain",
     "PlaceDecodeAgain",
@@ -178,9 +180,23 @@
     server: str
 
 
+@attrs.frozen
+class NoteServerFailing:
+    """Note that a server did not answer several load polls in a row."""
+
+    server: str
+
+
+@attrs.frozen
+class HostsChanged:
+    """Set the number of live hosts that place work on the same servers."""
+
+    count: int
+
+
 @attrs.frozen
 class DirectoryChanged:
-    """Replace the servers and documents that the router knows."""
+    """Replace servers and documents; the answer lists the servers to poll."""
 
     servers: tuple
     documents: dict
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -15,14 +15,15 @@
 from sesameport.daemon.dispatcher_actor import (
     DirectoryChanged,
     DispatcherActor,
-    Poll,
+    HostsChanged,
+    NoteServerFailing,
     StopRequest,
 )
 from sesameport.daemon.engines import Backends
 from sesameport.daemon.host_status import describe_host
 from sesameport.daemon.http_server import HttpServer
 from sesameport.daemon.key_gate import KeyGate
-from sesameport.daemon.load_poller import LoadPoller, choose_subset
+from sesameport.daemon.load_poller import LoadPoller
 from sesameport.daemon.request_parts import RequestParts
 from sesameport.daemon.shutdown import Drain
 from sesameport.daemon.sweep_view import fleet_knowledge
@@ -41,7 +42,7 @@
 
 _LOG = get_logger("daemon")
 
-_POLL_PERIOD_S = 0.01
+_FAILING_POLLS = 2
 _KEYS_PERIOD_S = 0.5
 
 
@@ -67,7 +68,11 @@
             self.directory, cfg.requests.silent_s, Bulkheads(limits)
         )
         router = Router(
-            RouterConfig(cfg.host.data_centre, cfg.requests.max_waiting),
+            RouterConfig(
+                cfg.host.data_centre,
+                cfg.requests.max_waiting,
+                watched_per_role=cfg.requests.servers_per_role,
+            ),
             random.Random(),
         )
         identity = f"{cfg.host.name}.{self.incarnation}"
@@ -84,6 +89,7 @@
         self._dispatcher = DispatcherActor.start(
             router,
             time.monotonic,
+            self.timers.call_at,
             RetryBudget(cfg.requests.retry_share),
             Quarantine(identity),
             self.cluster.send_to_data_centre,
@@ -148,7 +154,6 @@
 
     def start(self) -> "Daemon":
         """Start serving and return the daemon."""
-        self.timers.subscribe("poll", _POLL_PERIOD_S, self._poll)
         self.timers.subscribe("keys", _KEYS_PERIOD_S, self._check_keys)
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
@@ -204,7 +209,8 @@
         return describe_host(self, request_id, time.monotonic())
 
     def _note_poll_failure(self, server: str, count: int) -> None:
-        pass
+        if count >= _FAILING_POLLS:
+            self._dispatcher.tell(NoteServerFailing(server))
 
     def explain(self, request_id: str) -> list[str]:
         """Return the recorded decisions on a request, oldest first."""
@@ -216,19 +222,17 @@
             DecisionKind.PLACEMENT, text, time.monotonic(), request_id
         )
 
-    def _poll(self, now: float) -> None:
-        self._dispatcher.tell(Poll())
-
     def _directory_changed(self, directory: Directory) -> None:
-        host = self.cfg.host
-        servers = choose_subset(
-            directory.servers,
-            host.name,
-            host.data_centre,
-            self.cfg.requests.servers_per_role,
+        changed = DirectoryChanged(directory.servers, dict(directory.documents))
+        self.poller.set_servers(self._dispatcher.ask(changed))
+        regions = {centre.name: centre.region for centre in self.cfg.data_centres}
+        alive = self.cluster.fleet.view().alive.items()
+        count = sum(
+            len(names)
+            for centre, names in alive
+            if regions[centre] == self.cfg.region()
         )
-        self.poller.set_servers(servers)
-        self._dispatcher.tell(DirectoryChanged(servers, dict(directory.documents)))
+        self._dispatcher.tell(HostsChanged(count))
         for name, doc in directory.documents.items():
             weights = {workspace.name: workspace.weight for workspace in doc.workspaces}
             self.recorder.set_targets(name, doc.targets, weights)
--- a/src/sesameport/daemon/load_poller.py
+++ b/src/sesameport/daemon/load_poller.py
@@ -1,6 +1,5 @@
 """Poll the load and cache events of the backend servers that this host uses."""
 
-import hashlib
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -11,34 +10,11 @@
 from sesameport.interfaces import CacheEvents, LoadReport
 from sesameport.world import BackendServer, ServerRole
 
-__all__ = ["LoadPoller", "choose_subset"]
+__all__ = ["LoadPoller"]
 
 _THREADS_PER_DATA_CENTRE = 4
 
 
-def choose_subset(
-    servers, host: str, data_centre: str, size: int
-) -> tuple[BackendServer, ...]:
-    """Choose the servers that one host uses, at most ``size`` per service and role.
-
-    Servers of the own data centre go first. Rendezvous hashing spreads the hosts over
-    the servers, and a change of one server moves few others. With a fixed size, the
-    cost of polling per host does not grow with the number of replicas.
-    """
-    groups: dict[tuple[str, str], list[BackendServer]] = {}
-    for server in servers:
-        groups.setdefault((server.service, server.role), []).append(server)
-    chosen: list[BackendServer] = []
-    for group in groups.values():
-        group.sort(key=lambda s: (s.data_centre != data_centre, _rank(host, s.name)))
-        chosen.extend(group[:size])
-    return tuple(chosen)
-
-
-def _rank(host: str, server: str) -> bytes:
-    return hashlib.blake2b(f"{host}\0{server}".encode(), digest_size=8).digest()
-
-
 @attrs.define
 class _PollState:
     busy: bool = False
--- a/src/sesameport/daemon/share_gate.py
+++ b/src/sesameport/daemon/share_gate.py
@@ -55,12 +55,22 @@
         self._timers = timers
         self._wait_s = wait_s
 
-    def charge(self, service: str, workspace: str, tokens: float) -> Receipt | Refusal:
-        """Charge tokens and return a receipt for `settle`, or a refusal."""
-        charge = Charge(service, workspace, tokens, self._timers.now() + self._wait_s)
+    def charge(
+        self,
+        service: str,
+        workspace: str,
+        tokens: float,
+        wait_s: float | None = None,
+    ) -> Receipt | Refusal:
+        """Charge tokens and return a receipt for `settle`, or a refusal.
+
+        ``wait_s`` replaces the gate's bound for one call, seconds.
+        """
+        wait_s = self._wait_s if wait_s is None else wait_s
+        charge = Charge(service, workspace, tokens, self._timers.now() + wait_s)
         self._actor.tell(charge)
         try:
-            answer = charge.done.result(self._wait_s + _ACTOR_SLACK_S)
+            answer = charge.done.result(wait_s + _ACTOR_SLACK_S)
         except FutureTimeoutError:
             charge.is_given_up = True
             answer = RateRefused(1.0)
--- a/src/sesameport/documents/settings.py
+++ b/src/sesameport/documents/settings.py
@@ -60,7 +60,7 @@
     read_timeout_s: float = 10.0
     silent_s: float = 5.0
     load_period_s: float = 0.25
-    servers_per_role: int = 32
+    servers_per_role: int = 24
     max_waiting: int = 400
     retry_share: float = 0.1
 
--- a/src/sesameport/requests/actions.py
+++ b/src/sesameport/requests/actions.py
@@ -36,10 +36,14 @@
 
 @attrs.frozen
 class StartDecode:
-    """Call the decode server and read its stream."""
+    """Call the decode server and read its stream.
+
+    ``not_before`` is the monotonic time at which the call is to go out, seconds.
+    """
 
     server: str
     call: DecodeCall
+    not_before: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/requests/lifecycle.py
+++ b/src/sesameport/requests/lifecycle.py
@@ -123,6 +123,11 @@
             return min(self._import_until, self.req.deadline)
         return self.req.deadline
 
+    @property
+    def handle_until(self) -> float:
+        """Return the monotonic time until which an import can start, seconds."""
+        return self._handle_until
+
     def handle_alive(self, now: float) -> bool:
         """Tell whether an import of the KV handle can still start."""
         return self.kv_handle is not None and now < self._handle_until
@@ -230,7 +235,7 @@
         return self.holds.open(server, self.attempt_id) + [StartPrefill(server, call)]
 
     def _priority(self) -> int:
-        return getattr(self.placement, "priority", 0)
+        return self.placement.priority
 
     def _prefilled(self, handle: KvHandle, now: float) -> list[Action]:
         self.ran(Execution.MAY_HAVE_RUN)
@@ -264,7 +269,8 @@
             priority=self._priority(),
             first_token_s=bound_s,
         )
-        return self.holds.open(server, self.attempt_id) + [StartDecode(server, call)]
+        start = StartDecode(server, call, self.placement.start_at)
+        return self.holds.open(server, self.attempt_id) + [start]
 
     def _token(self, token: TokenEvent, now: float) -> list[Action]:
         if token.offset < self.offset:
--- a/src/sesameport/requests/recovery.py
+++ b/src/sesameport/requests/recovery.py
@@ -43,6 +43,9 @@
         Prefills of one request, the first included.
     max_imports : int
         Decode servers tried for one KV handle, the first included.
+    max_busy_answers : int
+        Busy answers taken for one KV handle. A handle lives under 1 s and the router
+        spaces the tries by tens of milliseconds, so the handle's end comes first.
     max_resumes : int
         Resumes in a row that bring no new token.
     prefill_base_s : float
@@ -67,6 +70,7 @@
 
     max_prefills: int = 4
     max_imports: int = 3
+    max_busy_answers: int = 60
     max_resumes: int = 3
     prefill_base_s: float = 5.0
     prefill_tokens_per_s: float = 2_000.0
@@ -96,6 +100,7 @@
     asked_decode_only: bool = False
     _prefills: int = 1
     _imports: int = 1
+    _busy_answers: int = 0
     _resumes: int = 0
     _asks: int = 0
     _excluded: set[str] = attrs.field(factory=set)
@@ -104,6 +109,7 @@
     def reset_imports(self) -> None:
         """Count imports from the start, for a new KV handle."""
         self._imports = 1
+        self._busy_answers = 0
 
     def progressed(self) -> None:
         """Note a new token: earlier resumes were of use."""
@@ -203,9 +209,27 @@
             # The prefill server may have crashed, so the next prefill avoids it.
             self._excluded.add(life.placement.prefill.name)
             return actions + life.shares.end_decode() + self.prefill_again(now, error)
+        if error.kind == EngineErrorKind.BUSY:
+            return actions + self._retry_busy(server, error, now)
         self._excluded.add(server)
         return actions + self._import_again(error, now)
 
+    def _retry_busy(self, server: str, error: EngineError, now: float) -> list[Action]:
+        """Ask for a decode slot until the KV handle expires.
+
+        A busy server did not run the request and frees a slot every few tens of
+        milliseconds, so giving up early wastes the prefill. The router spaces the
+        tries; the busy server is only passed over in the next one.
+        """
+        life = self.life
+        self._last_error = error
+        self._busy_answers += 1
+        if not life.handle_alive(now) or self._busy_answers > self.cfg.max_busy_answers:
+            return life.shares.end_decode() + self.prefill_again(now, error)
+        self.asked_decode_only = True
+        life.state = State.REPLACING_DECODE
+        return [AskDecode(frozenset(self._excluded | {server}))]
+
     def _abandon(self, error: EngineError, now: float) -> list[Action]:
         """Cancel the decode and go on elsewhere."""
         life = self.life
