--- a/src/sesameport/commands/demo.py
+++ b/src/sesameport/commands/demo.py
@@ -31,7 +31,7 @@
 
 def run_demo(stay: bool = False) -> int:
     """Start the deployment, send a prompt and an order and print what happened."""
-    from sesameport.daemon.demo_hosts import start_hosts
+    from sesameport.daemon.demo_hosts import start_hosts, stop_hosts
     from sesameport.standins import build_deployment, demo_key
 
     deployment = build_deployment()
@@ -46,8 +46,7 @@
         if stay:
             _stay(daemons, demo_key)
     finally:
-        for daemon in daemons:
-            daemon.stop()
+        stop_hosts(daemons)
         deployment.stop()
     return 0
 
--- a/src/sesameport/daemon/demo_hosts.py
+++ b/src/sesameport/daemon/demo_hosts.py
@@ -1,12 +1,13 @@
 """Start daemons for a deployment of stand-ins in this process."""
 
+import concurrent.futures
 import time
 
 from sesameport.daemon.host import Daemon
 from sesameport.documents import HostSettings, PlatformSettings, Settings
 from sesameport.world import DataCentre
 
-__all__ = ["host_settings", "start_hosts", "wait_ready"]
+__all__ = ["host_settings", "start_hosts", "stop_hosts", "wait_ready"]
 
 _READY_S = 20.0
 
@@ -38,6 +39,12 @@
     return daemons
 
 
+def stop_hosts(daemons: list[Daemon]) -> None:
+    """Stop daemons, all at once because each waits for its threads."""
+    with concurrent.futures.ThreadPoolExecutor(max(1, len(daemons))) as pool:
+        list(pool.map(lambda daemon: daemon.stop(), daemons))
+
+
 def wait_ready(daemon: Daemon) -> None:
     """Wait until a daemon has its configuration."""
     end = time.monotonic() + _READY_S
--- a/src/sesameport/daemon/tests/conftest.py
+++ b/src/sesameport/daemon/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesameport.daemon.demo_hosts import start_hosts
+from sesameport.daemon.demo_hosts import start_hosts, stop_hosts
 from sesameport.standins import build_deployment
 from sesameport.world import Refusal
 
@@ -33,6 +33,5 @@
     daemons = start_hosts(deployment)
     wait_for_tokens(daemons)
     yield deployment, daemons
-    for daemon in daemons:
-        daemon.stop()
+    stop_hosts(daemons)
     deployment.stop()
--- a/src/sesameport/standins/deployment.py
+++ b/src/sesameport/standins/deployment.py
@@ -1,5 +1,6 @@
 """Build a small deployment of stand-ins in one process."""
 
+import concurrent.futures
 import hashlib
 import importlib.resources
 
@@ -75,9 +76,10 @@
         self.platform.set_hosts(tuple(self.hosts), tuple(self.servers))
 
     def stop(self) -> None:
-        """Stop every stand-in."""
-        for standin in (*self.engines.values(), *self.plain.values(), self.platform):
-            standin.stop()
+        """Stop every stand-in, all at once because each waits for its threads."""
+        standins = (*self.engines.values(), *self.plain.values(), self.platform)
+        with concurrent.futures.ThreadPoolExecutor(len(standins)) as pool:
+            list(pool.map(lambda standin: standin.stop(), standins))
 
 
 def build_deployment(
--- a/src/sesameport/standins/platform.py
+++ b/src/sesameport/standins/platform.py
@@ -7,6 +7,7 @@
 
 import base64
 import collections
+import concurrent.futures
 import threading
 import time
 from urllib.parse import parse_qs, unquote
@@ -75,8 +76,8 @@
         """Stop serving; the objects stay."""
         with self._changed:
             self._changed.notify_all()
-        for server in self._servers:
-            server.stop()
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            list(pool.map(lambda server: server.stop(), self._servers))
 
     def set_hosts(
         self, hosts: tuple[Host, ...], servers: tuple[BackendServer, ...]
