--- a/src/sesameport/daemon/shares_actor.py
+++ b/src/sesameport/daemon/shares_actor.py
@@ -200,8 +200,12 @@
             return False
         if isinstance(answer, Admitted):
             charge.done.set_result(answer.receipt)
-        else:
-            charge.done.set_result(answer)
+            return True
+        wait_s = answer.retry_after_s
+        if may_wait and wait_s is not None and now + wait_s < charge.deadline:
+            # The lenders are short only for now; the next tick tries again.
+            return False
+        charge.done.set_result(answer)
         return True
 
     def _retry(self, service: str, now: float) -> None:
