--- a/src/sesameport/commands/documents.py
+++ b/src/sesameport/commands/documents.py
@@ -14,7 +14,11 @@
 from sesameport.commands.fetch import find_addresses, open_platform
 from sesameport.commands.status import fetch_status
 from sesameport.documents import load_service
-from sesameport.documents.changes import check_change
+from sesameport.fleet.share_limits import (
+    ShareSettings,
+    check_region_bursts,
+    check_region_change,
+)
 from sesameport.interfaces import (
     Platform,
     PlatformError,
@@ -188,15 +192,16 @@
 def _check_step(
     platform: Platform, doc: ServiceDocument, file: str, condition: int
 ) -> list[Finding]:
+    findings = check_region_bursts(doc, ShareSettings().standing_share, file)
     stored = read_document(platform, doc.name)
     if stored.is_err() or stored.unwrap() is None:
-        return []
+        return findings
     current = stored.unwrap()
     # Another version makes the write fail; its content says nothing of this step.
     if current.version != condition:
-        return []
+        return findings
     old, _ = load_service(current.value.decode("utf-8", "replace"), doc.name)
-    return check_change(old, doc, file) if old else []
+    return findings + check_region_change(old, doc, file)
 
 
 def _with_count(findings: list[Finding]) -> str:
--- a/src/sesameport/commands/tests/test_operator_commands.py
+++ b/src/sesameport/commands/tests/test_operator_commands.py
@@ -146,7 +146,7 @@
     file = tmp_path / "moved.toml"
     file.write_text(with_version_line(base + regions.format(0.6, 0.4), version))
     assert _run(Put, str(file), "--platform", url) == 1
-    assert "raises a and lowers b" in capsys.readouterr().err
+    assert "lower the other share first" in capsys.readouterr().err
 
 
 def test_put_names_hosts_where_the_version_is_not_in_force(world, tmp_path, capsys):
--- a/src/sesameport/daemon/control_actor.py
+++ b/src/sesameport/daemon/control_actor.py
@@ -8,7 +8,6 @@
 import attrs
 import pykka
 
-from sesameport.fleet.candidates import rank_hosts
 from sesameport.fleet.leases import Lease
 from sesameport.fleet.orders import (
     ControlTask,
@@ -17,6 +16,7 @@
     ServerReport,
 )
 from sesameport.fleet.platform_intents import run_intent
+from sesameport.fleet.rendezvous import rank_hosts
 from sesameport.interfaces import (
     Engine,
     EngineError,
--- a/src/sesameport/daemon/shares_actor.py
+++ b/src/sesameport/daemon/shares_actor.py
@@ -14,8 +14,8 @@
     ShareGate,
 )
 from sesameport.documents import FleetSettings
-from sesameport.fleet.candidates import rank_hosts
 from sesameport.fleet.platform_intents import run_intent
+from sesameport.fleet.rendezvous import rank_hosts
 from sesameport.fleet.share_limits import ShareSettings, region_limits
 from sesameport.fleet.share_messages import (
     LotAsk,
--- a/src/sesameport/fleet/rendezvous.py
+++ b/src/sesameport/fleet/rendezvous.py
@@ -1,18 +1,25 @@
-"""Choose relays by rendezvous hashing and split push trees."""
+"""Rank hosts by rendezvous hashing and split push trees."""
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-__all__ = ["choose_relays", "split_delegates"]
+__all__ = ["choose_relays", "rank_hosts", "split_delegates"]
 
 
-def choose_relays(hosts: Sequence[str], data_centre: str, count: int = 2) -> list[str]:
-    """Return the relays of a data centre, first rank first.
+def rank_hosts(key: str, hosts: Iterable[str]) -> tuple[str, ...]:
+    """Order hosts by rendezvous hashing for a key (Thaler, Ravishankar 1998).
 
-    Rendezvous hashing (Thaler, Ravishankar 1998) needs no agreement beyond the list
-    of hosts, and a host that comes or goes moves at most its own role.
+    Every host with the same list of members gets the same order without agreement,
+    keys spread over the hosts, and a host that leaves changes only the places behind
+    it. Only the first few contend for a lease or a role, so that the platform calls
+    for it do not grow with the fleet.
     """
-    return sorted(hosts, key=lambda host: _weight(host, data_centre))[:count]
+    return tuple(sorted(hosts, key=lambda host: _weight(key, host)))
+
+
+def choose_relays(hosts: Sequence[str], data_centre: str, count: int = 2) -> list[str]:
+    """Return the relays of a data centre, first rank first."""
+    return list(rank_hosts(data_centre, hosts)[:count])
 
 
 def split_delegates(
@@ -30,6 +37,5 @@
     return children
 
 
-def _weight(host: str, data_centre: str) -> bytes:
-    key = f"{data_centre}/{host}".encode()
-    return hashlib.blake2b(key, digest_size=8).digest()
+def _weight(key: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{key}/{host}".encode(), digest_size=8).digest()
