--- a/src/sesameport/daemon/cluster.py
+++ b/src/sesameport/daemon/cluster.py
@@ -11,6 +11,7 @@
 from sesameport.adapters.paced_platform import PacedPlatform
 from sesameport.adapters.peer_link import ZmqPeerLink
 from sesameport.daemon.control_actor import (
+    DescribeControl,
     LeaveControl,
     PutControlState,
     StepDownControl,
@@ -21,9 +22,11 @@
 from sesameport.daemon.fleet_messages import FleetOptions
 from sesameport.daemon.fleet_view import FleetTopic, FleetView
 from sesameport.daemon.shares_actor import (
+    DescribeShares,
     LeaveShares,
     MembersKnown,
     PutDocuments,
+    SharesView,
     StepDown,
     start_shares,
 )
@@ -40,6 +43,7 @@
 
 _LEAVE_S = 3.0
 _LEAVE_STEP_S = 0.1
+_DESCRIBE_S = 0.5
 # The fleet actor's documentation asks for a quarter of the staleness bound of keys.
 _WATCHES_PER_STALENESS = 4
 
@@ -154,6 +158,15 @@
             if name != self.sender.host:
                 self.link.send(name, message)
 
+    def describe_shares(self) -> SharesView:
+        """Return shares and leases for the status page; empty if actors are busy."""
+        try:
+            view = self.shares.ask(DescribeShares(), timeout=_DESCRIBE_S)
+            leases = self.control.ask(DescribeControl(), timeout=_DESCRIBE_S)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            return SharesView()
+        return attrs.evolve(view, leases=view.leases + leases)
+
     def _documents_changed(self, view: FleetView) -> None:
         versions = {name: item.version for name, item in view.documents.items()}
         known = self._directory.current.versions
--- a/src/sesameport/daemon/control_actor.py
+++ b/src/sesameport/daemon/control_actor.py
@@ -8,6 +8,7 @@
 import attrs
 import pykka
 
+from sesameport.daemon.lease_view import describe_lease
 from sesameport.fleet.leases import Lease
 from sesameport.fleet.orders import (
     ControlTask,
@@ -33,6 +34,7 @@
     "CONTROL_KIND",
     "ControlActor",
     "ControlTick",
+    "DescribeControl",
     "LeaveControl",
     "PutControlState",
     "StepDownControl",
@@ -72,6 +74,11 @@
     """Release every lease; the answer is True once no order is under way."""
 
 
+@attrs.frozen
+class DescribeControl:
+    """Ask for the control leases; the answer is a tuple of `LeaseStatus`."""
+
+
 @attrs.frozen
 class _PlatformAnswered:
     service: str
@@ -191,6 +198,12 @@
             case StepDownControl():
                 for task in self._tasks.values():
                     task.lease.step_down()
+            case DescribeControl():
+                return tuple(
+                    describe_lease(task.lease, now)
+                    for task in self._tasks.values()
+                    if task.lease.record is not None
+                )
             case LeaveControl():
                 return self._leave(now)
         return None
--- a/src/sesameport/daemon/host_status.py
+++ b/src/sesameport/daemon/host_status.py
@@ -2,8 +2,15 @@
 
 import math
 
+import pykka
+
 from sesameport.daemon.fleet_view import FleetView
-from sesameport.telemetry.status import DocumentStatus, HostStatus, MemberStatus
+from sesameport.telemetry.status import (
+    DocumentStatus,
+    HoldStatus,
+    HostStatus,
+    MemberStatus,
+)
 
 __all__ = ["describe_documents", "describe_host"]
 
@@ -26,11 +33,22 @@
     return tuple(described)
 
 
+def _describe_holds(daemon) -> tuple[HoldStatus, ...]:
+    try:
+        count, cancelling = daemon.parts.count_holds()
+    except (pykka.Timeout, pykka.ActorDeadError):
+        return ()
+    if not count and not cancelling:
+        return ()
+    return (HoldStatus("all servers", "any", count, cancelling=cancelling),)
+
+
 def describe_host(daemon, request_id: str, now: float) -> HostStatus:
     """Return the status of a daemon, with the decisions on one request."""
     view, host = daemon.cluster.fleet.view(), daemon.cfg.host
     age_s = view.freshness_age(now)
     documents = describe_documents(view)
+    shares = daemon.cluster.describe_shares()
     return HostStatus(
         host.name,
         host.data_centre,
@@ -50,6 +68,9 @@
             )
             for member in view.members
         ),
+        leases=shares.leases,
+        shares=shares.shares,
+        holds=_describe_holds(daemon),
         findings=tuple(text for item in documents for text in item.findings),
         decisions=tuple(daemon.recorder.decisions.find(request_id)),
         in_flight=daemon.admission.count(),
--- a/src/sesameport/daemon/request_parts.py
+++ b/src/sesameport/daemon/request_parts.py
@@ -142,7 +142,7 @@
 
     def count_holds(self) -> tuple[int, int]:
         """Return the numbers of open holds and of unconfirmed cancels."""
-        return self.holds.ask(CountHolds())
+        return self.holds.ask(CountHolds(), timeout=0.5)
 
     def _list_engines(self) -> tuple[list[str], list[str]]:
         servers = self._directory.current.servers
--- a/src/sesameport/daemon/shares_actor.py
+++ b/src/sesameport/daemon/shares_actor.py
@@ -8,6 +8,7 @@
 import attrs
 import pykka
 
+from sesameport.daemon.lease_view import describe_lease
 from sesameport.daemon.share_gate import (
     Charge,
     Settle,
@@ -27,6 +28,7 @@
 from sesameport.fleet.share_node import ShareNode
 from sesameport.fleet.shares import Admitted, LotsNeeded, RateRefused
 from sesameport.interfaces import PeerLink, Platform, Sender, Timers
+from sesameport.telemetry.status import LeaseStatus, ShareStatus
 from sesameport.world import Host, ServiceDocument
 
 __all__ = [
@@ -35,6 +37,7 @@
     "PutDocuments",
     "SharesActor",
     "SharesTick",
+    "SharesView",
     "StepDown",
     "share_settings",
     "start_shares",
@@ -76,6 +79,19 @@
     """Give everything back; the answer is True once that is done."""
 
 
+@attrs.frozen
+class DescribeShares:
+    """Ask for the shares and leases; the answer is a `SharesView`."""
+
+
+@attrs.frozen
+class SharesView:
+    """Hold the shares per workspace and the leases of the pools."""
+
+    shares: tuple[ShareStatus, ...] = ()
+    leases: tuple[LeaseStatus, ...] = ()
+
+
 @attrs.frozen
 class _RetryCharges:
     service: str
@@ -167,6 +183,8 @@
                 self._step_down()
             case LeaveShares():
                 return self._leave(now)
+            case DescribeShares():
+                return self._describe(now)
         return None
 
     def _charge(self, charge: Charge, now: float) -> None:
@@ -273,6 +291,27 @@
             self._candidates[service] = ranked
             node.shares.set_peers(ranked, near, far)
 
+    def _describe(self, now: float) -> SharesView:
+        shares, leases = [], []
+        for service, node in self._nodes.items():
+            record = node.owner.lease.record
+            owner = record.holder if record is not None else ""
+            for name, share in node.shares.workspaces.items():
+                share.standing.advance(now)
+                shares.append(
+                    ShareStatus(
+                        service,
+                        name,
+                        share.standing.level,
+                        share.lot_tokens(now),
+                        share.standing.lent,
+                        owner,
+                    )
+                )
+            if record is not None:
+                leases.append(describe_lease(node.owner.lease, now))
+        return SharesView(tuple(shares), tuple(leases))
+
     def _step_down(self) -> None:
         for node in self._nodes.values():
             node.step_down()
--- a/src/sesameport/daemon/tests/test_whole_path.py
+++ b/src/sesameport/daemon/tests/test_whole_path.py
@@ -8,6 +8,7 @@
 import pytest
 import urllib3
 
+from sesameport.commands.status import fetch_status
 from sesameport.daemon.tests.callers import KEY, complete, post, stream_texts
 from sesameport.standins import demo_key, expected_tokens
 
@@ -162,3 +163,23 @@
     assert urllib3.request("DELETE", f"{url}/orders").status == 405
     assert urllib3.request("GET", f"{url}/nothing").status == 404
     assert urllib3.request("GET", f"{url}/stock/hide").status == 401
+
+
+def test_status_shows_documents_members_leases_and_shares(fleet):
+    """Guards against a status page that leaves out what operators look for."""
+    _, daemons = fleet
+    complete(daemons[0], "Status", 2)
+    addresses = [daemon.status_http.address for daemon in daemons]
+    statuses, missing = fetch_status(addresses)
+    assert not missing
+    assert {item.host for item in statuses} == {d.cfg.host.name for d in daemons}
+    for status in statuses:
+        assert {doc.name for doc in status.documents} == {"assessor-llm", "order-desk"}
+        assert {share.workspace for share in status.shares} >= {"tannery-north"}
+    holders = {
+        lease.holder
+        for status in statuses
+        for lease in status.leases
+        if lease.name == "rate-share assessor-llm.guj-west"
+    }
+    assert len(holders) == 1
--- a/src/sesameport/fleet/leases.py
+++ b/src/sesameport/fleet/leases.py
@@ -138,6 +138,10 @@
     _release: bool = False
     _release_body: str = ""
 
+    def held_for_s(self, now: float) -> float:
+        """Return the time for which this host holds the lease without a renewal."""
+        return max(0.0, self._held_until - now)
+
     def is_held(self, now: float) -> bool:
         """Tell whether this host holds the lease now."""
         return self.state == LeaseState.HELD and now < self._held_until
--- a/src/sesameport/soak/run.py
+++ b/src/sesameport/soak/run.py
@@ -11,6 +11,7 @@
 from sesameport.soak.faults import FaultSchedule
 from sesameport.soak.load import Load
 from sesameport.soak.processes import HostProcess, free_address, write_settings
+from sesameport.soak.versions import VersionWatch, check_versions
 from sesameport.standins import EngineProfile, build_deployment
 from sesameport.world import Host
 
@@ -93,6 +94,7 @@
 def _run(hosts, deployment, seconds, seed, callers, pause_s) -> SoakReport:
     started = time.monotonic()
     load = Load(hosts, seed, callers, pause_s).start()
+    watch = VersionWatch(hosts).start()
     schedule = FaultSchedule(hosts, deployment, seed)
     schedule.run(seconds)
     load.stop()
@@ -101,7 +103,9 @@
         engine.held() for engine in deployment.engines.values()
     ):
         time.sleep(0.2)
+    watch.stop()
     violations = check_all(load.outcomes, deployment, schedule)
+    violations += check_versions(watch.seen, schedule.versions)
     results: collections.Counter = collections.Counter()
     for item in load.outcomes:
         name = item.problem.rpartition(":")[2] if item.problem else f"{item.status}"
