--- a/src/sesameport/commands/demo.py
+++ b/src/sesameport/commands/demo.py
@@ -13,6 +13,7 @@
 _NOTE = "Hide 4412, buck, Bhavnagar market. Grain tight, two tick marks near the neck. "
 
 _ADMISSION_TRIES = 10
+_ANSWER_S = 60.0
 
 
 def _demo(command: "Demo") -> int:
@@ -64,6 +65,7 @@
             headers={"Authorization": f"Bearer {key}"},
             preload_content=False,
             retries=False,
+            timeout=_ANSWER_S,
         )
         if answer.status != 429:
             return answer
@@ -106,7 +108,12 @@
     for attempt in ("order", "repeat"):
         # The repeat has the same Idempotency-Key and must not book again.
         answer = urllib3.request(
-            "POST", url, body=b'{"lot": 17}', headers=headers, retries=False
+            "POST",
+            url,
+            body=b'{"lot": 17}',
+            headers=headers,
+            retries=False,
+            timeout=_ANSWER_S,
         )
         print(f"{attempt:10} status {answer.status}, {answer.data.decode()}")
 
--- a/src/sesameport/daemon/tests/callers.py
+++ b/src/sesameport/daemon/tests/callers.py
@@ -15,7 +15,10 @@
         headers["Authorization"] = f"Bearer {key}"
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
     url = f"http://{daemon.http.address}{path}"
-    return urllib3.request("POST", url, body=data, headers=headers, retries=False)
+    # The default of urllib3.request is 3 s; a charge alone may wait that long.
+    return urllib3.request(
+        "POST", url, body=data, headers=headers, retries=False, timeout=30.0
+    )
 
 
 def complete(daemon, prompt, count=5, key=KEY, **fields):
