Stop hosts and stand-ins when a fixture fails

Cause: a set-up that failed left its servers running, and the test process did not end after its summary. After: fixtures stop them in a finally block.

--- a/src/sesameport/daemon/tests/conftest.py
+++ b/src/sesameport/daemon/tests/conftest.py
@@ -31,7 +31,10 @@
     """Run three hosts, one per data centre, against stand-ins."""
     deployment = build_deployment()
     daemons = start_hosts(deployment)
-    wait_for_tokens(daemons)
-    yield deployment, daemons
-    stop_hosts(daemons)
-    deployment.stop()
+    # Servers that are left running would keep the test process from ending.
+    try:
+        wait_for_tokens(daemons)
+        yield deployment, daemons
+    finally:
+        stop_hosts(daemons)
+        deployment.stop()
--- a/src/sesameport/daemon/tests/test_recovery.py
+++ b/src/sesameport/daemon/tests/test_recovery.py
@@ -34,15 +34,18 @@
         requests=RequestSettings(silent_s=0.5),
     )
     daemon = Daemon(cfg).start()
-    wait_until(lambda: complete(daemon, "Ready", 1).status == 200)
-    wait_until(lambda: order_route_ready(daemon))
-    for engine in deployment.engines.values():
-        engine.runs.clear()
-    yield deployment, daemon
-    for engine in deployment.engines.values():
-        engine.faults.down = engine.faults.stall_transfers = False
-    daemon.stop()
-    deployment.stop()
+    # Servers that are left running would keep the test process from ending.
+    try:
+        wait_until(lambda: complete(daemon, "Ready", 1).status == 200)
+        wait_until(lambda: order_route_ready(daemon))
+        for engine in deployment.engines.values():
+            engine.runs.clear()
+        yield deployment, daemon
+    finally:
+        for engine in deployment.engines.values():
+            engine.faults.down = engine.faults.stall_transfers = False
+        daemon.stop()
+        deployment.stop()
 
 
 def order_route_ready(daemon):
--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -28,12 +28,14 @@
     listed = list(deployment.hosts)
     deployment.hosts.append(daemon.own_host)
     deployment.publish()
-    wait_ready(daemon)
-    wait_for_tokens([daemon])
-    yield daemon
-    deployment.hosts[:] = listed
-    deployment.publish()
-    daemon.stop()
+    try:
+        wait_ready(daemon)
+        wait_for_tokens([daemon])
+        yield daemon
+    finally:
+        deployment.hosts[:] = listed
+        deployment.publish()
+        daemon.stop()
 
 
 def wait_running(daemon, answers):
