Name the host's data centre label data_centre

Cause: the label was data_centre_of_host, because the members metric had a data_centre of its own. Conclusion: the members metric has member_data_centre; a test keeps the host's labels free.

--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -89,7 +89,7 @@
     _gauge("configuration_age_seconds", "Age of the configuration."),
     _gauge("document_version", "Version in force.", "service"),
     _gauge("document_findings", "Findings of a refused version.", "service"),
-    _gauge("members", "Hosts in the membership view.", "data_centre", "state"),
+    _gauge("members", "Hosts in the membership view.", "member_data_centre", "state"),
     _gauge("leases_held", "Leases that this host holds.", "kind"),
     _gauge("ready", "1 while the host accepts requests, else 0."),
 )
@@ -104,7 +104,7 @@
     Parameters
     ----------
     host, data_centre : str
-        Labels of every sample.
+        Labels of every sample; no definition has a label of these names.
     definitions : sequence of MetricDefinition
         Metrics to offer.
     """
@@ -121,7 +121,7 @@
         self._registry = Registry()
         self._formatter = text.TextFormatter()
         self._labels = {item.name: frozenset(item.labels) for item in definitions}
-        const = {"host": _escape(host), "data_centre_of_host": _escape(data_centre)}
+        const = {"host": _escape(host), "data_centre": _escape(data_centre)}
         for item in definitions:
             extra = {"buckets": item.buckets} if item.buckets else {}
             item.collector(
--- a/src/sesameport/telemetry/tests/test_records.py
+++ b/src/sesameport/telemetry/tests/test_records.py
@@ -81,6 +81,8 @@
     for item in METRICS:
         assert (item.collector.__name__ == "Counter") == item.name.endswith("_total")
         assert item.name.startswith("sesameport_")
+        # A label of its own would replace the host's identity.
+        assert not {"host", "data_centre"} & set(item.labels)
 
 
 def test_counts_from_many_threads_are_complete():
