--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -7,6 +7,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
 from sesameport.interfaces import (
     CacheEvent,
     CacheEvents,
@@ -241,15 +242,8 @@
                 preload_content=False,
                 retries=False,
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as exc:
-            return Err(EngineError(EngineErrorKind.UNREACHABLE, str(exc)))
-        except urllib3.exceptions.ReadTimeoutError as exc:
-            return Err(EngineError(EngineErrorKind.SILENT, str(exc)))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(EngineError(EngineErrorKind.BROKEN, str(exc)))
+        except HTTP_ERRORS as exc:
+            return Err(to_engine_error(exc))
         if answer.status < 300:
             return Ok(answer)
         kind = _ERROR_KINDS.get(answer.status, EngineErrorKind.FAILED)
--- /dev/null
+++ b/src/sesameport/adapters/http_errors.py
@@ -0,0 +1,26 @@
+"""Translate errors of urllib3 into errors of a call to a backend server."""
+
+import urllib3
+
+from sesameport.interfaces import EngineError, EngineErrorKind
+
+__all__ = ["HTTP_ERRORS", "to_engine_error"]
+
+HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+def to_engine_error(exc: Exception) -> EngineError:
+    """Return what an exception of a call says about the call.
+
+    Only an error while connecting proves that no byte of the request was sent.
+    """
+    kind = EngineErrorKind.BROKEN
+    if isinstance(exc, _NOT_SENT):
+        kind = EngineErrorKind.UNREACHABLE
+    elif isinstance(exc, urllib3.exceptions.ReadTimeoutError):
+        kind = EngineErrorKind.SILENT
+    return EngineError(kind, str(exc))
--- a/src/sesameport/adapters/plain.py
+++ b/src/sesameport/adapters/plain.py
@@ -3,6 +3,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
 from sesameport.interfaces import EngineError, EngineErrorKind, PlainAnswer
 from sesameport.world import PlainRequest
 
@@ -47,15 +48,8 @@
                 retries=False,
                 redirect=False,
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as exc:
-            return Err(EngineError(EngineErrorKind.UNREACHABLE, str(exc)))
-        except urllib3.exceptions.ReadTimeoutError as exc:
-            return Err(EngineError(EngineErrorKind.SILENT, str(exc)))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(EngineError(EngineErrorKind.BROKEN, str(exc)))
+        except HTTP_ERRORS as exc:
+            return Err(to_engine_error(exc))
         finally:
             if pool is not self._pool:
                 pool.close()
--- a/src/sesameport/daemon/completion_runner.py
+++ b/src/sesameport/daemon/completion_runner.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok
 
-from sesameport.daemon.dispatcher_actor import (
+from sesameport.daemon.dispatcher_messages import (
     NoteAttempt,
     NoteCompleted,
     NoteDecodeEnded,
--- a/src/sesameport/daemon/dispatcher_actor.py
+++ b/src/sesameport/daemon/dispatcher_actor.py
@@ -42,28 +42,7 @@
     RefusalType,
 )
 
-__all__ = [
-    "DirectoryChanged",
-    "DispatcherActor",
-    "HostsChanged",
-    "NoteAttempt",
-    "NoteCompleted",
-    "NoteDecodeEnded",
-    "NoteImportDone",
-    "NoteLost",
-    "NotePlainEnded",
-    "NotePrefillEnded",
-    "NoteServerFailing",
-    "NoteServerGone",
-    "PlaceAgain",
-    "PlaceDecodeAgain",
-    "PlacePlain",
-    "Poll",
-    "RemoveRequest",
-    "RequestInbox",
-    "StopRequest",
-    "Submit",
-]
+__all__ = ["DispatcherActor"]
 
 _MAX_WAITING_SUSPECTS = 32
 _SUSPECT_PERIOD_S = 0.05
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -12,9 +12,9 @@
 from sesameport.daemon.cluster import Cluster
 from sesameport.daemon.completion_runner import RunnerServices
 from sesameport.daemon.directory import Directory, DirectoryHolder
-from sesameport.daemon.dispatcher_actor import (
+from sesameport.daemon.dispatcher_actor import DispatcherActor
+from sesameport.daemon.dispatcher_messages import (
     DirectoryChanged,
-    DispatcherActor,
     HostsChanged,
     NoteServerFailing,
     StopRequest,
--- a/src/sesameport/daemon/plain_runner.py
+++ b/src/sesameport/daemon/plain_runner.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Ok
 
-from sesameport.daemon.dispatcher_actor import NotePlainEnded, PlacePlain
+from sesameport.daemon.dispatcher_messages import NotePlainEnded, PlacePlain
 from sesameport.interfaces import (
     EngineError,
     EngineErrorKind,
--- a/src/sesameport/standins/__init__.py
+++ b/src/sesameport/standins/__init__.py
@@ -6,10 +6,10 @@
     demo_document,
     demo_key,
 )
-from sesameport.standins.engine import (
+from sesameport.standins.engine import EngineStandin
+from sesameport.standins.engine_model import (
     CRASH_MARK,
     EngineProfile,
-    EngineStandin,
     expected_tokens,
 )
 from sesameport.standins.faults import FaultPlan, InjectedFault
--- a/src/sesameport/standins/deployment.py
+++ b/src/sesameport/standins/deployment.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from sesameport.standins.engine import EngineProfile, EngineStandin
+from sesameport.standins.engine import EngineStandin
+from sesameport.standins.engine_model import EngineProfile
 from sesameport.standins.faults import FaultPlan
 from sesameport.standins.plain import PlainStandin
 from sesameport.standins.platform import PlatformStandin
--- a/src/sesameport/standins/engine.py
+++ b/src/sesameport/standins/engine.py
@@ -12,76 +12,25 @@
 import time
 from urllib.parse import parse_qs
 
-import attrs
 import urllib3
 
+from sesameport.standins.engine_model import (
+    CRASH_MARK,
+    EngineProfile,
+    Run,
+    Stream,
+    expected_tokens,
+)
 from sesameport.standins.faults import FaultPlan, InjectedFault
 from sesameport.standins.http import LoopbackServer, json_response, read_json
 from sesameport.world import ServerRole
 
-__all__ = ["CRASH_MARK", "EngineProfile", "EngineStandin", "expected_tokens"]
+__all__ = ["EngineStandin"]
 
-CRASH_MARK = "<crash-engine>"
 _BYTES_PER_TOKEN = 4
 _PREFIX_CHARS = 4_096
 
 
-@attrs.frozen
-class EngineProfile:
-    """Give the speed and size of an engine.
-
-    Attributes
-    ----------
-    slots : int
-        Requests that decode at once.
-    prefill_tokens_per_s : float
-        Prompt tokens per second.
-    token_interval_s : float
-        Time between output tokens, seconds.
-    result_lifetime_s : float
-        Time for which a prefill result is kept, seconds.
-    link_bytes_per_s : float
-        KV import rate, bytes per second.
-    load_lag_s : float
-        Age of the load that is reported, seconds.
-    """
-
-    slots: int = 20
-    prefill_tokens_per_s: float = 40_000.0
-    token_interval_s: float = 0.005
-    result_lifetime_s: float = 0.9
-    link_bytes_per_s: float = 5e9
-    load_lag_s: float = 0.2
-    waiting: int = 8
-
-
-def expected_tokens(prompt: str, count: int) -> list[str]:
-    """Return the tokens that every engine stand-in produces for a prompt."""
-    tag = hashlib.sha256(prompt.encode()).hexdigest()[:8]
-    return [f"{tag}.{i} " for i in range(count)]
-
-
-@attrs.frozen
-class Run:
-    """Describe a prefill or decode that started, at a monotonic time in seconds."""
-
-    kind: str
-    attempt_id: str
-    started: float
-
-
-class _Stream:
-    def __init__(self, attempt_id: str, tokens: list[str], offset: int):
-        self.attempt_id = attempt_id
-        self.tokens = tokens
-        self.offset = offset
-        self.produced = offset
-        self.cancelled = False
-        self.started = time.monotonic()
-        self.last_read = self.started
-        self.reader = 0
-
-
 class EngineStandin:
     """Serve one engine over HTTP.
 
@@ -115,7 +64,7 @@
         self.crashes = 0
         self._lock = threading.Condition()
         self._handles: dict[str, dict] = {}
-        self._streams: dict[str, _Stream] = {}
+        self._streams: dict[str, Stream] = {}
         self._prefilling: dict[str, dict] = {}
         self._prefill_lock = threading.Lock()
         self._numbers = itertools.count(1)
@@ -294,7 +243,7 @@
             if len(self._streams) >= full:
                 return json_response(start_response, 429, {"detail": "busy"})
             tokens = expected_tokens(body["prompt"], body["max_tokens"])
-            stream = _Stream(attempt_id, tokens, int(body.get("offset", 0)))
+            stream = Stream(attempt_id, tokens, int(body.get("offset", 0)))
             self._streams[attempt_id] = stream
         try:
             status = self._import(body, params, stream)
@@ -319,20 +268,20 @@
         time.sleep(params.get("kv_bytes", 0) / self.profile.link_bytes_per_s)
         return 200 if answer.status == 200 else 404
 
-    def _produce(self, stream: _Stream) -> None:
+    def _produce(self, stream: Stream) -> None:
         while stream.produced < len(stream.tokens) and not stream.cancelled:
             time.sleep(self.profile.token_interval_s)
             with self._lock:
                 stream.produced += 1
                 self._lock.notify_all()
 
-    def _send(self, stream: _Stream, offset: int, start_response):
+    def _send(self, stream: Stream, offset: int, start_response):
         headers = [("Content-Type", "text/event-stream")]
         start_response("200 OK", headers)
         stream.reader += 1
         return self._events_of(stream, offset, stream.reader)
 
-    def _events_of(self, stream: _Stream, offset: int, reader: int):
+    def _events_of(self, stream: Stream, offset: int, reader: int):
         opened = time.monotonic()
         total = len(stream.tokens)
         while offset < total:
