--- /dev/null
+++ b/src/sesameport/adapters/strict_http.py
@@ -0,0 +1,175 @@
+"""Make cheroot refuse requests whose framing is ambiguous or broken.
+
+Two parties that frame a request differently can be made to see different requests on
+one connection. RFC 9112 (sections 3.2, 5.1, 6.3 and 7.1) asks for status 400 and a
+closed connection.
+"""
+
+import re
+
+from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
+
+__all__ = ["FramingError", "StrictConnection", "StrictRequest", "framing_problem"]
+
+_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(;[^\r\n]*)?\r\n\Z")
+_TARGET = re.compile(rb"[\x21-\x7e]+\Z")
+
+
+class FramingError(ValueError):
+    """Signal a body whose framing is broken."""
+
+
+class _RecordingReader:
+    """Keep the header lines that cheroot reads, repeated ones included."""
+
+    def __init__(self, rfile):
+        self.inner = rfile
+        self.lines: list[bytes] = []
+
+    def readline(self, *args) -> bytes:
+        """Read a line and keep it."""
+        line = self.inner.readline(*args)
+        self.lines.append(line)
+        return line
+
+
+class _ChunkSizeReader:
+    """Check chunk sizes before cheroot parses them more leniently."""
+
+    def __init__(self, rfile):
+        self._inner = rfile
+
+    def readline(self, *args) -> bytes:
+        """Read the line of a chunk size."""
+        line = self._inner.readline(*args)
+        if not _CHUNK_SIZE.match(line):
+            raise FramingError("chunk size is no hexadecimal number")
+        return line
+
+    def read(self, *args) -> bytes:
+        """Read the bytes of a chunk."""
+        return self._inner.read(*args)
+
+
+def framing_problem(lines: list[bytes], is_http_11: bool) -> str:
+    r"""Say what is wrong with the header lines of a request; empty if nothing is.
+
+    Examples
+    --------
+    >>> framing_problem([b"Host: a\r\n", b"Host: b\r\n"], True)
+    'more than one Host'
+    """
+    values: dict[bytes, list[bytes]] = {}
+    for line in lines:
+        if line in (b"\r\n", b""):
+            continue
+        if line[:1] in (b" ", b"\t"):
+            return "a folded header line"
+        name, separator, value = line.partition(b":")
+        if not separator or not _TOKEN.match(name):
+            return "a header name that is no token"
+        if b"\x00" in value or b"\r" in value[:-2]:
+            return "a control character in a header"
+        values.setdefault(name.lower(), []).append(value.strip())
+    hosts = values.get(b"host", [])
+    if len(hosts) > 1:
+        return "more than one Host"
+    if is_http_11 and not hosts:
+        return "no Host"
+    lengths = values.get(b"content-length", [])
+    codings = values.get(b"transfer-encoding", [])
+    if lengths and codings:
+        return "both Content-Length and Transfer-Encoding"
+    if len(lengths) > 1 or any(not item.isdigit() for item in lengths):
+        return "an ambiguous Content-Length"
+    if codings and (
+        not is_http_11 or [item.lower() for item in codings] != [b"chunked"]
+    ):
+        return "an unknown Transfer-Encoding"
+    return ""
+
+
+class StrictRequest(HTTPRequest):
+    """Parse requests strictly and keep their header lines.
+
+    Attributes
+    ----------
+    header_pairs : tuple of (str, str)
+        Names and values in the order in which they came.
+    """
+
+    header_pairs: tuple[tuple[str, str], ...] = ()
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; answer 400 and close if their framing is in doubt."""
+        recorder = _RecordingReader(self.rfile)
+        self.rfile = recorder
+        try:
+            success = super().read_request_headers()
+        finally:
+            self.rfile = recorder.inner
+        if not success:
+            return False
+        is_http_11 = self.response_protocol == "HTTP/1.1"
+        problem = framing_problem(recorder.lines, is_http_11)
+        if not problem and not _TARGET.match(self.uri):
+            problem = "a request target with control characters"
+        if problem:
+            self.reject(problem)
+            return False
+        self.header_pairs = tuple(
+            (name.decode("latin-1"), value.strip().decode("latin-1"))
+            for name, _, value in (line.partition(b":") for line in recorder.lines)
+            if name.strip()
+        )
+        if b"close" in self.inheaders.get(b"Connection", b"").lower():
+            self.close_connection = True
+        return True
+
+    def reject(self, problem: str) -> None:
+        """Answer 400 and close the connection."""
+        body = f"{problem}\n".encode()
+        self.status = b"400 Bad Request"
+        self.close_connection = True
+        self.outheaders = [
+            (b"Content-Type", b"text/plain"),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
+        ]
+        self.ensure_headers_sent()
+        self.conn.wfile.write(body)
+
+    def read_body(self) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        FramingError
+            If it is shorter than announced or its chunks are malformed.
+        """
+        if not self.chunked_read:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+            body = self.rfile.read(length) if length else b""
+            if len(body) < length:
+                raise FramingError("body is shorter than its Content-Length")
+            return body
+        reader = ChunkedRFile(
+            _ChunkSizeReader(self.conn.rfile), self.server.max_request_body_size
+        )
+        try:
+            body = reader.read()
+            reader.rfile = self.conn.rfile
+            for _ in reader.read_trailer_lines():
+                continue
+        except FramingError:
+            raise
+        except ValueError as exc:
+            raise FramingError(str(exc)) from exc
+        return body
+
+
+class StrictConnection(HTTPConnection):
+    """Use strict requests on a connection."""
+
+    RequestHandlerClass = StrictRequest
--- /dev/null
+++ b/src/sesameport/admission/__init__.py
@@ -0,0 +1,51 @@
+"""Decide on admission and placement of requests; nothing here does I/O.
+
+Every function and class takes the time and typed facts and returns a decision, so that
+the daemon and the tests that play a load run the same code.
+"""
+
+from sesameport.admission.directory import ServerDirectory
+from sesameport.admission.fleet_use import FleetUse, ServerUse
+from sesameport.admission.placement import (
+    Generation,
+    Placement,
+    PlacementPolicy,
+    choose_generation,
+    choose_plain,
+    kv_tokens,
+)
+from sesameport.admission.quota import FleetQuota, QuotaVerdict
+from sesameport.admission.retry_budget import RetryBudget
+from sesameport.admission.roles import RolePlan, RolePlanner, WorkMix
+from sesameport.admission.routes import RouteTable
+from sesameport.admission.server_health import ServerHealth
+from sesameport.admission.waiting_room import (
+    RefusalTimes,
+    Waiter,
+    WaitingPolicy,
+    WaitingRoom,
+)
+
+__all__ = [
+    "FleetQuota",
+    "FleetUse",
+    "Generation",
+    "Placement",
+    "PlacementPolicy",
+    "QuotaVerdict",
+    "RefusalTimes",
+    "RetryBudget",
+    "RolePlan",
+    "RolePlanner",
+    "RouteTable",
+    "ServerDirectory",
+    "ServerHealth",
+    "ServerUse",
+    "Waiter",
+    "WaitingPolicy",
+    "WaitingRoom",
+    "WorkMix",
+    "choose_generation",
+    "choose_plain",
+    "kv_tokens",
+]
--- /dev/null
+++ b/src/sesameport/admission/directory.py
@@ -0,0 +1,82 @@
+"""Know which backend servers may be used.
+
+Load: the store was away and entries of servers that still run have lapsed. They are
+kept for a grace time after its return; without an outage a missing entry means that
+the server is gone.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from sesameport.entry.servers import EntryServer
+from sesameport.world import ServerState
+
+__all__ = ["LAPSE_GRACE_S", "ServerDirectory"]
+
+LAPSE_GRACE_S = 2.0
+"""Time after the store's return within which lapsed entries come back, seconds; the
+users state it."""
+
+
+@attrs.define
+class ServerDirectory:
+    """Hold the registered servers and those whose entries lapsed in an outage."""
+
+    _servers: dict[str, EntryServer] = attrs.field(factory=dict)
+    _lapsed_until: dict[str, float] = attrs.field(factory=dict)
+    _regained_at: float = float("-inf")
+
+    def note_regained(self, now: float) -> None:
+        """Note that the store answers again after an outage."""
+        self._regained_at = now
+
+    def replace(self, servers: Iterable[EntryServer], now: float) -> None:
+        """Take over a whole listing."""
+        listed = {server.name: server for server in servers}
+        for name in list(self._servers):
+            if name not in listed:
+                self.remove(name, now)
+        for server in listed.values():
+            self.put(server)
+
+    def put(self, server: EntryServer) -> None:
+        """Take over an entry."""
+        self._servers[server.name] = server
+        self._lapsed_until.pop(server.name, None)
+
+    def remove(self, name: str, now: float) -> None:
+        """Take over that an entry is missing."""
+        server = self._servers.get(name)
+        if server is None or name in self._lapsed_until:
+            return
+        until = self._regained_at + LAPSE_GRACE_S
+        if now < until and server.state == ServerState.LIVE:
+            self._lapsed_until[name] = until
+            return
+        del self._servers[name]
+
+    def expire(self, now: float) -> list[str]:
+        """Drop lapsed entries whose grace time is over and return their names."""
+        gone = [name for name, until in self._lapsed_until.items() if until <= now]
+        for name in gone:
+            del self._lapsed_until[name]
+            self._servers.pop(name, None)
+        return gone
+
+    def get(self, name: str) -> EntryServer | None:
+        """Return a server by its name."""
+        return self._servers.get(name)
+
+    def of_service(self, service: str) -> list[EntryServer]:
+        """Return the servers of a service that take new work."""
+        found = []
+        for server in self._servers.values():
+            if server.service != service or server.state != ServerState.LIVE:
+                continue
+            found.append(server)
+        return found
+
+    def all(self) -> list[EntryServer]:
+        """Return every known server."""
+        return list(self._servers.values())
--- /dev/null
+++ b/src/sesameport/admission/fleet_use.py
@@ -0,0 +1,84 @@
+"""Add up what all hosts use of each backend server.
+
+Each host reports its whole use, so that a lost report is made good by the next one. The
+use of a host that is silent is dropped: a dead host's connections are closed and its
+requests with them.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+__all__ = ["FleetUse", "ServerUse"]
+
+SILENT_S = 3.0
+"""Silence after which a host's use is dropped, seconds: three reports are missed."""
+
+
+@attrs.frozen
+class ServerUse:
+    """Give what is in use at one server.
+
+    Attributes
+    ----------
+    kv_tokens : float
+        KV cache reserved for requests that decode there, tokens.
+    runs : int
+        Requests that run there or are about to.
+    prefill_tokens : float
+        Prompt tokens that are waiting or being read there.
+    """
+
+    kv_tokens: float = 0.0
+    runs: int = 0
+    prefill_tokens: float = 0.0
+
+    def plus(self, other: "ServerUse") -> "ServerUse":
+        """Return the sum of two uses."""
+        return ServerUse(
+            self.kv_tokens + other.kv_tokens,
+            self.runs + other.runs,
+            self.prefill_tokens + other.prefill_tokens,
+        )
+
+
+@attrs.define
+class FleetUse:
+    """Hold the own use and the last report of every other host."""
+
+    own: dict[str, ServerUse] = attrs.field(factory=dict)
+    _reports: dict[str, tuple[float, dict[str, ServerUse]]] = attrs.field(factory=dict)
+
+    def add_own(self, server: str, change: ServerUse) -> None:
+        """Add to the own use of a server; parts of the change may be negative."""
+        use = self.own.get(server, ServerUse()).plus(change)
+        if use.runs <= 0 and use.kv_tokens <= 0 and use.prefill_tokens <= 0:
+            self.own.pop(server, None)
+            return
+        self.own[server] = use
+
+    def take_report(self, host: str, uses: Mapping[str, ServerUse], now: float) -> None:
+        """Replace the use of another host."""
+        self._reports[host] = (now, dict(uses))
+
+    def expire(self, now: float) -> list[str]:
+        """Drop the use of silent hosts and return their names."""
+        silent = [
+            host for host, (at, _) in self._reports.items() if now - at > SILENT_S
+        ]
+        for host in silent:
+            del self._reports[host]
+        return silent
+
+    def hosts(self) -> list[str]:
+        """Return the hosts that report."""
+        return list(self._reports)
+
+    def of(self, server: str) -> ServerUse:
+        """Return what all hosts together use of a server."""
+        total = self.own.get(server, ServerUse())
+        for _, uses in self._reports.values():
+            use = uses.get(server)
+            if use is not None:
+                total = total.plus(use)
+        return total
--- /dev/null
+++ b/src/sesameport/admission/placement.py
@@ -0,0 +1,186 @@
+"""Choose the servers of a request.
+
+Load: decode memory is the scarce resource of a model service. Nine hosts choose at the
+same time, and the reports of the engines are almost a second old. Placement therefore
+counts what every host has reserved, and reserves the KV cache of the whole expected
+answer before its prefill starts. Memory that is given away twice makes an engine
+preempt running streams and read their prompts again.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from sesameport.admission.fleet_use import FleetUse, ServerUse
+from sesameport.entry.contracts import EngineProfile
+from sesameport.entry.servers import EntryServer
+from sesameport.world import ServerRole
+
+__all__ = [
+    "BLOCK_TOKENS",
+    "Generation",
+    "Placement",
+    "PlacementPolicy",
+    "choose_generation",
+    "choose_plain",
+    "kv_tokens",
+]
+
+BLOCK_TOKENS = 16
+"""Tokens of one block of KV cache; engines give memory away by blocks."""
+
+UNKNOWN_OUTPUT_SHARE = 0.6
+"""Part of the most output that is expected of a request without an estimate."""
+
+
+@attrs.frozen
+class PlacementPolicy:
+    """Set the thresholds of placement.
+
+    Attributes
+    ----------
+    memory_share : float
+        Part of an engine's KV cache that may be reserved. Above 1 running streams are
+        preempted, which costs more than the extra requests bring.
+    prefill_tokens_per_s : float
+        Speed at which a prefill server reads prompts, until it was measured.
+    other_centre_cost : float
+        Load that a server of another data centre may have less and still not be
+        chosen: moving a KV cache there takes twice as long.
+    longest_prefill_wait_s : float
+        Prompts waiting at a prefill server, in seconds of its work, above which it
+        gets no more.
+    """
+
+    memory_share: float = 1.0
+    prefill_tokens_per_s: float = 30_000.0
+    other_centre_cost: float = 0.08
+    longest_prefill_wait_s: float = 0.45
+
+
+@attrs.frozen
+class Generation:
+    """Describe a generation that is to be placed."""
+
+    service: str
+    data_centre: str
+    prompt_tokens: int
+    output_tokens: int
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Placement:
+    """Name the servers of a request and what is reserved there.
+
+    ``prefill`` is None when the decode server reads the prompt itself.
+    """
+
+    decode: EntryServer
+    prefill: EntryServer | None
+    kv_tokens: int
+    prompt_tokens: int
+
+    def decode_use(self) -> ServerUse:
+        """Return the use of the decode server."""
+        return ServerUse(self.kv_tokens, 1, 0.0)
+
+    def prefill_use(self) -> ServerUse:
+        """Return the use of the prefill server until the prompt is read."""
+        return ServerUse(0.0, 0, self.prompt_tokens)
+
+
+def kv_tokens(prompt: int, output: int) -> int:
+    """Return the KV cache of a request at its end, in tokens of whole blocks."""
+    return math.ceil((prompt + output) / BLOCK_TOKENS) * BLOCK_TOKENS
+
+
+def choose_generation(
+    req: Generation,
+    profile: EngineProfile,
+    servers: Iterable[EntryServer],
+    use: FleetUse,
+    cost_factor: Callable[[str], float],
+    policy: PlacementPolicy,
+    speeds: dict[str, float],
+) -> Placement | None:
+    """Choose decode and prefill server of a generation, or None if none has room.
+
+    The least loaded decode server is taken, since a step takes longer the more
+    requests run. A server in the caller's data centre is preferred among nearly equal
+    ones.
+    """
+    needed = kv_tokens(req.prompt_tokens, req.output_tokens)
+    limit = policy.memory_share * profile.kv_tokens
+    decode = _cheapest(
+        _decode_costs(req, profile, servers, use, cost_factor, policy, needed, limit)
+    )
+    if decode is None:
+        return None
+    prefill = _cheapest(
+        _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
+    )
+    if prefill is None and any(_reads_prompts(server) for server in servers):
+        return None
+    return Placement(decode, prefill, needed, req.prompt_tokens)
+
+
+def _decode_costs(req, profile, servers, use, cost_factor, policy, needed, limit):
+    for server in servers:
+        if server.role not in (ServerRole.DECODE, ServerRole.BOTH):
+            continue
+        if server.name in req.excluded:
+            continue
+        used = use.of(server.name)
+        if used.kv_tokens + needed > limit or used.runs >= server.slots:
+            continue
+        cost = (used.kv_tokens + needed) / profile.kv_tokens
+        if server.data_centre != req.data_centre:
+            cost += policy.other_centre_cost
+        yield cost * cost_factor(server.name), server
+
+
+def _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode):
+    for server in servers:
+        if not _reads_prompts(server) or server.name in req.excluded:
+            continue
+        speed = speeds.get(server.name, policy.prefill_tokens_per_s)
+        wait_s = use.of(server.name).prefill_tokens / speed
+        if wait_s > policy.longest_prefill_wait_s:
+            continue
+        cost = wait_s + req.prompt_tokens / speed
+        if server.data_centre != decode.data_centre:
+            cost *= 1.0 + policy.other_centre_cost
+        yield cost * cost_factor(server.name), server
+
+
+def _reads_prompts(server: EntryServer) -> bool:
+    return server.role in (ServerRole.PREFILL, ServerRole.BOTH)
+
+
+def _cheapest(costs) -> EntryServer | None:
+    best, best_cost = None, math.inf
+    for cost, server in costs:
+        if cost < best_cost:
+            best, best_cost = server, cost
+    return best
+
+
+def choose_plain(
+    data_centre: str,
+    servers: Iterable[EntryServer],
+    use: FleetUse,
+    cost_factor: Callable[[str], float],
+    excluded: frozenset[str] = frozenset(),
+) -> EntryServer | None:
+    """Choose the server of a plain request: the one with the fewest for its slots."""
+    costs = []
+    for server in servers:
+        if server.role != ServerRole.PLAIN or server.name in excluded:
+            continue
+        cost = (use.of(server.name).runs + 1) / server.slots
+        if server.data_centre != data_centre:
+            cost *= 1.1
+        costs.append((cost * cost_factor(server.name), server))
+    return _cheapest(costs)
--- /dev/null
+++ b/src/sesameport/admission/roles.py
@@ -0,0 +1,118 @@
+"""Plan how many engines of a service read prompts and how many decode.
+
+Load: the roles that engines start with, and a mix that shifts between long prompts and
+long answers. The plan compares the work that both sides get: seconds of prefill and
+seconds of decode memory for each second of traffic. An engine changes its role only if
+the better plan carries clearly more, since it is away for seconds.
+"""
+
+import attrs
+
+__all__ = ["RolePlan", "RolePlanner", "WorkMix"]
+
+ENOUGH_SAMPLES = 12
+"""Requests after which the measured mix replaces the assumed one."""
+
+SAMPLE_WEIGHT = 0.05
+"""Weight of the newest request in the measured mix."""
+
+GAIN = 1.25
+"""Factor by which a plan has to carry more requests than the present one. Hysteresis
+keeps engines from changing to and fro when two plans are about equal."""
+
+PREFILL_HEADROOM = 0.75
+"""Part of the prefill work that is planned for. A queue before prefill grows without
+bound near 1, and its wait is part of the time to the first event."""
+
+MIN_INTERVAL_S = 12.0
+"""Time between two changes, seconds: twice the time that one takes, so that its effect
+is measured before the next."""
+
+
+@attrs.define
+class WorkMix:
+    """Measure what one request of a service costs.
+
+    The assumed values are those of a prompt of 3,200 tokens and an answer of some
+    hundred tokens on a large model; measured ones replace them.
+
+    Attributes
+    ----------
+    prefill_s : float
+        Time of one engine that a prompt takes, seconds.
+    kv_token_s : float
+        KV cache of a request times the time for which it is held, token seconds.
+    """
+
+    prefill_s: float = 0.1
+    kv_token_s: float = 3_800 * 3.0
+    _prefills: int = 0
+    _decodes: int = 0
+
+    def note_prefill(self, seconds: float) -> None:
+        """Take in the time of one prefill."""
+        self._prefills += 1
+        if self._prefills >= ENOUGH_SAMPLES:
+            self.prefill_s += SAMPLE_WEIGHT * (seconds - self.prefill_s)
+
+    def note_decode(self, kv_tokens: float, seconds: float) -> None:
+        """Take in the reservation of one request."""
+        self._decodes += 1
+        if self._decodes >= ENOUGH_SAMPLES:
+            sample = kv_tokens * seconds
+            self.kv_token_s += SAMPLE_WEIGHT * (sample - self.kv_token_s)
+
+
+@attrs.frozen
+class RolePlan:
+    """Give the number of engines for each role and what they carry, requests/s."""
+
+    prefill: int
+    decode: int
+    requests_per_s: float
+
+
+@attrs.define
+class RolePlanner:
+    """Decide on the next change of one service's engines."""
+
+    mix: WorkMix = attrs.field(factory=WorkMix)
+    _changed_at: float = float("-inf")
+
+    def carries(self, prefill: int, decode: int, kv_tokens: int) -> float:
+        """Return the requests that a split carries in a second."""
+        by_prefill = PREFILL_HEADROOM * prefill / max(self.mix.prefill_s, 1e-3)
+        by_decode = decode * kv_tokens / max(self.mix.kv_token_s, 1.0)
+        return min(by_prefill, by_decode)
+
+    def best(self, engines: int, kv_tokens: int) -> RolePlan:
+        """Return the split that carries most; both sides have an engine."""
+        plans = [
+            RolePlan(
+                count, engines - count, self.carries(count, engines - count, kv_tokens)
+            )
+            for count in range(1, max(2, engines))
+        ]
+        return max(plans, key=lambda plan: plan.requests_per_s)
+
+    def next_change(self, prefill: int, decode: int, kv_tokens: int, now: float) -> int:
+        """Return +1 to make a prefill engine decode, -1 for the reverse, 0 for none.
+
+        A side without an engine is filled at once.
+        """
+        if prefill + decode < 2:
+            return 0
+        if prefill == 0:
+            return -1
+        if decode == 0:
+            return 1
+        if now - self._changed_at < MIN_INTERVAL_S:
+            return 0
+        plan = self.best(prefill + decode, kv_tokens)
+        if plan.requests_per_s < GAIN * self.carries(prefill, decode, kv_tokens):
+            return 0
+        return 1 if plan.decode > decode else -1
+
+    def note_change(self, now: float) -> None:
+        """Note that a change was ordered or seen."""
+        self._changed_at = now
--- /dev/null
+++ b/src/sesameport/entry/events.py
@@ -0,0 +1,56 @@
+"""Cut a stream of events so that only complete ones are passed on.
+
+A stream that may go on at another server must not be cut inside an event. The new run
+starts after the last event that the caller has.
+"""
+
+__all__ = ["EventCutter"]
+
+_END = b"\n\n"
+_MAX_PENDING = 1_048_576
+
+
+class EventCutter:
+    r"""Collect bytes until an event is complete.
+
+    Attributes
+    ----------
+    last_id : str
+        Id of the last complete event; empty before the first.
+
+    Examples
+    --------
+    >>> cutter = EventCutter()
+    >>> cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
+    >>> cutter.last_id
+    '1'
+    """
+
+    def __init__(self):
+        self.last_id = ""
+        self._pending = b""
+
+    def restart(self) -> None:
+        """Drop the incomplete event of a run that broke off."""
+        self._pending = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take in bytes and return the events that are complete now."""
+        self._pending += data
+        end = self._pending.replace(b"\r\n", b"\n").rfind(_END)
+        if b"\r" in self._pending:
+            end = self._pending.rfind(b"\r\n\r\n")
+            length = end + 4
+        else:
+            length = end + len(_END)
+        if end < 0:
+            if len(self._pending) > _MAX_PENDING:
+                raise ValueError("an event without an end")
+            return b""
+        done, self._pending = self._pending[:length], self._pending[length:]
+        for line in reversed(done.splitlines()):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                break
+        return done
--- /dev/null
+++ b/src/sesameport/entry/host.py
@@ -0,0 +1,259 @@
+"""Build and run an entry host on a platform of its users."""
+
+import threading
+import time
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from sesameport.adapters.strict_http import StrictRequest
+from sesameport.adapters.timers import TimerService
+from sesameport.entry import messages as m
+from sesameport.entry.actor import EntryActor, TableView
+from sesameport.entry.contracts import EntryConfiguration
+from sesameport.entry.forwarding import Forwarder
+from sesameport.entry.http_front import CallerConnection, HttpFront, HttpReply
+from sesameport.entry.peers import PeerExchange
+from sesameport.entry.requests import EntryRequest, ServerCalls
+from sesameport.entry.servers import EntryServer
+from sesameport.entry.settings import EntrySettings
+from sesameport.entry.sinks import (
+    HOST_KIND,
+    ConfigurationSink,
+    HostSink,
+    ServerSink,
+    announce,
+)
+from sesameport.entry.store_links import KindFollower, StoreHealth
+from sesameport.interfaces import Platform
+from sesameport.telemetry.logs import get_logger
+from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
+
+__all__ = ["EntryHost", "Wire"]
+
+THREADS = 24
+MAX_THREADS = 400
+"""Requests that are handled at once; further ones wait for a thread."""
+
+READY_THREADS = 2
+TICK_S = 0.5
+"""Period of expiry, reports and thread growth, seconds."""
+
+ANNOUNCE_RETRY_S = 1.0
+UNREADY_S = 2.6
+"""Time between becoming unready and closing, seconds: the balancer asks every second
+and takes a host out after two misses."""
+
+STOP_MARGIN_S = 0.7
+"""Time before the end of the grace time at which what still runs is given up, seconds:
+the process has to end by itself."""
+
+log = get_logger("host")
+
+
+class Wire(Protocol):
+    """Translate between a platform and the project; see ``sesameport.platform``."""
+
+    configuration_kind: str
+    configuration_name: str
+    server_kind: str
+
+    def store(self, address: str) -> Platform:
+        """Return a client of the store."""
+        ...
+
+    def calls(self) -> ServerCalls:
+        """Return a client of backend servers."""
+        ...
+
+    def decode_configuration(self, value: bytes) -> Result[EntryConfiguration, str]:
+        """Read a stored configuration."""
+        ...
+
+    def decode_server(self, name: str, value: bytes) -> Result[EntryServer, str]:
+        """Read the entry of a server."""
+        ...
+
+    def decode_request(
+        self, method: str, target: str, headers, body: bytes, now: float
+    ) -> Result[EntryRequest, str]:
+        """Read a caller's request."""
+        ...
+
+    def key_of(self, headers) -> str:
+        """Return the key that a caller presents."""
+        ...
+
+    def is_readiness_check(self, method: str, target: str) -> bool:
+        """Tell whether a request is the balancer's question."""
+        ...
+
+
+class EntryHost:
+    """Run one entry host.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    wire : Wire
+        Adapter of the platform.
+    """
+
+    def __init__(self, settings: EntrySettings, wire: Wire):
+        self._settings = settings
+        self._wire = wire
+        self.metrics = Metrics(settings.name, settings.data_centre, ENTRY_METRICS)
+        self._view = TableView()
+        self._timers = TimerService(on_error=_log_timer_error)
+        self._in_flight = 0
+        self._changed = threading.Condition()
+        self._draining_since: float | None = None
+        self._peers = PeerExchange(settings.ip, settings.peer_port, self._tell)
+        self._actor = EntryActor.start(
+            settings,
+            self._view,
+            self._peers,
+            self._timers,
+            self.metrics,
+            self._apply_limits,
+        )
+        self._forwarder = Forwarder(
+            self._actor, self._view, wire.calls(), settings.data_centre, self.metrics
+        )
+        self._front = HttpFront(
+            settings.caller_listen, self._handle, THREADS, MAX_THREADS
+        )
+        self._ready = HttpFront(
+            settings.ready_listen, self._handle_ready, READY_THREADS, READY_THREADS
+        )
+        self._metrics_front = HttpFront(
+            f"{settings.ip}:{settings.metrics_port}", self._handle_metrics, 1, 1
+        )
+
+    def start(self) -> "EntryHost":
+        """Start serving and return the host."""
+        self._timers.start()
+        self._peers.start()
+        self._actor.tell(m.HostsChanged({}))
+        self._follow()
+        self._timers.subscribe("tick", TICK_S, self._tick)
+        self._timers.call_at("announce", self._timers.now(), self._announce)
+        for front in (self._front, self._ready, self._metrics_front):
+            front.start()
+        log.info("started", extra={"listen": self._front.address})
+        return self
+
+    def shutdown(self) -> bool:
+        """Drain and stop; True if no request was given up."""
+        since = time.monotonic()
+        self._draining_since = since
+        self.metrics.set("sesameport_ready", 0)
+        log.info("draining", extra={"in_flight": self._in_flight})
+        until = since + self._settings.bounds.grace_s - STOP_MARGIN_S
+        unready_until = min(since + UNREADY_S, until)
+        while time.monotonic() < unready_until:
+            time.sleep(max(0.0, unready_until - time.monotonic()))
+        with self._changed:
+            while self._in_flight and time.monotonic() < until:
+                self._changed.wait(until - time.monotonic())
+            left = self._in_flight
+        log.info("stopped", extra={"given_up": left})
+        return left == 0
+
+    # -- wiring ----------------------------------------------------------------
+
+    def _tell(self, message) -> None:
+        self._actor.tell(message)
+
+    def _follow(self) -> None:
+        wire, settings = self._wire, self._settings
+        store = wire.store(settings.store_address)
+        self._store = store
+        health = StoreHealth(lambda ok: self._actor.tell(m.StoreState(ok)))
+        configurations = ConfigurationSink(
+            self._actor, wire.configuration_name, wire.decode_configuration
+        )
+        servers = ServerSink(self._actor, wire.decode_server)
+        for kind, sink in (
+            (wire.configuration_kind, configurations),
+            (wire.server_kind, servers),
+            (HOST_KIND, HostSink(self._actor)),
+        ):
+            KindFollower(store, kind, sink, health, self.metrics).start()
+
+    def _announce(self, now: float) -> None:
+        # The call may wait for the store, so it does not run on the timer's thread.
+        threading.Thread(
+            target=self._announce_now, name="announce", daemon=True
+        ).start()
+
+    def _announce_now(self) -> None:
+        match announce(self._store, self._settings.name, self._peers.address):
+            case Ok(_):
+                log.info("host announced", extra={"address": self._peers.address})
+            case Err(reason):
+                log.info("host not announced yet", extra={"reason": reason})
+                again = self._timers.now() + ANNOUNCE_RETRY_S
+                self._timers.call_at("announce", again, self._announce)
+
+    def _tick(self, now: float) -> None:
+        self._actor.tell(m.Tick(now))
+        self._front.grow()
+
+    def _apply_limits(self, configuration: EntryConfiguration) -> None:
+        limits = configuration.limits
+        self._front.set_limits(limits.header_bytes, limits.body_bytes, limits.idle_s)
+        self.metrics.set("sesameport_ready", int(self._is_ready()))
+
+    # -- requests --------------------------------------------------------------
+
+    def _is_draining(self) -> bool:
+        return self._draining_since is not None
+
+    def _is_ready(self) -> bool:
+        return self._view.table is not None and not self._is_draining()
+
+    def _handle(self, http: StrictRequest, body: bytes) -> None:
+        now = time.monotonic()
+        with self._changed:
+            self._in_flight += 1
+        try:
+            self._answer(http, body, now)
+        finally:
+            with self._changed:
+                self._in_flight -= 1
+                self._changed.notify_all()
+
+    def _answer(self, http: StrictRequest, body: bytes, now: float) -> None:
+        reply = HttpReply(http, self._is_draining)
+        headers = http.header_pairs
+        method, target = http.method.decode(), http.uri.decode()
+        match self._wire.decode_request(method, target, headers, body, now):
+            case Err(problem):
+                log.info("request malformed", extra={"reason": problem})
+                http.reject(problem)
+            case Ok(req):
+                host = http.inheaders.get(b"Host", b"").decode("latin-1").strip()
+                key = self._wire.key_of(headers)
+                watch = CallerConnection(http.conn.socket)
+                self._forwarder.forward(req, host, key, reply, watch)
+
+    def _handle_ready(self, http: StrictRequest, body: bytes) -> None:
+        reply = HttpReply(http, lambda: False)
+        target = http.uri.decode()
+        if not self._wire.is_readiness_check(http.method.decode(), target):
+            reply.refuse(404, "not found")
+        elif self._is_ready():
+            reply.whole(200, [("Content-Type", "text/plain")], b"ready\n")
+        else:
+            reply.refuse(503, "not ready")
+
+    def _handle_metrics(self, http: StrictRequest, body: bytes) -> None:
+        reply = HttpReply(http, lambda: True)
+        content_type = [("Content-Type", self.metrics.content_type)]
+        reply.whole(200, content_type, self.metrics.render())
+
+
+def _log_timer_error(name: str, exc: Exception) -> None:
+    log.error("timer callback failed", extra={"timer": name, "error": repr(exc)})
--- /dev/null
+++ b/src/sesameport/entry/http_front.py
@@ -0,0 +1,212 @@
+"""Serve callers over HTTP with cheroot and hand their requests to a handler."""
+
+import select
+import socket
+import threading
+from collections.abc import Callable
+
+from cheroot.server import Gateway, HTTPServer
+
+from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
+from sesameport.adapters.strict_http import (
+    FramingError,
+    StrictConnection,
+    StrictRequest,
+)
+from sesameport.entry.requests import CallerGone
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["CallerConnection", "HttpFront", "HttpReply"]
+
+LISTEN_BACKLOG = 1_024
+"""Connections that wait to be accepted; a full queue costs a caller seconds."""
+
+IDLE_SLACK_S = 4.0
+"""Time beyond the announced idle limit before a connection is closed, seconds. cheroot
+measures it by the time of day, which may jump by some seconds."""
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+log = get_logger("http")
+
+
+class CallerConnection:
+    """Watch the connection of a caller; satisfies ``CallerWatch``."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection."""
+        return self._sock.fileno()
+
+    def has_left(self) -> bool:
+        """Tell whether the caller closed or reset its connection."""
+        fd = self._sock.fileno()
+        if fd < 0:
+            return True
+        poller = select.poll()
+        poller.register(fd, select.POLLIN)
+        if not poller.poll(0):
+            return False
+        try:
+            return self._sock.recv(1, socket.MSG_PEEK) == b""
+        except (BlockingIOError, TimeoutError):
+            return False
+        except OSError:
+            return True
+
+
+class HttpReply:
+    """Answer one request; satisfies ``forwarding.Reply``.
+
+    Parameters
+    ----------
+    req : StrictRequest
+        Request that is answered.
+    is_draining : callable
+        Tells whether the process is about to end, so that connections are closed.
+    """
+
+    def __init__(self, req: StrictRequest, is_draining: Callable[[], bool]):
+        self._req = req
+        self._is_draining = is_draining
+
+    def whole(self, status: int, headers, body: bytes) -> None:
+        """Send a complete answer."""
+        self._head(status, [*headers, ("Content-Length", str(len(body)))])
+        if self._req.method != b"HEAD":
+            self._write(body)
+
+    def refuse(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Send an answer of the router itself."""
+        headers = [("Content-Type", "text/plain")]
+        if retry_after_s is not None:
+            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+        self.whole(status, headers, f"{reason}\n".encode())
+
+    def start(self, status: int, headers) -> None:
+        """Send the head of a stream, which is sent in chunks."""
+        self._head(status, headers)
+
+    def send(self, data: bytes) -> None:
+        """Send a part of a stream."""
+        self._write(data)
+
+    def finish(self) -> None:
+        """Let cheroot end the stream as complete."""
+
+    def abort(self) -> None:
+        """Close the connection without the end of the stream."""
+        self._req.chunked_write = False
+        self._req.close_connection = True
+        self._req.sent_headers = True
+
+    def _head(self, status: int, headers) -> None:
+        req = self._req
+        reason = _REASONS.get(status, "Status")
+        req.status = f"{status} {reason}".encode()
+        req.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
+        if self._is_draining():
+            req.close_connection = True
+        try:
+            req.ensure_headers_sent()
+        except OSError as exc:
+            raise CallerGone from exc
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self._req.write(data)
+        except OSError as exc:
+            raise CallerGone from exc
+
+
+class _Gateway(Gateway):
+    def respond(self) -> None:
+        """Read the body and hand the request to the server's handler."""
+        req = self.req
+        try:
+            body = req.read_body()
+        except FramingError as exc:
+            req.reject(str(exc))
+            return
+        self.req.server.handle(req, body)
+
+
+class HttpFront:
+    """Serve requests on ``IP:port``; each occupies a thread until it is answered.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    handle : callable
+        Takes a `StrictRequest` and its body and answers it.
+    threads, max_threads : int
+        Threads at the start and at most.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handle: Callable[[StrictRequest, bytes], None],
+        threads: int,
+        max_threads: int,
+    ):
+        host, _, port = address.rpartition(":")
+        self._server = HTTPServer(
+            (host, int(port)), _Gateway, minthreads=threads, maxthreads=max_threads
+        )
+        self._server.ConnectionClass = StrictConnection
+        self._server.request_queue_size = LISTEN_BACKLOG
+        self._server.handle = handle
+        self._server.server_name = "sesameport"
+        self._server.shutdown_timeout = 0.2
+        self._server.error_log = self._log_error
+        self._spare = max(1, threads // 2)
+        self._server.prepare()
+        for option in KEEPALIVE_OPTIONS:
+            self._server.socket.setsockopt(*option)
+        bound_host, bound_port = self._server.bind_addr[:2]
+        self.address = f"{bound_host}:{bound_port}"
+
+    def start(self) -> "HttpFront":
+        """Serve on a thread of its own and return the server."""
+        threading.Thread(
+            target=self._server.serve, name=f"http-{self.address}", daemon=True
+        ).start()
+        return self
+
+    def set_limits(self, header_bytes: int, body_bytes: int, idle_s: float) -> None:
+        """Take over the limits of a configuration."""
+        self._server.max_request_header_size = header_bytes
+        self._server.max_request_body_size = body_bytes
+        self._server.timeout = idle_s + IDLE_SLACK_S
+
+    def grow(self) -> None:
+        """Add threads while few are idle; starting them waits, so not on a request."""
+        pool = self._server.requests
+        if pool.idle < self._spare:
+            pool.grow(self._spare)
+
+    def stop(self) -> None:
+        """Stop accepting connections and close the idle ones."""
+        self._server.stop()
+
+    def _log_error(self, msg="", level=20, traceback=False) -> None:
+        log.info("http server", extra={"detail": msg})
--- /dev/null
+++ b/src/sesameport/entry/messages.py
@@ -0,0 +1,220 @@
+"""Define the messages to the entry actor and between hosts."""
+
+import attrs
+import pykka
+
+from sesameport.admission import Generation, Placement
+from sesameport.entry.contracts import EntryConfiguration
+from sesameport.entry.servers import EntryServer
+
+__all__ = [
+    "AdmitGeneration",
+    "AdmitPlain",
+    "Admitted",
+    "Configure",
+    "FleetReport",
+    "FleetSnapshot",
+    "HostsChanged",
+    "PrefillEnded",
+    "Refused",
+    "RunEnded",
+    "ServerOutcome",
+    "ServersChanged",
+    "ServersListed",
+    "SpendRetry",
+    "StoreState",
+    "Tick",
+    "UseEntry",
+    "Withdraw",
+]
+
+
+@attrs.frozen
+class AdmitGeneration:
+    """Ask for the servers of a generation.
+
+    ``future`` takes `Admitted` or `Refused`, at once or when memory comes free.
+    ``charge_tokens`` is withdrawn from the workspace's quota. ``is_first`` is false
+    when the request was admitted before; then ``spends_budget`` tells whether a server
+    got it before, so that it counts as a repeat.
+    """
+
+    key: int
+    request_id: str
+    generation: Generation
+    workspace: str
+    charge_tokens: float
+    target_at: float
+    is_returning: bool
+    priority: int
+    future: pykka.Future
+    is_first: bool = True
+    spends_budget: bool = False
+
+
+@attrs.frozen
+class AdmitPlain:
+    """Ask for the server of a plain request; answered with `Admitted` or `Refused`.
+
+    See `AdmitGeneration` for ``is_first`` and ``spends_budget``.
+    """
+
+    service: str
+    workspace: str
+    charge_tokens: float
+    excluded: frozenset[str] = frozenset()
+    is_first: bool = True
+    spends_budget: bool = False
+
+
+@attrs.frozen
+class Admitted:
+    """Name what a request may use; ``plain`` is the server of a plain request."""
+
+    placement: Placement | None = None
+    plain: EntryServer | None = None
+    waited_s: float = 0.0
+
+
+@attrs.frozen
+class Refused:
+    """Say why a request was not admitted and when to come back.
+
+    ``over_quota`` tells a refusal for the workspace's rate from one for capacity.
+    """
+
+    reason: str
+    retry_after_s: float
+    over_quota: bool = False
+
+
+@attrs.frozen
+class Withdraw:
+    """Take back a waiting request whose caller left."""
+
+    key: int
+    service: str
+
+
+@attrs.frozen
+class PrefillEnded:
+    """Tell that a prompt is read or that its prefill failed."""
+
+    placement: Placement
+    seconds: float
+    succeeded: bool
+
+
+@attrs.frozen
+class RunEnded:
+    """Tell that a request no longer uses its decode or plain server."""
+
+    placement: Placement | None = None
+    plain: EntryServer | None = None
+    seconds: float = 0.0
+    succeeded: bool = False
+
+
+@attrs.frozen
+class ServerOutcome:
+    """Tell how a server treated a call."""
+
+    server: str
+    failed: bool = False
+    unreachable: bool = False
+
+
+@attrs.frozen
+class SpendRetry:
+    """Ask for one repeat to a service from the budget."""
+
+    service: str
+
+
+@attrs.frozen
+class Configure:
+    """Take over a configuration if it is newer."""
+
+    configuration: EntryConfiguration
+    source: str
+
+
+@attrs.frozen
+class ServersListed:
+    """Take over a whole listing of servers."""
+
+    servers: tuple[EntryServer, ...]
+
+
+@attrs.frozen
+class ServersChanged:
+    """Take over changed entries and the names of removed ones, in their order."""
+
+    changed: tuple[EntryServer, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class HostsChanged:
+    """Give the peer addresses of all registered hosts by name."""
+
+    addresses: dict[str, str]
+
+
+@attrs.frozen
+class StoreState:
+    """Tell that the platform's store was lost or regained."""
+
+    is_reachable: bool
+
+
+@attrs.frozen
+class Tick:
+    """Run the periodic work."""
+
+    now: float
+
+
+@attrs.frozen
+class UseEntry:
+    """Give the use of one server in a report; see ``ServerUse``."""
+
+    kv_tokens: float
+    runs: int
+    prefill_tokens: float
+
+
+@attrs.frozen
+class FleetReport:
+    """Tell the other hosts what this host uses and has charged.
+
+    Attributes
+    ----------
+    host, incarnation : str, int
+        Process that reports.
+    sequence : int
+        Number of the report; older ones are dropped.
+    uses : dict of str to UseEntry
+        Use of each server.
+    charged : dict of str to float
+        Tokens charged since the start of the process, by workspace.
+    version : int
+        Version of its configuration, 0 without one.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+    uses: dict[str, UseEntry] = attrs.field(factory=dict)
+    charged: dict[str, float] = attrs.field(factory=dict)
+    version: int = 0
+
+
+@attrs.frozen
+class FleetSnapshot:
+    """Hand what a host knows from the store to hosts that do not reach it."""
+
+    host: str
+    configuration: EntryConfiguration | None
+    servers: tuple[EntryServer, ...]
+    addresses: dict[str, str]
--- /dev/null
+++ b/src/sesameport/entry/servers.py
@@ -0,0 +1,44 @@
+"""Describe a backend server as it registered itself."""
+
+import attrs
+
+from sesameport.world import ServerRole, ServerState
+
+__all__ = ["EntryServer"]
+
+
+@attrs.frozen
+class EntryServer:
+    """Describe one registered backend server.
+
+    Attributes
+    ----------
+    name : str
+        Id of the server.
+    service : str
+        Service that it belongs to.
+    address : str
+        ``IP:port`` at which it answers; may be used again after the server ended.
+    data_centre : str
+        Name of its data centre.
+    role : ServerRole
+        Work that it does.
+    state : ServerState
+        Whether it takes new work.
+    slots : int
+        Requests that it runs at once.
+    started_at_ms : int
+        Start of this incarnation, Unix milliseconds; 0 when it is not known.
+    cold_s : float
+        Time for which it is slow after its start, seconds.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    role: ServerRole
+    state: ServerState = ServerState.LIVE
+    slots: int = 1
+    started_at_ms: int = 0
+    cold_s: float = 0.0
--- /dev/null
+++ b/src/sesameport/entry/sinks.py
@@ -0,0 +1,148 @@
+"""Turn what the store holds into messages to the entry actor."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+import pykka
+from result import Err, Ok, Result
+
+from sesameport.entry import messages as m
+from sesameport.entry.contracts import EntryConfiguration
+from sesameport.entry.servers import EntryServer
+from sesameport.interfaces import Platform, PlatformErrorKind, StoredObject
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["HOST_KIND", "ConfigurationSink", "HostSink", "ServerSink", "announce"]
+
+HOST_KIND = "entry-hosts"
+"""Kind of the project's own objects that hold the peer address of each host."""
+
+log = get_logger("store")
+
+
+class ConfigurationSink:
+    """Hand each readable configuration to the actor."""
+
+    def __init__(
+        self,
+        actor: pykka.ActorRef,
+        name: str,
+        decode: Callable[[bytes], Result[EntryConfiguration, str]],
+    ):
+        self._actor = actor
+        self._name = name
+        self._decode = decode
+
+    def listed(self, objects: Iterable[StoredObject]) -> None:
+        """Take a listing."""
+        self.changed(objects)
+
+    def changed(self, objects: Iterable[StoredObject]) -> None:
+        """Take changes."""
+        for stored in objects:
+            if stored.name != self._name or stored.deleted:
+                continue
+            match self._decode(stored.value):
+                case Ok(configuration):
+                    self._actor.tell(m.Configure(configuration, "store"))
+                case Err(reason):
+                    log.error(
+                        "configuration unreadable, the last one stays in force",
+                        extra={"revision": stored.version, "reason": reason},
+                    )
+
+
+class ServerSink:
+    """Hand the entries of backend servers to the actor."""
+
+    def __init__(
+        self,
+        actor: pykka.ActorRef,
+        decode: Callable[[str, bytes], Result[EntryServer, str]],
+    ):
+        self._actor = actor
+        self._decode = decode
+
+    def listed(self, objects: Iterable[StoredObject]) -> None:
+        """Take a listing."""
+        found = [self._read(stored) for stored in objects]
+        servers = tuple(server for server in found if server is not None)
+        self._actor.tell(m.ServersListed(servers))
+
+    def changed(self, objects: Iterable[StoredObject]) -> None:
+        """Take changes one by one, since their order counts."""
+        for stored in objects:
+            server = None if stored.deleted else self._read(stored)
+            if server is not None:
+                self._actor.tell(m.ServersChanged(changed=(server,)))
+            else:
+                self._actor.tell(m.ServersChanged(removed=(stored.name,)))
+
+    def _read(self, stored: StoredObject) -> EntryServer | None:
+        match self._decode(stored.name, stored.value):
+            case Ok(server):
+                return server
+            case Err(reason):
+                log.warning(
+                    "server entry ignored",
+                    extra={
+                        "server": stored.name,
+                        "reason": reason,
+                        "revision": stored.version,
+                    },
+                )
+        return None
+
+
+class HostSink:
+    """Hand the peer addresses of all hosts to the actor."""
+
+    def __init__(self, actor: pykka.ActorRef):
+        self._actor = actor
+        self._addresses: dict[str, str] = {}
+
+    def listed(self, objects: Iterable[StoredObject]) -> None:
+        """Take a listing."""
+        self._addresses = {}
+        self.changed(objects)
+
+    def changed(self, objects: Iterable[StoredObject]) -> None:
+        """Take changes."""
+        for stored in objects:
+            address = None if stored.deleted else _address(stored.value)
+            if address is None:
+                self._addresses.pop(stored.name, None)
+            else:
+                self._addresses[stored.name] = address
+        self._actor.tell(m.HostsChanged(dict(self._addresses)))
+
+
+def _address(value: bytes) -> str | None:
+    try:
+        found = msgspec.json.decode(value)
+    except msgspec.DecodeError:
+        return None
+    address = found.get("address") if isinstance(found, dict) else None
+    return address if isinstance(address, str) else None
+
+
+def announce(platform: Platform, name: str, address: str) -> Result[bool, str]:
+    """Register the peer address of a host; Ok tells that it stands in the store."""
+    value = msgspec.json.encode({"address": address})
+    match platform.create(HOST_KIND, name, value):
+        case Ok(_):
+            return Ok(True)
+        case Err(error) if error.kind != PlatformErrorKind.EXISTS:
+            return Err(f"create: {error.kind} {error.detail}")
+    match platform.get(HOST_KIND, name):
+        case Err(error):
+            return Err(f"get: {error.kind} {error.detail}")
+        case Ok(stored):
+            pass
+    if _address(stored.value) == address:
+        return Ok(True)
+    match platform.update(HOST_KIND, name, value, stored.version):
+        case Ok(_):
+            return Ok(True)
+        case Err(error):
+            return Err(f"update: {error.kind} {error.detail}")
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -8,7 +8,7 @@
 
 from sesameport.telemetry.outcomes import Outcome, OutcomeKind
 
-__all__ = ["METRICS", "MetricDefinition", "Metrics"]
+__all__ = ["ENTRY_METRICS", "METRICS", "MetricDefinition", "Metrics"]
 
 LATENCY_BUCKETS = (0.05, 0.1, 0.25, 0.5, 0.8, 1.0, 1.3, 2.0, 5.0, 15.0, 60.0, 300.0)
 """Seconds. 1.3 s is the first-token target, so the target's share is exact."""
@@ -94,6 +94,23 @@
     _gauge("ready", "1 while the host accepts requests, else 0."),
 )
 
+ENTRY_METRICS = (
+    _counter("entry_requests", "Requests that ended.", "kind", "outcome", "reason"),
+    _histogram(
+        "entry_answer_seconds",
+        "Time to the answer or to the first event of a served request.",
+        LATENCY_BUCKETS,
+        "kind",
+    ),
+    _counter("platform_calls", "Calls to the platform.", "operation", "result"),
+    _counter("role_orders", "Orders to change a role.", "result"),
+    _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
+    _gauge("entry_version", "Version of the configuration in force."),
+    _gauge("entry_store_reachable", "1 while the store answers, else 0."),
+    _gauge("ready", "1 while the host accepts requests, else 0."),
+)
+"""Metrics of an entry host on a platform of its users."""
+
 
 class Metrics:
     """Hold the metrics of one daemon; every method may be called from any thread.
--- a/tools/binary/check.py
+++ b/tools/binary/tests/check.py
@@ -1,6 +1,6 @@
 """Check that the executable keeps the limits of its hosts, and measure it.
 
-Usage: python tools/binary/check.py EXECUTABLE [ARGS...]
+Usage: python tools/binary/tests/check.py EXECUTABLE [ARGS...]
 
 It fails when the daemon starts another process, writes outside its memory, or maps a
 file other than itself and the C library. ARGS come before the subcommand, so that
