--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -145,11 +145,21 @@
     prefill = _cheapest(
         _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
     )
-    if prefill is None and any(_reads_prompts(server) for server in servers):
+    if prefill is None and _is_prefill_busy(req, servers):
         return None
     return Placement(decode, prefill, needed, req.prompt_tokens)
 
 
+def _is_prefill_busy(req: Generation, servers) -> bool:
+    """Tell whether a prefill server is worth waiting for.
+
+    When the request has failed at all of them, its decode server reads the prompt.
+    """
+    return any(
+        _reads_prompts(server) and server.name not in req.excluded for server in servers
+    )
+
+
 def _decode_costs(req, profile, servers, use, cost_factor, policy, needed, limit):
     for server in servers:
         if server.role not in (ServerRole.DECODE, ServerRole.BOTH):
--- a/src/sesameport/admission/roles.py
+++ b/src/sesameport/admission/roles.py
@@ -32,6 +32,11 @@
 bound near 1, and its wait is part of the time to the first event."""
 
 
+SETTLE_S = 6.0
+"""Time after the loss of an engine before the plan follows it, seconds: most are back
+by then, and a change takes as long."""
+
+
 @attrs.define
 class WorkMix:
     """Measure what one request of a service costs.
@@ -75,9 +80,13 @@
 
 @attrs.define
 class RolePlanner:
-    """Decide on the next change of one service's engines."""
+    """Decide on the next change of one service's engines.
+
+    ``since_loss_s`` is the time since an engine was lost, seconds.
+    """
 
     mix: WorkMix = attrs.field(factory=WorkMix)
+    since_loss_s: float = float("inf")
 
     def carries(self, prefill: int, decode: int, kv_tokens: int) -> float:
         """Return the requests that a split carries in a second."""
@@ -106,6 +115,8 @@
             return -1
         if decode == 0:
             return 1
+        if self.since_loss_s < SETTLE_S:
+            return 0
         plan = self.best(prefill + decode, kv_tokens)
         if plan.requests_per_s < GAIN * self.carries(prefill, decode, kv_tokens):
             return 0
--- a/src/sesameport/admission/server_health.py
+++ b/src/sesameport/admission/server_health.py
@@ -1,10 +1,14 @@
 """Judge backend servers by what their callers saw.
 
-Load: a server that fails part of its requests, or that nobody reaches, while its own
-health check is good. The share of failures raises the server's cost in placement, and
-an unreachable one is left out for a growing time.
+Load: a server that fails part of its requests, that nobody reaches, or that refuses
+work while it changes its role, while its entry says that it is ready. The share of
+failures raises the server's cost in placement. A server that is unreachable or refuses
+gets no work for a growing time, and the other hosts are told, so that not each of them
+has to find out with a request.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 __all__ = ["ServerHealth"]
@@ -14,16 +18,20 @@
 that a server with a usual error share of 0.1 keeps its work."""
 
 FIRST_PAUSE_S = 0.5
-"""First time without work after a failed connection, seconds; doubles each time."""
+"""First time without work after a failed connection or a refusal, seconds; doubles each
+time until the server answers."""
 
 LONGEST_PAUSE_S = 2.0
 """Longest such time, seconds: crashed servers are back within a few seconds."""
 
+LONGEST_TOLD_S = 10.0
+"""Longest pause that is taken over from another host, seconds."""
+
 
 @attrs.define
 class _Record:
     failures: float = 0.0
-    unreachable: int = 0
+    setbacks: int = 0
     until: float = 0.0
 
 
@@ -32,27 +40,56 @@
     """Keep the outcomes of the calls to each server."""
 
     _records: dict[str, _Record] = attrs.field(factory=dict)
+    _told: dict[str, float] = attrs.field(factory=dict)
 
     def note_answered(self, server: str, failed: bool) -> None:
         """Note an answer, and whether it was a failure of the server."""
         record = self._records.setdefault(server, _Record())
-        record.unreachable = 0
-        record.until = 0.0
+        record.setbacks = 0
         record.failures += FAILURE_WEIGHT * (float(failed) - record.failures)
 
     def note_unreachable(self, server: str, now: float) -> None:
         """Note a connection that was not established or broke off."""
-        record = self._records.setdefault(server, _Record())
-        record.unreachable += 1
-        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (record.unreachable - 1))
-        record.until = now + pause_s
+        self._pause_longer(server, now)
+        record = self._records[server]
         record.failures += FAILURE_WEIGHT * (1.0 - record.failures)
 
+    def note_refused(self, server: str, now: float) -> None:
+        """Note that a server took no work; that alone is no failure of it."""
+        self._pause_longer(server, now)
+
+    def pause(self, server: str, seconds: float, now: float) -> None:
+        """Give a server no work for a time, such as that of an ordered change."""
+        record = self._records.setdefault(server, _Record())
+        record.until = max(record.until, now + seconds)
+
+    def take_pauses(self, pauses: Mapping[str, float], now: float) -> None:
+        """Take over the pauses, in seconds from now, that another host reports."""
+        for server, seconds in pauses.items():
+            until = now + min(seconds, LONGEST_TOLD_S)
+            self._told[server] = max(self._told.get(server, 0.0), until)
+
+    def pauses(self, now: float) -> dict[str, float]:
+        """Return the pauses that this host found itself, seconds from now."""
+        return {
+            name: round(record.until - now, 3)
+            for name, record in self._records.items()
+            if record.until > now
+        }
+
     def is_paused(self, server: str, now: float) -> bool:
         """Tell whether a server gets no work for now."""
+        if now < self._told.get(server, 0.0):
+            return True
         record = self._records.get(server)
         return record is not None and now < record.until
 
+    def _pause_longer(self, server: str, now: float) -> None:
+        record = self._records.setdefault(server, _Record())
+        record.setbacks += 1
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (record.setbacks - 1))
+        record.until = max(record.until, now + pause_s)
+
     def cost_factor(self, server: str) -> float:
         """Return by how much a server's failures raise its cost, 1 or more."""
         record = self._records.get(server)
@@ -62,3 +99,4 @@
     def forget(self, server: str) -> None:
         """Drop the record of a server that is gone or started anew."""
         self._records.pop(server, None)
+        self._told.pop(server, None)
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -1,5 +1,6 @@
 """Hold the state that admission and placement of one host decide on."""
 
+import math
 import random
 import time
 
@@ -109,6 +110,7 @@
         self._reported_at = 0.0
         self._snapshot_at = 0.0
         self._store_reachable = False
+        self._lost_at: dict[str, float] = {}
         self._handlers = {
             m.AdmitGeneration: self._admit_generation,
             m.AdmitPlain: self._admit_plain,
@@ -126,6 +128,7 @@
             m.FleetSnapshot: self._take_snapshot,
             m.StoreState: self._note_store,
             m.NextRoleChange: self._next_role_change,
+            m.RoleOrdered: self._role_ordered,
         }
 
     # -- messages --------------------------------------------------------------
@@ -294,15 +297,23 @@
         return self._mixes.setdefault(service, WorkMix())
 
     def _note_outcome(self, message: m.ServerOutcome, now: float) -> None:
-        was_paused = self._health.is_paused(message.server, now)
-        if not message.unreachable:
-            self._health.note_answered(message.server, message.failed)
-            if was_paused:
-                log.info("server regained", extra={"server": message.server})
+        server = message.server
+        was_paused = self._health.is_paused(server, now)
+        if message.unreachable:
+            self._health.note_unreachable(server, now)
+        elif message.refused:
+            self._health.note_refused(server, now)
+        else:
+            self._health.note_answered(server, message.failed)
             return
-        self._health.note_unreachable(message.server, now)
         if not was_paused:
-            log.warning("server lost", extra={"server": message.server})
+            reason = "unreachable" if message.unreachable else "refuses work"
+            log.warning("server paused", extra={"server": server, "reason": reason})
+            self._report(now)
+
+    def _role_ordered(self, message: m.RoleOrdered, now: float) -> None:
+        self._health.pause(message.server, message.seconds, now)
+        self._report(now)
 
     # -- the fleet -------------------------------------------------------------
 
@@ -322,6 +333,7 @@
                 uses,
                 self._quota.charged(),
                 version,
+                self._health.pauses(now),
             )
         )
 
@@ -338,6 +350,7 @@
         }
         self._use.take_report(report.host, uses, now)
         self._quota.take_report(report.host, report.incarnation, report.charged, now)
+        self._health.take_pauses(report.paused, now)
         self._publish_snapshot(report.version, now)
         for service in list(self._rooms):
             self._serve_room(service, now)
@@ -394,11 +407,17 @@
             for server in message.changed:
                 self._directory.put(server)
             for name in message.removed:
+                self._note_lost(name, now)
                 self._directory.remove(name, now)
                 log.info("server entry removed", extra={"server": name})
         for service in list(self._rooms):
             self._serve_room(service, now)
 
+    def _note_lost(self, name: str, now: float) -> None:
+        server = self._directory.get(name)
+        if server is not None:
+            self._lost_at[server.service] = now
+
     def _log_servers(self, servers) -> None:
         for server in servers:
             known = self._directory.get(server.name)
@@ -460,16 +479,17 @@
         for service in self._configuration.services:
             if service.engine is None:
                 continue
-            change = self._role_change_of(service)
+            change = self._role_change_of(service, now)
             if change is not None:
                 return change
         return None
 
-    def _role_change_of(self, service) -> RoleChange | None:
+    def _role_change_of(self, service, now: float) -> RoleChange | None:
         servers = self._directory.of_service(service.name)
+        lost_at = self._lost_at.get(service.name, -math.inf)
+        planner = RolePlanner(self._mix(service.name), now - lost_at)
         prefill = [item for item in servers if item.role == ServerRole.PREFILL]
         decode = [item for item in servers if item.role == ServerRole.DECODE]
-        planner = RolePlanner(self._mix(service.name))
         step = planner.next_change(len(prefill), len(decode), service.engine.kv_tokens)
         if step == 0:
             return None
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -367,9 +367,10 @@
         )
         match result:
             case Err(failure):
-                self._note_failure(progress, decode.name, failure)
+                self._note_failure(progress, decode.name, failure, "decode")
                 progress.excluded.add(decode.name)
                 if source is not None and failure.kind.has_not_run():
+                    self._blame_prefill(progress, placement, failure)
                     self._free(progress, source)
                 return failure, started
             case Ok(answer):
@@ -381,6 +382,17 @@
         finally:
             answer.close()
 
+    def _blame_prefill(self, progress, placement: Placement, failure) -> None:
+        """Count a decode server's refusal against the source of the KV cache as well.
+
+        A refusal does not tell whether memory is short or the handle has lapsed. Only
+        a source whose handles lapse is part of nearly all refusals.
+        """
+        if failure.kind != FailureKind.REFUSED:
+            return
+        progress.excluded.add(placement.prefill.name)
+        self._actor.tell(m.ServerOutcome(placement.prefill.name, failed=True))
+
     def _prefill(self, progress, placement: Placement, watch):
         """Have the prompt read; returns the source of its KV cache and a failure."""
         server = placement.prefill
@@ -395,7 +407,7 @@
                 progress.servers.append(server.name)
                 return KvSource(found.address, found.handle), None
             case Err(failure):
-                self._note_failure(progress, server.name, failure)
+                self._note_failure(progress, server.name, failure, "prefill")
                 progress.excluded.add(server.name)
                 if failure.kind == FailureKind.BROKEN:
                     # A prefill is no run: its loss leaves nothing behind.
@@ -430,7 +442,8 @@
             reply.start(answer.status, answer.headers)
             started = True
         reply.finish()
-        self._actor.tell(m.ServerOutcome(server))
+        for name in progress.servers[-2:]:
+            self._actor.tell(m.ServerOutcome(name))
         progress.status = answer.status
         progress.outcome = "served"
         return None, started
@@ -511,17 +524,20 @@
         )
         reply.refuse(status, reason, retry_after_s)
 
-    def _note_failure(self, progress, server: str, failure) -> None:
+    def _note_failure(self, progress, server: str, failure, call: str = "run") -> None:
         if failure.kind == FailureKind.CALLER_LEFT:
             return
         unreachable = failure.kind == FailureKind.UNREACHABLE
         failed = failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT)
-        self._actor.tell(m.ServerOutcome(server, failed, unreachable))
+        # A decode server refuses for a lapsed handle, too, which is not its fault.
+        refused = failure.kind == FailureKind.REFUSED and call != "decode"
+        self._actor.tell(m.ServerOutcome(server, failed, unreachable, refused))
         log.info(
             "attempt failed",
             extra={
                 "request_id": progress.req.request_id,
                 "server": server,
+                "call": call,
                 "failure": str(failure.kind),
                 "detail": failure.detail,
                 "send": progress.sends,
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -15,7 +15,7 @@
 from sesameport.entry.http_front import CallerConnection, HttpFront, HttpReply
 from sesameport.entry.peers import PeerExchange
 from sesameport.entry.requests import EntryRequest, ServerCalls
-from sesameport.entry.role_keeper import RoleKeeper, RoleOrders
+from sesameport.entry.role_keeper import RoleChange, RoleKeeper, RoleOrders
 from sesameport.entry.servers import EntryServer
 from sesameport.entry.settings import EntrySettings
 from sesameport.entry.sinks import (
@@ -162,6 +162,8 @@
         unready_until = min(since + UNREADY_S, until)
         while time.monotonic() < unready_until:
             time.sleep(max(0.0, unready_until - time.monotonic()))
+        # A request that comes later could not end within the grace time.
+        self._front.close_to_new()
         with self._changed:
             while self._in_flight and time.monotonic() < until:
                 self._changed.wait(until - time.monotonic())
@@ -196,10 +198,17 @@
             store,
             wire.orders(),
             lambda: self._actor.ask(m.NextRoleChange()),
+            self._note_ordered,
             self.metrics,
         )
         self._timers.subscribe("roles", ROLE_PERIOD_S, self._keep_roles)
 
+    def _note_ordered(self, change: RoleChange) -> None:
+        table = self._view.table
+        service = table.configuration.service(change.server.service) if table else None
+        seconds = service.engine.role_change_s if service and service.engine else 0.0
+        self._actor.tell(m.RoleOrdered(change.server.name, seconds))
+
     def _keep_roles(self, now: float) -> None:
         # The calls wait for others, so they do not run on the timer's thread.
         threading.Thread(target=self._roles.run_once, name="roles", daemon=True).start()
--- a/src/sesameport/entry/http_front.py
+++ b/src/sesameport/entry/http_front.py
@@ -136,6 +136,26 @@
             raise CallerGone from exc
 
 
+class _Server(HTTPServer):
+    """Refuse what comes after the server was closed to new requests."""
+
+    is_closed_to_new = False
+
+    def process_conn(self, conn) -> None:
+        """Hand a connection with a request to a thread, or close it unread."""
+        if self.is_closed_to_new:
+            conn.close()
+            return
+        super().process_conn(conn)
+
+    def put_conn(self, conn) -> None:
+        """Keep a connection for its next request."""
+        if self.is_closed_to_new:
+            conn.close()
+            return
+        super().put_conn(conn)
+
+
 class _Gateway(Gateway):
     def respond(self) -> None:
         """Read the body and hand the request to the server's handler."""
@@ -169,7 +189,7 @@
         max_threads: int,
     ):
         host, _, port = address.rpartition(":")
-        self._server = HTTPServer(
+        self._server = _Server(
             (host, int(port)), _Gateway, minthreads=threads, maxthreads=max_threads
         )
         self._server.ConnectionClass = StrictConnection
@@ -204,9 +224,14 @@
         if pool.idle < self._spare:
             pool.grow(self._spare)
 
-    def stop(self) -> None:
-        """Stop accepting connections and close the idle ones."""
-        self._server.stop()
+    def close_to_new(self) -> None:
+        """Take no further request: close idle connections and new ones unread.
+
+        Requests that were read are answered.
+        """
+        self._server.is_closed_to_new = True
+        # cheroot closes connections that were idle for longer than its timeout.
+        self._server.timeout = 0
 
     def _log_error(self, msg="", level=20, traceback=False) -> None:
         log.info("http server", extra={"detail": msg})
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -18,6 +18,7 @@
     "NextRoleChange",
     "PrefillEnded",
     "Refused",
+    "RoleOrdered",
     "RunEnded",
     "ServerOutcome",
     "ServersChanged",
@@ -123,6 +124,7 @@
     server: str
     failed: bool = False
     unreachable: bool = False
+    refused: bool = False
 
 
 @attrs.frozen
@@ -169,6 +171,14 @@
     is_reachable: bool
 
 
+@attrs.frozen
+class RoleOrdered:
+    """Tell that an engine was ordered to change its role."""
+
+    server: str
+    seconds: float
+
+
 @attrs.frozen
 class NextRoleChange:
     """Ask for the change of an engine's role that pays; answered with it or None."""
@@ -206,6 +216,8 @@
         Tokens charged since the start of the process, by workspace.
     version : int
         Version of its configuration, 0 without one.
+    paused : dict of str to float
+        Servers that get no work, by the seconds for which it goes on.
     """
 
     host: str
@@ -214,6 +226,7 @@
     uses: dict[str, UseEntry] = attrs.field(factory=dict)
     charged: dict[str, float] = attrs.field(factory=dict)
     version: int = 0
+    paused: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/sesameport/entry/role_keeper.py
+++ b/src/sesameport/entry/role_keeper.py
@@ -85,6 +85,8 @@
         Access to the engines.
     wanted : callable
         Returns the next `RoleChange` or None.
+    on_ordered : callable
+        Takes a change that an engine has accepted.
     metrics : Metrics
         Counts orders.
     """
@@ -96,6 +98,7 @@
         platform: Platform,
         orders: RoleOrders,
         wanted: Callable[[], RoleChange | None],
+        on_ordered: Callable[[RoleChange], None],
         metrics,
     ):
         self._host = host
@@ -103,6 +106,7 @@
         self._platform = platform
         self._orders = orders
         self._wanted = wanted
+        self._on_ordered = on_ordered
         self._metrics = metrics
         self._busy = threading.Lock()
 
@@ -150,6 +154,8 @@
             return
         result = self._orders.change_role(change, self._host, epoch, state.orders_taken)
         outcome = result.ok() or "unanswered"
+        if outcome == "accepted":
+            self._on_ordered(change)
         self._metrics.count("sesameport_role_orders_total", result=outcome)
         self._log(
             "role ordered",
