Keep engines out of use until their role change ends; refuse hopeless waits on arrival

Requests that waited for memory that did not come cost their callers half a second each. An actor that raised was stopped and took its host down; it now logs and goes on. Ruled out: memory given away twice (1 preemption).

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -6,12 +6,14 @@
 
 from sesameport.admission.directory import ServerDirectory
 from sesameport.admission.fleet_use import FleetUse, ServerUse
+from sesameport.admission.forecast import forecast_wait_s
 from sesameport.admission.placement import (
     Generation,
     Placement,
     PlacementPolicy,
     choose_generation,
     choose_plain,
+    expected_output,
     kv_tokens,
 )
 from sesameport.admission.quota import FleetQuota, QuotaVerdict
@@ -47,5 +49,7 @@
     "WorkMix",
     "choose_generation",
     "choose_plain",
+    "expected_output",
+    "forecast_wait_s",
     "kv_tokens",
 ]
--- a/src/sesameport/admission/fleet_use.py
+++ b/src/sesameport/admission/fleet_use.py
@@ -48,6 +48,7 @@
 
     own: dict[str, ServerUse] = attrs.field(factory=dict)
     _reports: dict[str, tuple[float, dict[str, ServerUse]]] = attrs.field(factory=dict)
+    _waiting: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     def add_own(self, server: str, change: ServerUse) -> None:
         """Add to the own use of a server; parts of the change may be negative."""
@@ -57,9 +58,20 @@
             return
         self.own[server] = use
 
-    def take_report(self, host: str, uses: Mapping[str, ServerUse], now: float) -> None:
-        """Replace the use of another host."""
+    def take_report(
+        self,
+        host: str,
+        uses: Mapping[str, ServerUse],
+        now: float,
+        waiting: Mapping[str, float] | None = None,
+    ) -> None:
+        """Replace the use of another host and what waits there, by service."""
         self._reports[host] = (now, dict(uses))
+        self._waiting[host] = dict(waiting or {})
+
+    def waiting_elsewhere(self, service: str) -> float:
+        """Return the KV cache for which requests wait at other hosts, tokens."""
+        return sum(waiting.get(service, 0.0) for waiting in self._waiting.values())
 
     def expire(self, now: float) -> list[str]:
         """Drop the use of silent hosts and return their names."""
@@ -68,6 +80,7 @@
         ]
         for host in silent:
             del self._reports[host]
+            self._waiting.pop(host, None)
         return silent
 
     def hosts(self) -> list[str]:
--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -133,7 +133,8 @@
 
     The least loaded decode server is taken, since a step takes longer the more
     requests run. A server in the caller's data centre is preferred among nearly equal
-    ones.
+    ones. While all prefill servers are away or have long queues, the decode server
+    reads the prompt itself, at half the speed.
     """
     needed = kv_tokens(req.prompt_tokens, req.output_tokens)
     limit = policy.memory_share * profile.kv_tokens
@@ -145,21 +146,9 @@
     prefill = _cheapest(
         _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
     )
-    if prefill is None and _is_prefill_busy(req, servers):
-        return None
     return Placement(decode, prefill, needed, req.prompt_tokens)
 
 
-def _is_prefill_busy(req: Generation, servers) -> bool:
-    """Tell whether a prefill server is worth waiting for.
-
-    When the request has failed at all of them, its decode server reads the prompt.
-    """
-    return any(
-        _reads_prompts(server) and server.name not in req.excluded for server in servers
-    )
-
-
 def _decode_costs(req, profile, servers, use, cost_factor, policy, needed, limit):
     for server in servers:
         if server.role not in (ServerRole.DECODE, ServerRole.BOTH):
--- a/src/sesameport/admission/roles.py
+++ b/src/sesameport/admission/roles.py
@@ -27,6 +27,10 @@
 """Factor by which a plan has to carry more requests than the present one. Hysteresis
 keeps engines from changing to and fro when two plans are about equal."""
 
+GAIN_TO_PREFILL = 2.0
+"""The same for making a decode engine read prompts. It is away until its running
+requests have ended, and meanwhile decode engines can read prompts themselves."""
+
 PREFILL_HEADROOM = 0.75
 """Part of the prefill work that is planned for. A queue before prefill grows without
 bound near 1, and its wait is part of the time to the first event."""
@@ -50,10 +54,13 @@
         Time of one engine that a prompt takes, seconds.
     kv_token_s : float
         KV cache of a request times the time for which it is held, token seconds.
+    held_s : float
+        Time for which a request holds its KV cache, seconds.
     """
 
     prefill_s: float = 0.1
     kv_token_s: float = 4_000 * 3.4
+    held_s: float = 3.4
     _decodes: int = 0
 
     def note_prefill(self, seconds: float) -> None:
@@ -65,6 +72,7 @@
         """Take in the reservation of one request."""
         self._decodes += 1
         if self._decodes >= ENOUGH_SAMPLES:
+            self.held_s += SAMPLE_WEIGHT * (seconds - self.held_s)
             sample = kv_tokens * seconds
             self.kv_token_s += SAMPLE_WEIGHT * (sample - self.kv_token_s)
 
@@ -118,6 +126,8 @@
         if self.since_loss_s < SETTLE_S:
             return 0
         plan = self.best(prefill + decode, kv_tokens)
-        if plan.requests_per_s < GAIN * self.carries(prefill, decode, kv_tokens):
+        step = 1 if plan.decode > decode else -1
+        gain = GAIN if step > 0 else GAIN_TO_PREFILL
+        if plan.requests_per_s < gain * self.carries(prefill, decode, kv_tokens):
             return 0
-        return 1 if plan.decode > decode else -1
+        return step
--- a/src/sesameport/admission/server_health.py
+++ b/src/sesameport/admission/server_health.py
@@ -58,6 +58,17 @@
         """Note that a server took no work; that alone is no failure of it."""
         self._pause_longer(server, now)
 
+    def note_decode_refused(self, server: str, now: float) -> None:
+        """Note that a decode server refused a KV cache that was read elsewhere.
+
+        One refusal may be due to a lapsed handle, so only the next in a row counts.
+        """
+        record = self._records.setdefault(server, _Record())
+        if record.setbacks == 0:
+            record.setbacks = 1
+            return
+        self._pause_longer(server, now)
+
     def pause(self, server: str, seconds: float, now: float) -> None:
         """Give a server no work for a time, such as that of an ordered change."""
         record = self._records.setdefault(server, _Record())
--- a/src/sesameport/admission/waiting_room.py
+++ b/src/sesameport/admission/waiting_room.py
@@ -69,6 +69,8 @@
         Whether the caller was refused before, so that the target has passed.
     priority : int
         Rank of the route or workspace, 0 first.
+    kv_tokens : int
+        KV cache that it needs, tokens.
     """
 
     key: int
@@ -76,6 +78,7 @@
     target_at: float
     is_returning: bool
     priority: int = 5
+    kv_tokens: int = 0
 
 
 @attrs.define
@@ -101,6 +104,14 @@
         self._waiters[waiter.key] = waiter
         return True
 
+    def tokens(self) -> float:
+        """Return the KV cache that all waiting requests need, tokens."""
+        return float(sum(item.kv_tokens for item in self._waiters.values()))
+
+    def can_wait_s(self, waiter: Waiter) -> float:
+        """Return for how long a request may wait, seconds."""
+        return self.give_up_at(waiter) - waiter.arrived_at
+
     def leave(self, key: int) -> None:
         """Take a request out, because it was placed or its caller left."""
         self._waiters.pop(key, None)
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -23,6 +23,8 @@
     WorkMix,
     choose_generation,
     choose_plain,
+    forecast_wait_s,
+    kv_tokens,
 )
 from sesameport.entry import messages as m
 from sesameport.entry.contracts import EntryConfiguration
@@ -139,11 +141,19 @@
         if handler is None:
             log.error("unknown message", extra={"type": type(message).__name__})
             return None
-        return handler(message, time.monotonic())
-
-    def on_failure(self, exception_type, exception_value, traceback) -> None:
-        """Log an error of a handler; the actor goes on with the next message."""
-        log.error("message failed", extra={"error": repr(exception_value)})
+        try:
+            return handler(message, time.monotonic())
+        except Exception as exc:
+            # An actor that raises is stopped, and the host could serve nobody then.
+            log.error(
+                "message failed",
+                extra={"type": type(message).__name__, "error": repr(exc)},
+            )
+            refused = m.Refused("internal-error", self._retry_after())
+            if isinstance(message, m.AdmitGeneration):
+                self._waiting.pop(message.key, None)
+                message.future.set(refused)
+            return refused if isinstance(message, m.AdmitPlain) else None
 
     # -- admission -------------------------------------------------------------
 
@@ -179,7 +189,15 @@
         elif ask.spends_budget and not self._budget.spend(service, now):
             ask.future.set(m.Refused("no-retry-budget", self._retry_after()))
             return
-        waiter = Waiter(ask.key, now, ask.target_at, ask.is_returning, ask.priority)
+        generation = ask.generation
+        waiter = Waiter(
+            ask.key,
+            now,
+            ask.target_at,
+            ask.is_returning,
+            ask.priority,
+            kv_tokens(generation.prompt_tokens, generation.output_tokens),
+        )
         room = self._rooms.setdefault(service, WaitingRoom())
         if not room.enter(waiter):
             self._refuse(ask, "waiting-room-full")
@@ -189,14 +207,30 @@
         if ask.key not in self._waiting:
             return
         give_up_at = room.give_up_at(waiter)
-        if give_up_at <= now:
-            self._refuse_expired(service, now)
+        forecast_s = self._forecast_s(service, waiter)
+        if forecast_s > room.can_wait_s(waiter):
+            room.leave(ask.key)
+            del self._waiting[ask.key]
+            self._refuse(ask, "no-decode-memory-soon", forecast_s)
             return
+        self._report(now)
         actor_ref = self.actor_ref
         self._timers.call_at(
             "waiting", give_up_at, lambda at: actor_ref.tell(m.Tick(at))
         )
 
+    def _forecast_s(self, service: str, waiter: Waiter) -> float:
+        """Return how long a waiting request is expected to wait, seconds."""
+        room = self._rooms[service]
+        ahead = room.tokens() - waiter.kv_tokens
+        ahead += self._use.waiting_elsewhere(service)
+        reserved = sum(
+            self._use.of(server.name).kv_tokens
+            for server in self._directory.of_service(service)
+        )
+        held_s = self._mix(service).held_s
+        return forecast_wait_s(ahead, waiter.kv_tokens, reserved, held_s)
+
     def _serve_room(self, service: str, now: float) -> None:
         room = self._rooms.get(service)
         placed = False
@@ -237,9 +271,24 @@
             waiting = self._waiting.pop(waiter.key)
             self._refuse(waiting.ask, "no-decode-memory")
 
-    def _refuse(self, ask: m.AdmitGeneration, reason: str) -> None:
+    def _refuse(
+        self, ask: m.AdmitGeneration, reason: str, forecast_s: float = 0.0
+    ) -> None:
         self._quota.refund(ask.workspace, ask.charge_tokens)
-        ask.future.set(m.Refused(reason, self._retry_after()))
+        retry_after_s = self._retry_after()
+        log.info(
+            "generation not placed",
+            extra={
+                "request_id": ask.request_id,
+                "service": ask.generation.service,
+                "reason": reason,
+                "forecast_s": round(forecast_s, 3),
+                "is_returning": ask.is_returning,
+                "retry_after_s": round(retry_after_s, 2),
+                "hosts_heard": len(self._use.hosts()),
+            },
+        )
+        ask.future.set(m.Refused(reason, retry_after_s))
 
     def _retry_after(self) -> float:
         return self._refusals.choose(self._rng)
@@ -303,6 +352,10 @@
             self._health.note_unreachable(server, now)
         elif message.refused:
             self._health.note_refused(server, now)
+        elif message.kv_refused:
+            self._health.note_decode_refused(server, now)
+            if not self._health.is_paused(server, now):
+                return
         else:
             self._health.note_answered(server, message.failed)
             return
@@ -334,6 +387,11 @@
                 self._quota.charged(),
                 version,
                 self._health.pauses(now),
+                {
+                    service: room.tokens()
+                    for service, room in self._rooms.items()
+                    if len(room)
+                },
             )
         )
 
@@ -348,7 +406,7 @@
             name: ServerUse(use.kv_tokens, use.runs, use.prefill_tokens)
             for name, use in report.uses.items()
         }
-        self._use.take_report(report.host, uses, now)
+        self._use.take_report(report.host, uses, now, report.waiting)
         self._quota.take_report(report.host, report.incarnation, report.charged, now)
         self._health.take_pauses(report.paused, now)
         self._publish_snapshot(report.version, now)
@@ -423,7 +481,9 @@
             known = self._directory.get(server.name)
             if known == server:
                 continue
-            if known is not None and known.started_at_ms != server.started_at_ms:
+            if known is not None and (
+                known.started_at_ms != server.started_at_ms or known.role != server.role
+            ):
                 self._health.forget(server.name)
             log.info(
                 "server entry",
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -529,9 +529,17 @@
             return
         unreachable = failure.kind == FailureKind.UNREACHABLE
         failed = failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT)
-        # A decode server refuses for a lapsed handle, too, which is not its fault.
-        refused = failure.kind == FailureKind.REFUSED and call != "decode"
-        self._actor.tell(m.ServerOutcome(server, failed, unreachable, refused))
+        refused = failure.kind == FailureKind.REFUSED
+        is_decode = call == "decode"
+        self._actor.tell(
+            m.ServerOutcome(
+                server,
+                failed,
+                unreachable,
+                refused and not is_decode,
+                refused and is_decode,
+            )
+        )
         log.info(
             "attempt failed",
             extra={
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -40,6 +40,10 @@
 TICK_S = 0.5
 """Period of expiry, reports and thread growth, seconds."""
 
+LONGEST_RUN_S = 14.0
+"""Time for which a run may go on at an engine that was ordered to change its role,
+seconds: the longest timeout of the users' routes."""
+
 ROLE_PERIOD_S = 1.5
 """Period at which the roles of engines are looked at, seconds."""
 
@@ -207,7 +211,10 @@
         table = self._view.table
         service = table.configuration.service(change.server.service) if table else None
         seconds = service.engine.role_change_s if service and service.engine else 0.0
-        self._actor.tell(m.RoleOrdered(change.server.name, seconds))
+        ordered = m.RoleOrdered(
+            change.server.name, change.role, seconds + LONGEST_RUN_S
+        )
+        self._actor.tell(ordered)
 
     def _keep_roles(self, now: float) -> None:
         # The calls wait for others, so they do not run on the timer's thread.
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -6,6 +6,7 @@
 from sesameport.admission import Generation, Placement
 from sesameport.entry.contracts import EntryConfiguration
 from sesameport.entry.servers import EntryServer
+from sesameport.world import ServerRole
 
 __all__ = [
     "AdmitGeneration",
@@ -119,12 +120,17 @@
 
 @attrs.frozen
 class ServerOutcome:
-    """Tell how a server treated a call."""
+    """Tell how a server treated a call.
+
+    ``refused`` is a refusal for its own load or state; ``kv_refused`` one of a KV cache
+    that was read elsewhere.
+    """
 
     server: str
     failed: bool = False
     unreachable: bool = False
     refused: bool = False
+    kv_refused: bool = False
 
 
 @attrs.frozen
@@ -173,9 +179,13 @@
 
 @attrs.frozen
 class RoleOrdered:
-    """Tell that an engine was ordered to change its role."""
+    """Tell that an engine was ordered to change its role.
+
+    It lets its running requests end first, so it may be away for ``seconds``.
+    """
 
     server: str
+    role: ServerRole
     seconds: float
 
 
@@ -218,6 +228,8 @@
         Version of its configuration, 0 without one.
     paused : dict of str to float
         Servers that get no work, by the seconds for which it goes on.
+    waiting : dict of str to float
+        KV cache for which requests wait, tokens by service.
     """
 
     host: str
@@ -227,6 +239,7 @@
     charged: dict[str, float] = attrs.field(factory=dict)
     version: int = 0
     paused: dict[str, float] = attrs.field(factory=dict)
+    waiting: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
