--- /dev/null
+++ b/src/sesameport/admission/tests/builders.py
@@ -0,0 +1,19 @@
+"""Build servers and requests for tests of admission."""
+
+from sesameport.admission import Generation
+from sesameport.entry.contracts import EngineProfile
+from sesameport.entry.servers import EntryServer
+from sesameport.world import ServerRole, ServerState
+
+PROFILE = EngineProfile(slots=24, kv_tokens=37_563)
+
+
+def server(name, role=ServerRole.DECODE, centre="a", slots=24, **fields):
+    """Return a live server of the service ``llm``."""
+    fields.setdefault("state", ServerState.LIVE)
+    return EntryServer(name, "llm", f"{name}:1", centre, role, slots=slots, **fields)
+
+
+def generation(prompt=3_000, output=700, centre="a", excluded=()):
+    """Return a request of the usual size."""
+    return Generation("llm", centre, prompt, output, frozenset(excluded))
--- /dev/null
+++ b/src/sesameport/admission/tests/test_placement.py
@@ -0,0 +1,110 @@
+"""Test placement under the load that it names: full decode memory and many hosts."""
+
+import itertools
+
+from sesameport.admission import (
+    FleetUse,
+    PlacementPolicy,
+    ServerUse,
+    choose_generation,
+    choose_plain,
+)
+from sesameport.admission.placement import expected_output, kv_tokens
+from sesameport.admission.tests.builders import PROFILE, generation, server
+from sesameport.world import ServerRole
+
+PREFILL = ServerRole.PREFILL
+
+
+def choose(req, servers, use, factor=lambda name: 1.0, speeds=None):
+    return choose_generation(
+        req, PROFILE, servers, use, factor, PlacementPolicy(), speeds or {}
+    )
+
+
+def test_memory_is_never_given_away_twice_by_nine_hosts():
+    # Guards against preempted streams: every host reserves from what all have reserved.
+    servers = [server("d1"), server("d2"), server("p1", PREFILL)]
+    hosts = [FleetUse() for _ in range(9)]
+    placed = 0
+    for number, use in zip(range(60), itertools.cycle(hosts), strict=False):
+        found = choose(generation(), servers, use)
+        if found is None:
+            continue
+        placed += 1
+        use.add_own(found.decode.name, found.decode_use())
+        for other in hosts:
+            if other is not use:
+                other.take_report(f"h{number % 9}", use.own, 0.0)
+    reserved = [
+        sum(use.own.get(name, ServerUse()).kv_tokens for use in hosts)
+        for name in ("d1", "d2")
+    ]
+    assert all(amount <= PROFILE.kv_tokens for amount in reserved)
+    assert placed == 2 * (PROFILE.kv_tokens // kv_tokens(3_000, 700))
+
+
+def test_runs_spread_over_decode_servers():
+    servers = [server("d1"), server("d2"), server("p1", PREFILL)]
+    use = FleetUse()
+    names = []
+    for _ in range(4):
+        found = choose(generation(), servers, use)
+        use.add_own(found.decode.name, found.decode_use())
+        names.append(found.decode.name)
+    assert sorted(names) == ["d1", "d1", "d2", "d2"]
+
+
+def test_own_data_centre_is_preferred_only_among_nearly_equal_servers():
+    servers = [server("near", centre="a"), server("far", centre="b")]
+    use = FleetUse()
+    assert choose(generation(), servers, use).decode.name == "near"
+    use.add_own("near", ServerUse(8_000, 2, 0))
+    assert choose(generation(), servers, use).decode.name == "far"
+
+
+def test_full_slots_take_no_request():
+    use = FleetUse()
+    use.add_own("d1", ServerUse(100, 24, 0))
+    assert choose(generation(), [server("d1")], use) is None
+
+
+def test_decode_server_reads_the_prompt_when_no_prefill_server_is_left():
+    servers = [server("d1"), server("p1", PREFILL)]
+    found = choose(generation(excluded=["p1"]), servers, FleetUse())
+    assert found.prefill is None
+
+
+def test_failing_server_gets_less_work():
+    servers = [server("d1"), server("d2"), server("p1", PREFILL)]
+    found = choose(
+        generation(), servers, FleetUse(), lambda name: 4.0 if name == "d1" else 1.0
+    )
+    assert found.decode.name == "d2"
+
+
+def test_prefill_goes_to_the_shorter_queue():
+    servers = [server("d1"), server("p1", PREFILL), server("p2", PREFILL)]
+    use = FleetUse()
+    use.add_own("p1", ServerUse(0, 0, 6_000))
+    assert choose(generation(), servers, use).prefill.name == "p2"
+
+
+def test_expected_output_stays_between_estimate_and_typical_length():
+    assert expected_output(1_870, None) == 748
+    assert 146 < expected_output(1_870, 146) < 748
+    assert 748 < expected_output(1_870, 2_411) <= 1_870
+
+
+def test_plain_request_goes_to_the_server_with_most_room():
+    plain = [
+        server("s1", ServerRole.PLAIN, slots=6),
+        server("s2", ServerRole.PLAIN, slots=6),
+    ]
+    use = FleetUse()
+    use.add_own("s1", ServerUse(0, 2, 0))
+    factor = {}.get
+    chosen = choose_plain("a", plain, use, lambda name: factor(name, 1.0))
+    assert chosen.name == "s2"
+    excluded = choose_plain("a", plain, use, lambda name: 1.0, frozenset({"s2"}))
+    assert excluded.name == "s1"
--- /dev/null
+++ b/src/sesameport/admission/tests/test_waiting_room.py
@@ -0,0 +1,175 @@
+"""Play bursts on full decode memory and check what callers get."""
+
+import random
+
+import pytest
+
+from sesameport.admission import (
+    FleetUse,
+    PlacementPolicy,
+    RefusalTimes,
+    ServerUse,
+    Waiter,
+    WaitingPolicy,
+    WaitingRoom,
+    choose_generation,
+    forecast_wait_s,
+    kv_tokens,
+)
+from sesameport.admission.tests.builders import PROFILE, generation, server
+
+TARGET_S = 0.9
+HELD_S = 3.3
+
+
+def waiter(key, at=0.0, is_returning=False, priority=1, tokens=4_000):
+    return Waiter(key, at, at + TARGET_S, is_returning, priority, tokens)
+
+
+def test_fresh_request_waits_only_while_its_target_can_be_met():
+    room = WaitingRoom(WaitingPolicy(start_s=0.4))
+    room.enter(waiter(1))
+    assert room.expired(0.49) == []
+    assert [item.key for item in room.expired(0.5)] == [1]
+    assert len(room) == 0
+
+
+def test_request_past_its_target_is_refused_at_once():
+    # Guards against waits that cannot be of full use to the caller any more.
+    room = WaitingRoom()
+    late = Waiter(1, 5.0, 4.0, False)
+    room.enter(late)
+    assert room.can_wait_s(late) == 0.0
+    assert room.expired(5.0) == [late]
+
+
+def test_fresh_requests_go_before_returning_ones_and_older_before_newer():
+    room = WaitingRoom()
+    for item in (
+        waiter(1, 0.0, is_returning=True),
+        waiter(2, 0.2),
+        waiter(3, 0.1),
+        waiter(4, 0.3, priority=0),
+    ):
+        room.enter(item)
+    assert [item.key for item in room.in_order()] == [4, 3, 2, 1]
+
+
+def test_room_is_bounded():
+    room = WaitingRoom(WaitingPolicy(max_waiting=2))
+    assert [room.enter(waiter(key)) for key in range(3)] == [True, True, False]
+
+
+def test_refused_callers_are_spread_over_the_time_of_an_answer():
+    rng = random.Random(1)
+    times = [RefusalTimes().choose(rng) for _ in range(500)]
+    assert min(times) >= 2.0
+    assert max(times) <= 4.0
+    assert max(times) - min(times) > 1.5
+
+
+class Burst:
+    """Play arrivals on a few engines in virtual time."""
+
+    def __init__(self, engines, uses_forecast=True):
+        self.servers = [server(f"d{number}") for number in range(engines)]
+        self.use = FleetUse()
+        self.room = WaitingRoom()
+        self.ends = []
+        self.served, self.refused, self.waits = [], [], []
+        self.sizes = {}
+        self.uses_forecast = uses_forecast
+
+    def step(self, now, arrivals):
+        for end in [item for item in self.ends if item[0] <= now]:
+            self.ends.remove(end)
+            self.use.add_own(end[1], ServerUse(-end[2], -1, 0))
+        for key, prompt in arrivals:
+            self.sizes[key] = prompt
+            item = waiter(key, now, tokens=kv_tokens(prompt, 700))
+            self.room.enter(item)
+            self._place(now)
+            if key in self.room._waiters and self.uses_forecast:
+                self._refuse_hopeless(item)
+        self._place(now)
+        for item in self.room.expired(now):
+            self.refused.append((item.key, now - item.arrived_at))
+
+    def _refuse_hopeless(self, item):
+        reserved = sum(self.use.of(each.name).kv_tokens for each in self.servers)
+        ahead = self.room.tokens() - item.kv_tokens
+        if forecast_wait_s(
+            ahead, item.kv_tokens, reserved, HELD_S
+        ) > self.room.can_wait_s(item):
+            self.room.leave(item.key)
+            self.refused.append((item.key, 0.0))
+
+    def _place(self, now):
+        for item in self.room.in_order():
+            found = choose_generation(
+                generation(prompt=self.sizes[item.key]),
+                PROFILE,
+                self.servers,
+                self.use,
+                lambda name: 1.0,
+                PlacementPolicy(),
+                {},
+            )
+            if found is None:
+                return
+            self.room.leave(item.key)
+            self.use.add_own(found.decode.name, found.decode_use())
+            self.ends.append((now + HELD_S, found.decode.name, found.kv_tokens))
+            self.served.append(item.key)
+            self.waits.append(now - item.arrived_at)
+
+
+def play(rate_per_s, seconds=20, engines=4, uses_forecast=True, seed=3):
+    rng = random.Random(seed)
+    burst = Burst(engines, uses_forecast)
+    key, due = 0, 0.0
+    for tick in range(int((seconds + 2) * 100)):
+        now, arrivals = tick / 100, []
+        while due <= now and now < seconds:
+            key += 1
+            arrivals.append((key, int(rng.lognormvariate(8.0, 0.5))))
+            due += rng.expovariate(rate_per_s)
+        burst.step(now, arrivals)
+    return burst
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_usual_load_is_served_without_refusals(seed):
+    burst = play(7.0, seed=seed)
+    assert len(burst.refused) <= 0.03 * len(burst.served)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_twice_the_capacity_fills_the_engines_and_tells_the_others_soon(seed):
+    burst = play(24.0, seed=seed)
+    capacity = 4 * PROFILE.kv_tokens / kv_tokens(3_300, 700) / HELD_S
+    assert len(burst.served) >= 0.85 * capacity * 20
+    assert max(burst.waits) <= 0.5
+    held = sorted(wait for _, wait in burst.refused)
+    # Half of the refused callers know within an eighth of the target.
+    assert held[len(held) // 2] <= TARGET_S / 8
+
+
+def test_forecast_tells_callers_sooner_and_serves_as_many():
+    with_forecast, without = play(24.0), play(24.0, uses_forecast=False)
+    mean = [
+        sum(wait for _, wait in burst.refused) / len(burst.refused)
+        for burst in (with_forecast, without)
+    ]
+    assert mean[0] < 0.5 * mean[1]
+    assert len(with_forecast.served) >= 0.95 * len(without.served)
+
+
+def test_large_prompts_are_not_starved_by_small_ones():
+    burst = play(14.0)
+    sizes = sorted(burst.sizes.values())
+    large = sizes[int(len(sizes) * 0.9)]
+    asked = [key for key, prompt in burst.sizes.items() if prompt >= large]
+    served = set(burst.served)
+    share = sum(key in served for key in asked) / len(asked)
+    assert share >= 0.5 * len(served) / len(burst.sizes)
