Learn from peers while the store is away; wait for busy prefill engines

Cause 1: a host that starts while the store is down, at an address that nobody knows, was never heard, so no peer could send it the configuration.

Cause 2: decode engines that read prompts while prefill engines are busy slow the streams that run there.

--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -133,8 +133,9 @@
 
     The least loaded decode server is taken, since a step takes longer the more
     requests run. A server in the caller's data centre is preferred among nearly equal
-    ones. While all prefill servers are away or have long queues, the decode server
-    reads the prompt itself, at half the speed.
+    ones. While all prefill servers are away or have failed the request, the decode
+    server reads the prompt itself. It does not while they are only busy: the prompt
+    would be read at half the speed, between the tokens of running streams.
     """
     needed = kv_tokens(req.prompt_tokens, req.output_tokens)
     limit = policy.memory_share * profile.kv_tokens
@@ -146,6 +147,10 @@
     prefill = _cheapest(
         _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
     )
+    if prefill is None and any(
+        _reads_prompts(server) and server.name not in req.excluded for server in servers
+    ):
+        return None
     return Placement(decode, prefill, needed, req.prompt_tokens)
 
 
--- a/src/sesameport/admission/tests/test_placement.py
+++ b/src/sesameport/admission/tests/test_placement.py
@@ -108,3 +108,10 @@
     assert chosen.name == "s2"
     excluded = choose_plain("a", plain, use, lambda name: 1.0, frozenset({"s2"}))
     assert excluded.name == "s1"
+
+
+def test_request_waits_for_busy_prefill_servers():
+    servers = [server("d1"), server("p1", PREFILL)]
+    use = FleetUse()
+    use.add_own("p1", ServerUse(0, 0, 30_000))
+    assert choose(generation(), servers, use) is None
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -38,8 +38,15 @@
 REPORT_PERIOD_S = 1.0
 """Longest time between two reports of a host, seconds."""
 
-SNAPSHOT_PERIOD_S = 1.0
-"""Shortest time between two snapshots for hosts with an older configuration."""
+SNAPSHOT_PERIOD_S = 0.5
+"""Shortest time between two snapshots for hosts without the store, seconds."""
+
+ASK_PERIOD_S = 2.0
+"""Period at which such a host asks for snapshots, seconds: hosts that start meanwhile
+have not heard its first question."""
+
+SNAPSHOT_INTEREST_S = 5.0
+"""Time after a question for which changes are published as snapshots, seconds."""
 
 PREFILL_SPEED_WEIGHT = 0.2
 """Weight of the newest prefill in a server's measured speed."""
@@ -111,6 +118,9 @@
         self._peer_sequences: dict[str, tuple[int, int]] = {}
         self._reported_at = 0.0
         self._snapshot_at = 0.0
+        self._snapshot_due = False
+        self._snapshot_asked_at = -math.inf
+        self._asked_at = -math.inf
         self._store_reachable = False
         self._lost_at: dict[str, float] = {}
         self._handlers = {
@@ -131,6 +141,8 @@
             m.StoreState: self._note_store,
             m.NextRoleChange: self._next_role_change,
             m.RoleOrdered: self._role_ordered,
+            m.AskCounts: self._counts,
+            m.SnapshotWanted: self._snapshot_wanted,
         }
 
     # -- messages --------------------------------------------------------------
@@ -364,6 +376,9 @@
             log.warning("server paused", extra={"server": server, "reason": reason})
             self._report(now)
 
+    def _counts(self, message: m.AskCounts, now: float) -> m.Counts:
+        return m.Counts(len(self._directory.all()), len(self._use.hosts()))
+
     def _role_ordered(self, message: m.RoleOrdered, now: float) -> None:
         self._health.pause(message.server, message.seconds, now)
         self._report(now)
@@ -409,34 +424,56 @@
         self._use.take_report(report.host, uses, now, report.waiting)
         self._quota.take_report(report.host, report.incarnation, report.charged, now)
         self._health.take_pauses(report.paused, now)
-        self._publish_snapshot(report.version, now)
         for service in list(self._rooms):
             self._serve_room(service, now)
 
-    def _publish_snapshot(self, other_version: int, now: float) -> None:
-        if self._configuration is None or other_version >= self._configuration.version:
+    def _snapshot_wanted(self, message: m.SnapshotWanted, now: float) -> None:
+        self._snapshot_due = True
+        self._snapshot_asked_at = now
+        self._publish_snapshot(now)
+
+    def _publish_snapshot(self, now: float) -> None:
+        if not self._snapshot_due or self._configuration is None:
             return
-        if now - self._snapshot_at < SNAPSHOT_PERIOD_S * (1.0 + self._rng.random()):
+        if now - self._snapshot_at < SNAPSHOT_PERIOD_S:
             return
+        self._snapshot_due = False
         self._snapshot_at = now
         self._peers.publish(
             m.FleetSnapshot(
                 self._settings.name,
+                self._store_reachable,
                 self._configuration,
                 tuple(self._directory.all()),
                 dict(self._addresses),
             )
         )
 
+    def _note_news(self, now: float) -> None:
+        """Pass a change on to hosts that asked for snapshots lately."""
+        if now - self._snapshot_asked_at < SNAPSHOT_INTEREST_S:
+            self._snapshot_due = True
+            self._publish_snapshot(now)
+
     def _take_snapshot(self, snapshot: m.FleetSnapshot, now: float) -> None:
+        if self._store_reachable:
+            return
         if snapshot.configuration is not None:
             source = f"host {snapshot.host}"
             self._configure(m.Configure(snapshot.configuration, source), now)
-        if not self._store_reachable and not self._directory.all():
+        if snapshot.is_current or not self._directory.all():
+            self._log_servers(snapshot.servers)
             self._directory.replace(snapshot.servers, now)
         if not self._addresses:
             self._take_hosts(m.HostsChanged(snapshot.addresses), now)
 
+    def _ask_snapshots(self, now: float) -> None:
+        """Ask the other hosts while this one does not reach the store."""
+        if self._store_reachable or now - self._asked_at < ASK_PERIOD_S:
+            return
+        self._asked_at = now
+        self._peers.ask_snapshots(True)
+
     def _configure(self, message: m.Configure, now: float) -> None:
         configuration = message.configuration
         known = self._configuration.version if self._configuration else 0
@@ -447,6 +484,7 @@
         self._view.table = RouteTable.of(configuration)
         self._on_configuration(configuration)
         self._metrics.set("sesameport_entry_version", configuration.version)
+        self._note_news(now)
         log.info(
             "configuration in force",
             extra={
@@ -468,6 +506,7 @@
                 self._note_lost(name, now)
                 self._directory.remove(name, now)
                 log.info("server entry removed", extra={"server": name})
+        self._note_news(now)
         for service in list(self._rooms):
             self._serve_room(service, now)
 
@@ -512,6 +551,7 @@
         self._store_reachable = is_reachable
         if is_reachable:
             self._directory.note_regained(now)
+            self._peers.ask_snapshots(False)
             log.info("store regained")
         else:
             log.warning("store lost")
@@ -526,6 +566,8 @@
         for service in list(self._rooms):
             self._serve_room(service, now)
             self._refuse_expired(service, now)
+        self._ask_snapshots(now)
+        self._publish_snapshot(now)
         if now - self._reported_at >= REPORT_PERIOD_S:
             self._report(now)
 
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -121,6 +121,7 @@
         self._in_flight = 0
         self._changed = threading.Condition()
         self._draining_since: float | None = None
+        self._closing = threading.Event()
         self._peers = PeerExchange(settings.ip, settings.peer_port, self._tell)
         self._actor = EntryActor.start(
             settings,
@@ -175,6 +176,41 @@
         log.info("stopped", extra={"given_up": left})
         return left == 0
 
+    def close(self) -> None:
+        """Stop at once, without draining; for hosts that share a process."""
+        self._timers.stop()
+        self._closing.set()
+        for front in (self._front, self._ready, self._metrics_front):
+            front.close_to_new()
+            front.stop()
+
+    @property
+    def caller_address(self) -> str:
+        """Return the bound ``IP:port`` for callers."""
+        return self._front.address
+
+    @property
+    def peer_address(self) -> str:
+        """Return the bound ``IP:port`` for other hosts."""
+        return self._peers.address
+
+    def is_ready(self) -> bool:
+        """Tell whether the host takes new connections."""
+        return self._view.table is not None and not self._is_draining()
+
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 without one."""
+        table = self._view.table
+        return table.configuration.version if table else 0
+
+    def known_servers(self) -> int:
+        """Return the number of backend servers that are registered."""
+        return self._actor.ask(m.AskCounts()).servers
+
+    def heard_hosts(self) -> int:
+        """Return the number of other hosts that report."""
+        return self._actor.ask(m.AskCounts()).hosts
+
     # -- wiring ----------------------------------------------------------------
 
     def _tell(self, message) -> None:
@@ -194,7 +230,7 @@
             (wire.server_kind, servers),
             (HOST_KIND, HostSink(self._actor)),
         ):
-            KindFollower(store, kind, sink, health, self.metrics).start()
+            KindFollower(store, kind, sink, health, self.metrics, self._closing).start()
 
         self._roles = RoleKeeper(
             settings.name,
@@ -242,16 +278,13 @@
     def _apply_limits(self, configuration: EntryConfiguration) -> None:
         limits = configuration.limits
         self._front.set_limits(limits.header_bytes, limits.body_bytes, limits.idle_s)
-        self.metrics.set("sesameport_ready", int(self._is_ready()))
+        self.metrics.set("sesameport_ready", int(self.is_ready()))
 
     # -- requests --------------------------------------------------------------
 
     def _is_draining(self) -> bool:
         return self._draining_since is not None
 
-    def _is_ready(self) -> bool:
-        return self._view.table is not None and not self._is_draining()
-
     def _handle(self, http: StrictRequest, body: bytes) -> None:
         now = time.monotonic()
         with self._changed:
@@ -282,7 +315,7 @@
         target = http.uri.decode()
         if not self._wire.is_readiness_check(http.method.decode(), target):
             reply.refuse(404, "not found")
-        elif self._is_ready():
+        elif self.is_ready():
             reply.whole(200, [("Content-Type", "text/plain")], b"ready\n")
         else:
             reply.refuse(503, "not ready")
--- a/src/sesameport/entry/http_front.py
+++ b/src/sesameport/entry/http_front.py
@@ -233,5 +233,9 @@
         # cheroot closes connections that were idle for longer than its timeout.
         self._server.timeout = 0
 
+    def stop(self) -> None:
+        """Stop listening; requests in progress are cut."""
+        self._server.stop()
+
     def _log_error(self, msg="", level=20, traceback=False) -> None:
         log.info("http server", extra={"detail": msg})
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -12,7 +12,9 @@
     "AdmitGeneration",
     "AdmitPlain",
     "Admitted",
+    "AskCounts",
     "Configure",
+    "Counts",
     "FleetReport",
     "FleetSnapshot",
     "HostsChanged",
@@ -24,6 +26,7 @@
     "ServerOutcome",
     "ServersChanged",
     "ServersListed",
+    "SnapshotWanted",
     "SpendRetry",
     "StoreState",
     "Tick",
@@ -177,6 +180,24 @@
     is_reachable: bool
 
 
+@attrs.frozen
+class SnapshotWanted:
+    """Tell that a host which does not reach the store asked for a snapshot."""
+
+
+@attrs.frozen
+class AskCounts:
+    """Ask what the host knows; answered with `Counts`."""
+
+
+@attrs.frozen
+class Counts:
+    """Give the number of registered servers and of other hosts that report."""
+
+    servers: int
+    hosts: int
+
+
 @attrs.frozen
 class RoleOrdered:
     """Tell that an engine was ordered to change its role.
@@ -244,9 +265,13 @@
 
 @attrs.frozen
 class FleetSnapshot:
-    """Hand what a host knows from the store to hosts that do not reach it."""
+    """Hand what a host knows from the store to hosts that do not reach it.
+
+    ``is_current`` tells whether the host reaches the store itself.
+    """
 
     host: str
+    is_current: bool
     configuration: EntryConfiguration | None
     servers: tuple[EntryServer, ...]
     addresses: dict[str, str]
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -1,8 +1,9 @@
 """Exchange reports between entry hosts over ZeroMQ publish and subscribe.
 
 Every message carries a host's whole state, so that a lost one is made good by the next.
-The publisher belongs to the thread that calls `publish`; the subscriber and its
-connections belong to a thread of their own.
+A host that does not reach the store asks for snapshots by subscribing to them. That
+tells the publisher, even if it has never heard of this host. One thread owns the
+sockets.
 """
 
 import threading
@@ -11,7 +12,7 @@
 import msgspec
 import zmq
 
-from sesameport.entry.messages import FleetReport, FleetSnapshot
+from sesameport.entry.messages import FleetReport, FleetSnapshot, SnapshotWanted
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["PeerExchange"]
@@ -28,12 +29,19 @@
 QUEUED_MESSAGES = 200
 """Messages for one slow host; later ones are dropped."""
 
+_REPORT = b"r"
+_SNAPSHOT = b"s"
+_CONNECT = b"connect"
+_ASK = b"ask"
+
 log = get_logger("peers")
 
 
 class PeerExchange:
     """Publish to all hosts and receive from them.
 
+    `publish`, `connect` and `ask_snapshots` are called from one thread only.
+
     Parameters
     ----------
     ip : str
@@ -41,42 +49,46 @@
     port : int
         Port on which every host publishes.
     on_message : callable
-        Takes a `FleetReport` or `FleetSnapshot` on the receiving thread.
+        Takes what other hosts publish and ``SnapshotWanted``, on the thread of the
+        exchange.
     """
 
     def __init__(
         self,
         ip: str,
         port: int,
-        on_message: Callable[[FleetReport | FleetSnapshot], None],
+        on_message: Callable[[FleetReport | FleetSnapshot | SnapshotWanted], None],
     ):
-        self.address = f"{ip}:{port}"
         self._on_message = on_message
         self._context = zmq.Context()
-        self._publisher = self._socket(zmq.PUB)
-        self._publisher.bind(f"tcp://{self.address}")
-        if port == 0:
-            endpoint = self._publisher.last_endpoint.decode()
-            self.address = endpoint.removeprefix("tcp://")
+        self._publisher = self._socket(zmq.XPUB)
+        # Every subscription is reported, not only the first to a topic.
+        self._publisher.setsockopt(zmq.XPUB_VERBOSE, 1)
+        self._publisher.bind(f"tcp://{ip}:{port}")
+        endpoint = self._publisher.last_endpoint.decode()
+        self.address = endpoint.removeprefix("tcp://")
         self._control = self._context.socket(zmq.PAIR)
         self._control.bind("inproc://peer-control")
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
     def start(self) -> "PeerExchange":
-        """Start receiving and return the exchange."""
+        """Start the thread and return the exchange."""
         self._thread.start()
         return self
 
     def publish(self, message: FleetReport | FleetSnapshot) -> None:
-        """Send a message to all hosts that are connected; never waits."""
-        topic = b"r" if isinstance(message, FleetReport) else b"s"
-        self._publisher.send_multipart(
-            [topic, msgspec.msgpack.encode(message)], zmq.NOBLOCK
-        )
+        """Send a message to all hosts that subscribed to its kind."""
+        topic = _REPORT if isinstance(message, FleetReport) else _SNAPSHOT
+        self._control.send_multipart([topic, msgspec.msgpack.encode(message)])
 
     def connect(self, addresses: set[str]) -> None:
-        """Receive from these hosts and no others; call from one thread only."""
-        self._control.send(msgspec.msgpack.encode(sorted(addresses - {self.address})))
+        """Receive from these hosts and no others."""
+        wanted = msgspec.msgpack.encode(sorted(addresses - {self.address}))
+        self._control.send_multipart([_CONNECT, wanted])
+
+    def ask_snapshots(self, wanted: bool) -> None:
+        """Ask all hosts for snapshots, again each time, or end that."""
+        self._control.send_multipart([_ASK, b"1" if wanted else b""])
 
     def _socket(self, kind: int) -> zmq.Socket:
         sock = self._context.socket(kind)
@@ -94,28 +106,57 @@
         control = self._context.socket(zmq.PAIR)
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
-        subscriber.subscribe(b"")
+        subscriber.subscribe(_REPORT)
         poller = zmq.Poller()
-        poller.register(control, zmq.POLLIN)
-        poller.register(subscriber, zmq.POLLIN)
+        for sock in (control, subscriber, self._publisher):
+            poller.register(sock, zmq.POLLIN)
         connected: set[str] = set()
         while True:
             ready = dict(poller.poll())
             if control in ready:
-                wanted = set(msgspec.msgpack.decode(control.recv()))
-                for address in wanted - connected:
-                    subscriber.connect(f"tcp://{address}")
-                for address in connected - wanted:
-                    subscriber.disconnect(f"tcp://{address}")
-                connected = wanted
+                topic, data = control.recv_multipart()
+                if topic == _CONNECT:
+                    connected = _reconnect(subscriber, connected, data)
+                elif topic == _ASK:
+                    _subscribe_again(subscriber, bool(data))
+                else:
+                    self._send(topic, data)
             if subscriber in ready:
-                self._receive(subscriber.recv_multipart())
+                self._receive(*subscriber.recv_multipart())
+            if self._publisher in ready and self._publisher.recv() == b"\x01s":
+                self._on_message(SnapshotWanted())
 
-    def _receive(self, frames: list[bytes]) -> None:
-        kind = FleetReport if frames[0] == b"r" else FleetSnapshot
+    def _send(self, topic: bytes, data: bytes) -> None:
         try:
-            message = msgspec.msgpack.decode(frames[-1], type=kind)
+            self._publisher.send_multipart([topic, data], zmq.NOBLOCK)
+        except zmq.ZMQError as exc:
+            log.warning("peer message not sent", extra={"reason": str(exc)})
+
+    def _receive(self, topic: bytes, data: bytes) -> None:
+        kind = FleetReport if topic == _REPORT else FleetSnapshot
+        try:
+            message = msgspec.msgpack.decode(data, type=kind)
         except msgspec.DecodeError as exc:
             log.warning("peer message unreadable", extra={"reason": str(exc)})
             return
         self._on_message(message)
+
+
+def _reconnect(subscriber: zmq.Socket, connected: set[str], data: bytes) -> set[str]:
+    wanted = set(msgspec.msgpack.decode(data))
+    for address in wanted - connected:
+        subscriber.connect(f"tcp://{address}")
+    for address in connected - wanted:
+        subscriber.disconnect(f"tcp://{address}")
+    return wanted
+
+
+def _subscribe_again(subscriber: zmq.Socket, wanted: bool) -> None:
+    # Only a new subscription is sent to the publishers.
+    try:
+        subscriber.unsubscribe(_SNAPSHOT)
+    except zmq.ZMQError as exc:
+        # There was none to end.
+        log.debug("not subscribed", extra={"reason": str(exc)})
+    if wanted:
+        subscriber.subscribe(_SNAPSHOT)
--- a/src/sesameport/entry/store_links.py
+++ b/src/sesameport/entry/store_links.py
@@ -69,14 +69,25 @@
         Takes the outcome of every call.
     metrics : Metrics
         Counts calls.
+    closing : threading.Event
+        Ends the follower after its present call.
     """
 
-    def __init__(self, platform: Platform, kind: str, sink: KindSink, health, metrics):
+    def __init__(
+        self,
+        platform: Platform,
+        kind: str,
+        sink: KindSink,
+        health: StoreHealth,
+        metrics,
+        closing: threading.Event,
+    ):
         self._platform = platform
         self._kind = kind
         self._sink = sink
         self._health = health
         self._metrics = metrics
+        self._closing = closing
         self._rng = random.Random()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{kind}", daemon=True
@@ -89,7 +100,7 @@
 
     def _run(self) -> None:
         version, failures = None, 0
-        while True:
+        while not self._closing.is_set():
             if version is None:
                 result = self._platform.list(self._kind)
             else:
