Refuse ambiguous framing with 400 and a closed connection on both front ends

Cause: cheroot takes repeated and signed Content-Length values, chunk sizes with a sign or prefix, and requests without Host, so that a caller and a party before it could see different requests on one connection. The tests send each case with a second request behind it; that one must never be seen (RFC 9112, sections 3.2, 5.1, 6.3, 7.1).

--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -140,6 +140,11 @@
         self.ensure_headers_sent()
         self.conn.wfile.write(body)
 
+    def chunked_body(self) -> ChunkedRFile:
+        """Return a reader of a chunked body that checks its chunk sizes."""
+        limit = self.server.max_request_body_size
+        return ChunkedRFile(_ChunkSizeReader(self.conn.rfile), limit)
+
     def read_body(self) -> bytes:
         """Read the whole body.
 
@@ -154,9 +159,7 @@
             if len(body) < length:
                 raise FramingError("body is shorter than its Content-Length")
             return body
-        reader = ChunkedRFile(
-            _ChunkSizeReader(self.conn.rfile), self.server.max_request_body_size
-        )
+        reader = self.chunked_body()
         try:
             body = reader.read()
             reader.rfile = self.conn.rfile
--- /dev/null
+++ b/src/sesameport/adapters/tests/test_strict_http.py
@@ -0,0 +1,74 @@
+"""Test that ambiguous framing gets 400 and a closed connection."""
+
+import socket
+
+import pytest
+
+from sesameport.entry.http_front import HttpFront, HttpReply
+
+POST = "POST / HTTP/1.1\r\nHost: a\r\n"
+CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n"
+LENGTH = "Content-Length: 5\r\n"
+
+CASES = {
+    "both framings": f"{POST}{LENGTH}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": f"{POST}{LENGTH}Content-Length: 6\r\n\r\nhello",
+    "signed length": f"{POST}Content-Length: +5\r\n\r\nhello",
+    "chunk size": f"{CHUNKED}zz\r\nhello\r\n",
+    "chunk size with sign": f"{CHUNKED}-5\r\nhello\r\n",
+    "chunk size with prefix": f"{CHUNKED}0x5\r\nhello\r\n0\r\n\r\n",
+    "no host": "GET / HTTP/1.1\r\nX-A: b\r\n\r\n",
+    "two hosts": "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    "folded line": "GET / HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n",
+    "space before colon": f"{POST}Content-Length : 0\r\n\r\n",
+    "other coding": f"{POST}Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+}
+
+
+@pytest.fixture
+def front():
+    seen = []
+
+    def handle(http, body):
+        seen.append((http.uri, body))
+        HttpReply(http, lambda: False).whole(200, [], b"ok")
+
+    server = HttpFront("127.0.0.1:0", handle, 4, 4).start()
+    server.seen = seen
+    yield server
+    server.stop()
+
+
+def exchange(front, data: str) -> bytes:
+    host, _, port = front.address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=3) as sock:
+        sock.sendall(data.encode())
+        received = b""
+        try:
+            while chunk := sock.recv(65_536):
+                received += chunk
+        except (TimeoutError, ConnectionResetError):
+            received += b"(open or reset)"
+        return received
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_ambiguous_framing_is_refused_and_ends_the_connection(front, name):
+    # Guards against requests that are hidden in the body of another one.
+    smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+    received = exchange(front, CASES[name] + smuggled)
+    assert received.startswith(b"HTTP/1.1 400"), received
+    assert received.count(b"HTTP/1.1") == 1
+    assert b"(open" not in received or b"400" in received
+    assert all(uri != b"/smuggled" for uri, _ in front.seen)
+
+
+def test_sound_requests_share_a_connection(front):
+    first = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
+    second = (
+        "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Connection: close\r\n\r\n5;x=y\r\nhello\r\n0\r\nTrailer: v\r\n\r\n"
+    )
+    received = exchange(front, first + second)
+    assert received.count(b"200 OK") == 2
+    assert front.seen == [(b"/a", b"hello"), (b"/b", b"hello")]
--- a/src/sesameport/daemon/http_server.py
+++ b/src/sesameport/daemon/http_server.py
@@ -4,6 +4,8 @@
 
 from cheroot import wsgi
 
+from sesameport.adapters.strict_http import StrictConnection
+
 __all__ = ["HttpServer"]
 
 # A request occupies its thread while it waits and streams; the spare ones take the
@@ -17,6 +19,10 @@
     def get_environ(self):
         environ = super().get_environ()
         environ["sesameport.socket"] = self.req.conn.socket
+        if self.req.chunked_read:
+            environ["wsgi.input"] = self.req.chunked_body()
+            # Trailers are not read here, so nothing may follow on the connection.
+            self.req.close_connection = True
         return environ
 
 
@@ -24,6 +30,7 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.gateway = _Gateway
+        self.ConnectionClass = StrictConnection
 
 
 class HttpServer:
