Split the entry actor and the request path; log what decided a request

Placement and refusals are logged with the request's id, the bucket or memory that decided and the age of the other hosts' reports; `sesameport explain` prints a request's lines over all hosts.

--- a/src/sesameport/admission/fleet_use.py
+++ b/src/sesameport/admission/fleet_use.py
@@ -83,6 +83,10 @@
             self._waiting.pop(host, None)
         return silent
 
+    def oldest_report_s(self, now: float) -> float:
+        """Return the age of the oldest report in use, seconds; 0 without any."""
+        return max((now - at for at, _ in self._reports.values()), default=0.0)
+
     def hosts(self) -> list[str]:
         """Return the hosts that report."""
         return list(self._reports)
--- a/src/sesameport/admission/quota.py
+++ b/src/sesameport/admission/quota.py
@@ -17,10 +17,14 @@
 
 @attrs.frozen
 class QuotaVerdict:
-    """Say whether a charge fits, and after how many seconds it would."""
+    """Say whether a charge fits, and after how many seconds it would.
+
+    ``level`` is what the bucket held, tokens.
+    """
 
     is_within: bool
     retry_after_s: float = 0.0
+    level: float = 0.0
 
 
 @attrs.define
@@ -48,7 +52,7 @@
     >>> quota.charge("w", 20, 0.0).is_within
     True
     >>> quota.charge("w", 5, 0.0)
-    QuotaVerdict(is_within=False, retry_after_s=0.5)
+    QuotaVerdict(is_within=False, retry_after_s=0.5, level=0.0)
     """
 
     _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
@@ -84,7 +88,8 @@
         bucket.refill(now)
         needed = min(tokens, bucket.burst)
         if bucket.level < needed:
-            return QuotaVerdict(False, (needed - bucket.level) / bucket.rate_per_s)
+            missing = needed - bucket.level
+            return QuotaVerdict(False, missing / bucket.rate_per_s, bucket.level)
         bucket.level -= tokens
         self._charged[workspace] = self._charged.get(workspace, 0.0) + tokens
         return QuotaVerdict(True)
--- a/src/sesameport/commands/__init__.py
+++ b/src/sesameport/commands/__init__.py
@@ -11,6 +11,7 @@
 from sesameport.commands.check import Check
 from sesameport.commands.demo import Demo
 from sesameport.commands.documents import Get, Put
+from sesameport.commands.explain import Explain
 from sesameport.commands.report import Report
 from sesameport.commands.serve import Serve
 from sesameport.commands.status import Status
@@ -24,7 +25,7 @@
     """Route requests between separate prefill and decode pools."""
 
     command: cappa.Subcommands[
-        Serve | Demo | Check | Put | Get | Status | Report | Bench
+        Serve | Demo | Check | Put | Get | Status | Report | Bench | Explain
     ]
 
 
--- a/src/sesameport/commands/check.py
+++ b/src/sesameport/commands/check.py
@@ -8,13 +8,18 @@
 import cappa
 
 from sesameport.documents import load_service, load_settings
+from sesameport.platform import is_platform_settings, load_platform_settings
 from sesameport.world import Finding, format_findings
 
 __all__ = ["Check", "check_files"]
 
 
 def check_files(paths) -> list[Finding]:
-    """Check files and return all findings; a file with ``[host]`` holds settings."""
+    """Check files and return all findings.
+
+    A file with ``[host]`` holds settings, one in the layout of the users' platform
+    those of an entry host, any other a service document.
+    """
     findings = []
     for path in paths:
         try:
@@ -22,12 +27,16 @@
         except (OSError, UnicodeDecodeError) as exc:
             findings.append(Finding(str(path), "file", str(exc)))
             continue
-        is_settings = "[host]" in text
-        load = load_settings if is_settings else load_service
-        findings.extend(load(text, str(path))[1])
+        findings.extend(_loader(text)(text, str(path))[1])
     return findings
 
 
+def _loader(text: str):
+    if is_platform_settings(text):
+        return load_platform_settings
+    return load_settings if "[host]" in text else load_service
+
+
 def _check(command: "Check") -> int:
     findings = check_files(command.documents)
     if findings:
--- /dev/null
+++ b/src/sesameport/entry/desk.py
@@ -0,0 +1,363 @@
+"""Admit and place the requests of one host.
+
+The desk owns what the decisions of ``sesameport.admission`` are made from. It does no
+I/O: results go to futures, and changes that other hosts have to know to a callback.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from sesameport.admission import (
+    FleetQuota,
+    FleetUse,
+    PlacementPolicy,
+    RefusalTimes,
+    RetryBudget,
+    ServerDirectory,
+    ServerHealth,
+    ServerUse,
+    Waiter,
+    WaitingRoom,
+    WorkMix,
+    choose_generation,
+    choose_plain,
+    forecast_wait_s,
+    kv_tokens,
+)
+from sesameport.entry import messages as m
+from sesameport.entry.contracts import EntryConfiguration
+from sesameport.entry.settings import EntrySettings
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["AdmissionDesk"]
+
+PREFILL_SPEED_WEIGHT = 0.2
+"""Weight of the newest prefill in a server's measured speed."""
+
+log = get_logger("entry")
+
+
+@attrs.define
+class _Waiting:
+    ask: m.AdmitGeneration
+    since: float
+
+
+class AdmissionDesk:
+    """Hold the state of admission; belongs to one thread.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Identity and bounds of this host.
+    on_change : callable
+        Called with the time when the own use of servers or a pause changed.
+    wake_at : callable
+        Asks for a call of `serve_all` at a monotonic time.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        on_change: Callable[[float], None],
+        wake_at: Callable[[float], None],
+    ):
+        bounds = settings.bounds
+        self._data_centre = settings.data_centre
+        self._on_change = on_change
+        self._wake_at = wake_at
+        self._rng = random.Random()
+        self.configuration: EntryConfiguration | None = None
+        self.directory = ServerDirectory()
+        self.use = FleetUse()
+        self.health = ServerHealth()
+        self.quota = FleetQuota()
+        self.budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self._policy = PlacementPolicy()
+        self._refusals = RefusalTimes()
+        self._rooms: dict[str, WaitingRoom] = {}
+        self._waiting: dict[int, _Waiting] = {}
+        self._speeds: dict[str, float] = {}
+        self._mixes: dict[str, WorkMix] = {}
+
+    # -- admission -------------------------------------------------------------
+
+    def admit_plain(self, ask: m.AdmitPlain, now: float) -> m.Admitted | m.Refused:
+        """Choose the server of a plain request."""
+        if ask.is_first:
+            refused = self._charge(ask, ask.service, now)
+            if refused is not None:
+                return refused
+        servers = self._usable(ask.service, now)
+        server = choose_plain(
+            self._data_centre,
+            servers,
+            self.use,
+            self.health.cost_factor,
+            ask.excluded,
+        )
+        if server is None:
+            return m.Refused("no-server", self.retry_after())
+        if ask.spends_budget and not self.budget.spend(ask.service, now):
+            return m.Refused("no-retry-budget", self.retry_after())
+        self.use.add_own(server.name, ServerUse(0.0, 1, 0.0))
+        return m.Admitted(plain=server)
+
+    def admit_generation(self, ask: m.AdmitGeneration, now: float) -> None:
+        """Place a generation, let it wait or refuse it."""
+        service = ask.generation.service
+        if ask.is_first:
+            refused = self._charge(ask, service, now)
+            if refused is not None:
+                ask.future.set(refused)
+                return
+        elif ask.spends_budget and not self.budget.spend(service, now):
+            ask.future.set(m.Refused("no-retry-budget", self.retry_after()))
+            return
+        generation = ask.generation
+        waiter = Waiter(
+            ask.key,
+            now,
+            ask.target_at,
+            ask.is_returning,
+            ask.priority,
+            kv_tokens(generation.prompt_tokens, generation.output_tokens),
+        )
+        room = self._rooms.setdefault(service, WaitingRoom())
+        if not room.enter(waiter):
+            self._refuse(ask, "waiting-room-full", now)
+            return
+        self._waiting[ask.key] = _Waiting(ask, now)
+        self._serve_room(service, now)
+        if ask.key not in self._waiting:
+            return
+        give_up_at = room.give_up_at(waiter)
+        forecast_s = self._forecast_s(service, waiter)
+        if forecast_s > room.can_wait_s(waiter):
+            room.leave(ask.key)
+            del self._waiting[ask.key]
+            self._refuse(ask, "no-decode-memory-soon", now, forecast_s)
+            return
+        self._on_change(now)
+        self._wake_at(give_up_at)
+
+    def _charge(self, ask, service: str, now: float) -> m.Refused | None:
+        """Charge a request's workspace; returns the refusal if it is over its rate."""
+        verdict = self.quota.charge(ask.workspace, ask.charge_tokens, now)
+        if verdict.is_within:
+            self.budget.note_request(service, now)
+            return None
+        log.info(
+            "request over quota",
+            extra={
+                "request_id": ask.request_id,
+                "workspace": ask.workspace,
+                "charge": ask.charge_tokens,
+                "level": round(verdict.level),
+                "retry_after_s": round(verdict.retry_after_s, 2),
+                **self._view_of_fleet(now),
+            },
+        )
+        return m.Refused("over-quota", verdict.retry_after_s, True)
+
+    def _view_of_fleet(self, now: float) -> dict:
+        """Return how much and how fresh the knowledge of other hosts is."""
+        return {
+            "hosts_heard": len(self.use.hosts()),
+            "oldest_report_s": round(self.use.oldest_report_s(now), 3),
+        }
+
+    def _forecast_s(self, service: str, waiter: Waiter) -> float:
+        """Return how long a waiting request is expected to wait, seconds."""
+        room = self._rooms[service]
+        ahead = room.tokens() - waiter.kv_tokens
+        ahead += self.use.waiting_elsewhere(service)
+        reserved = sum(
+            self.use.of(server.name).kv_tokens
+            for server in self.directory.of_service(service)
+        )
+        held_s = self.mix(service).held_s
+        return forecast_wait_s(ahead, waiter.kv_tokens, reserved, held_s)
+
+    def _serve_room(self, service: str, now: float) -> None:
+        room = self._rooms.get(service)
+        placed = False
+        for waiter in room.in_order() if room else ():
+            waiting = self._waiting[waiter.key]
+            placement = self._choose(waiting.ask, now)
+            if placement is None and waiting.ask.generation.excluded:
+                # It may fit at none of the servers that it has not failed at.
+                continue
+            if placement is None:
+                break
+            room.leave(waiter.key)
+            del self._waiting[waiter.key]
+            self.use.add_own(placement.decode.name, placement.decode_use())
+            if placement.prefill is not None:
+                self.use.add_own(placement.prefill.name, placement.prefill_use())
+            waiting.ask.future.set(m.Admitted(placement, waited_s=now - waiting.since))
+            self._log_placement(waiting.ask, placement, now)
+            placed = True
+        if placed:
+            self._on_change(now)
+
+    def _log_placement(self, ask: m.AdmitGeneration, placement, now: float) -> None:
+        prefill = placement.prefill
+        log.info(
+            "generation placed",
+            extra={
+                "request_id": ask.request_id,
+                "decode": placement.decode.name,
+                "prefill": prefill.name if prefill else "",
+                "kv_tokens": placement.kv_tokens,
+                "decode_reserved": round(self.use.of(placement.decode.name).kv_tokens),
+                **self._view_of_fleet(now),
+            },
+        )
+
+    def _choose(self, ask: m.AdmitGeneration, now: float):
+        service = self.configuration and self.configuration.service(
+            ask.generation.service
+        )
+        if service is None or service.engine is None:
+            return None
+        return choose_generation(
+            ask.generation,
+            service.engine,
+            self._usable(service.name, now),
+            self.use,
+            self.health.cost_factor,
+            self._policy,
+            self._speeds,
+        )
+
+    def serve_all(self, now: float) -> None:
+        """Place what fits now and refuse what has waited long enough."""
+        for service in list(self._rooms):
+            self._serve_room(service, now)
+            self._refuse_expired(service, now)
+
+    def waiting_tokens(self) -> dict[str, float]:
+        """Return the KV cache for which requests wait, tokens by service."""
+        return {name: room.tokens() for name, room in self._rooms.items() if len(room)}
+
+    def give_up(self, key: int) -> None:
+        """Drop a waiting request without an answer, after an error."""
+        waiting = self._waiting.pop(key, None)
+        if waiting is not None:
+            self._rooms[waiting.ask.generation.service].leave(key)
+
+    def _refuse_expired(self, service: str, now: float) -> None:
+        room = self._rooms.get(service)
+        for waiter in room.expired(now) if room else ():
+            waiting = self._waiting.pop(waiter.key)
+            self._refuse(waiting.ask, "no-decode-memory", now)
+
+    def _refuse(
+        self,
+        ask: m.AdmitGeneration,
+        reason: str,
+        now: float,
+        forecast_s: float = 0.0,
+    ) -> None:
+        self.quota.refund(ask.workspace, ask.charge_tokens)
+        retry_after_s = self.retry_after()
+        log.info(
+            "generation not placed",
+            extra={
+                "request_id": ask.request_id,
+                "service": ask.generation.service,
+                "reason": reason,
+                "forecast_s": round(forecast_s, 3),
+                "is_returning": ask.is_returning,
+                "retry_after_s": round(retry_after_s, 2),
+                **self._view_of_fleet(now),
+            },
+        )
+        ask.future.set(m.Refused(reason, retry_after_s))
+
+    def retry_after(self) -> float:
+        """Return when a refused caller should come back, seconds."""
+        return self._refusals.choose(self._rng)
+
+    def withdraw(self, message: m.Withdraw, now: float) -> None:
+        """Take back a waiting request whose caller left."""
+        waiting = self._waiting.pop(message.key, None)
+        if waiting is None:
+            return
+        self._rooms[message.service].leave(message.key)
+        self.quota.refund(waiting.ask.workspace, waiting.ask.charge_tokens)
+
+    def _usable(self, service: str, now: float):
+        found = []
+        for server in self.directory.of_service(service):
+            if self.health.is_paused(server.name, now):
+                continue
+            found.append(server)
+        return found
+
+    # -- what requests report --------------------------------------------------
+
+    def prefill_ended(self, message: m.PrefillEnded, now: float) -> None:
+        """Free the prefill server and learn its speed."""
+        placement = message.placement
+        if placement.prefill is None:
+            return
+        use = placement.prefill_use()
+        name = placement.prefill.name
+        self.use.add_own(name, ServerUse(0.0, 0, -use.prefill_tokens))
+        if message.succeeded and message.seconds > 0:
+            speed = placement.prompt_tokens / message.seconds
+            known = self._speeds.get(name, self._policy.prefill_tokens_per_s)
+            self._speeds[name] = known + PREFILL_SPEED_WEIGHT * (speed - known)
+            self.mix(placement.prefill.service).note_prefill(message.seconds)
+        self._serve_room(placement.prefill.service, now)
+        self._on_change(now)
+
+    def run_ended(self, message: m.RunEnded, now: float) -> None:
+        """Free the decode or plain server of a request."""
+        if message.plain is not None:
+            self.use.add_own(message.plain.name, ServerUse(0.0, -1, 0.0))
+        if message.placement is None:
+            return
+        placement = message.placement
+        use = placement.decode_use()
+        self.use.add_own(placement.decode.name, ServerUse(-use.kv_tokens, -1, 0.0))
+        service = placement.decode.service
+        if message.succeeded:
+            self.mix(service).note_decode(placement.kv_tokens, message.seconds)
+        self._serve_room(service, now)
+        self._on_change(now)
+
+    def mix(self, service: str) -> WorkMix:
+        """Return the measured work of a service."""
+        return self._mixes.setdefault(service, WorkMix())
+
+    def note_outcome(self, message: m.ServerOutcome, now: float) -> None:
+        """Judge a server by a call."""
+        server = message.server
+        was_paused = self.health.is_paused(server, now)
+        if message.unreachable:
+            self.health.note_unreachable(server, now)
+        elif message.refused:
+            self.health.note_refused(server, now)
+        elif message.kv_refused:
+            self.health.note_decode_refused(server, now)
+            if not self.health.is_paused(server, now):
+                return
+        else:
+            self.health.note_answered(server, message.failed)
+            return
+        if not was_paused:
+            reason = "unreachable" if message.unreachable else "refuses work"
+            log.warning("server paused", extra={"server": server, "reason": reason})
+            self._on_change(now)
+
+    def role_ordered(self, message: m.RoleOrdered, now: float) -> None:
+        """Keep work from an engine until its role has changed."""
+        self.health.pause(message.server, message.seconds, now)
+        self._on_change(now)
--- /dev/null
+++ b/src/sesameport/entry/generation_path.py
@@ -0,0 +1,265 @@
+"""Carry a generation through prefill and decode and stream its answer."""
+
+import itertools
+import time
+
+import attrs
+import pykka
+from result import Err, Ok
+
+from sesameport.admission import Generation, Placement, expected_output
+from sesameport.entry import messages as m
+from sesameport.entry.events import EventCutter
+from sesameport.entry.outcomes import MAX_SENDS, Outcomes, read_whole
+from sesameport.entry.requests import (
+    AnswerBroken,
+    CallerGone,
+    CallFailure,
+    FailureKind,
+    KvSource,
+    ServerCalls,
+)
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["GenerationPath"]
+
+LEFT_CHECK_S = 0.2
+"""Interval at which a waiting request looks for its caller, seconds: below the half
+second after which nothing may be sent for a caller that left."""
+
+RETURNING_SHARE = 0.84
+"""A caller that waits less than this part of the route's timeout came back after a
+refusal: first attempts name 0.85 of it or more, and a refusal costs two seconds."""
+
+log = get_logger("requests")
+
+
+class GenerationPath:
+    """Run generations, each on the thread of its caller.
+
+    Parameters
+    ----------
+    actor : pykka.ActorRef
+        The entry actor.
+    calls : ServerCalls
+        Client of the engines.
+    outcomes : Outcomes
+        Answers callers.
+    data_centre : str
+        Data centre of this host.
+    """
+
+    def __init__(self, actor, calls: ServerCalls, outcomes: Outcomes, data_centre: str):
+        self._actor = actor
+        self._calls = calls
+        self._outcomes = outcomes
+        self._data_centre = data_centre
+        self._keys = itertools.count(1)
+
+    def generate(self, progress, service, priority, charge, reply, watch) -> None:
+        """Stream a generation to its caller, at another engine if the first fails."""
+        cutter = EventCutter() if progress.route.is_resumable else None
+        spends_budget, started = False, False
+        while True:
+            admitted = self._admit(
+                progress, service, priority, charge, spends_budget, watch
+            )
+            if isinstance(admitted, m.Refused):
+                if started:
+                    progress.fail("broken-off", admitted.reason)
+                    reply.abort()
+                else:
+                    self._outcomes.refuse(progress, reply, admitted)
+                return
+            progress.sends += 1
+            progress.waited_s += admitted.waited_s
+            since = time.monotonic()
+            succeeded = False
+            try:
+                failure, started = self._run_generation(
+                    progress, admitted.placement, cutter, started, reply, watch
+                )
+                succeeded = failure is None
+            finally:
+                ended = m.RunEnded(
+                    placement=admitted.placement,
+                    seconds=time.monotonic() - since,
+                    succeeded=succeeded,
+                )
+                self._actor.tell(ended)
+            if failure is None:
+                return
+            if failure.kind == FailureKind.CALLER_LEFT:
+                raise CallerGone
+            if not self._generation_goes_on(progress, failure):
+                if started:
+                    progress.fail("broken-off", failure.detail)
+                    reply.abort()
+                else:
+                    self._outcomes.fail(progress, reply, failure)
+                return
+            spends_budget = spends_budget or failure.kind != FailureKind.UNREACHABLE
+            if cutter is not None and cutter.last_id:
+                progress.req = attrs.evolve(progress.req, resume_after=cutter.last_id)
+
+    def _admit(self, progress, service, priority, charge, spends_budget, watch):
+        req, route = progress.req, progress.route
+        tokens = req.tokens
+        prompt, output = 0, 0
+        if tokens is not None:
+            prompt = tokens.prompt
+            output = expected_output(tokens.max_output, tokens.expected_output)
+        key = next(self._keys)
+        future = pykka.ThreadingFuture()
+        self._actor.tell(
+            m.AdmitGeneration(
+                key,
+                req.request_id,
+                Generation(
+                    service,
+                    self._data_centre,
+                    prompt,
+                    output,
+                    frozenset(progress.excluded),
+                ),
+                req.workspace,
+                # What has run stays charged, so there is nothing to give back.
+                0.0 if progress.ran else charge,
+                req.received_at + route.target_s,
+                req.caller_wait_s < RETURNING_SHARE * route.timeout_s,
+                priority,
+                future,
+                is_first=progress.sends == 0,
+                spends_budget=spends_budget,
+            )
+        )
+        while True:
+            try:
+                return future.get(timeout=LEFT_CHECK_S)
+            except pykka.Timeout:
+                if watch.has_left():
+                    self._actor.tell(m.Withdraw(key, service))
+                    raise CallerGone from None
+
+    def _run_generation(self, progress, placement, cutter, started, reply, watch):
+        source, failure = self._prefill(progress, placement, watch)
+        if failure is not None:
+            return failure, started
+        decode = placement.decode
+        progress.servers.append(decode.name)
+        result = self._calls.run(
+            decode.address, decode.name, progress.req, watch, source
+        )
+        match result:
+            case Err(failure):
+                self._outcomes.note_failure(progress, decode.name, failure, "decode")
+                progress.excluded.add(decode.name)
+                if source is not None and failure.kind.has_not_run():
+                    self._blame_prefill(progress, placement, failure)
+                    self._free(progress, source)
+                return failure, started
+            case Ok(answer):
+                pass
+        progress.ran = True
+        progress.runs += 1
+        try:
+            return self._relay(progress, decode.name, answer, cutter, started, reply)
+        finally:
+            answer.close()
+
+    def _blame_prefill(self, progress, placement: Placement, failure) -> None:
+        """Count a decode server's refusal against the source of the KV cache as well.
+
+        A refusal does not tell whether memory is short or the handle has lapsed. Only
+        a source whose handles lapse is part of nearly all refusals.
+        """
+        if failure.kind != FailureKind.REFUSED:
+            return
+        progress.excluded.add(placement.prefill.name)
+        self._actor.tell(m.ServerOutcome(placement.prefill.name, failed=True))
+
+    def _prefill(self, progress, placement: Placement, watch):
+        """Have the prompt read; returns the source of its KV cache and a failure."""
+        server = placement.prefill
+        if server is None:
+            return None, None
+        since = time.monotonic()
+        result = self._calls.prefill(server.address, server.name, progress.req, watch)
+        seconds = time.monotonic() - since
+        self._actor.tell(m.PrefillEnded(placement, seconds, isinstance(result, Ok)))
+        match result:
+            case Ok(found):
+                progress.servers.append(server.name)
+                return KvSource(found.address, found.handle), None
+            case Err(failure):
+                self._outcomes.note_failure(progress, server.name, failure, "prefill")
+                progress.excluded.add(server.name)
+                if failure.kind == FailureKind.BROKEN:
+                    # A prefill is no run: its loss leaves nothing behind.
+                    failure = attrs.evolve(failure, kind=FailureKind.REFUSED)
+                return None, failure
+
+    def _relay(self, progress, server, answer, cutter, started, reply):
+        if answer.status != 200 or not answer.is_signed:
+            if started:
+                detail = f"status {answer.status} on resuming"
+                return CallFailure(FailureKind.BROKEN, detail), started
+            return self._relay_failure(progress, server, answer, reply), started
+        if cutter is not None:
+            cutter.restart()
+        try:
+            for chunk in answer.chunks():
+                data = cutter.feed(chunk) if cutter is not None else chunk
+                if not data:
+                    continue
+                if not started:
+                    started = True
+                    progress.first_s = time.monotonic() - progress.req.received_at
+                    reply.start(answer.status, answer.headers)
+                reply.send(data)
+        except AnswerBroken as exc:
+            failure = CallFailure(FailureKind.BROKEN, str(exc))
+            self._outcomes.note_failure(progress, server, failure)
+            return failure, started
+        except TimeoutError as exc:
+            return CallFailure(FailureKind.TIMEOUT, str(exc)), started
+        if not started:
+            reply.start(answer.status, answer.headers)
+            started = True
+        reply.finish()
+        for name in progress.servers[-2:]:
+            self._actor.tell(m.ServerOutcome(name))
+        progress.status = answer.status
+        progress.outcome = "served"
+        return None, started
+
+    def _relay_failure(self, progress, server, answer, reply):
+        match read_whole(answer):
+            case Err(failure):
+                self._outcomes.note_failure(progress, server, failure)
+                return failure
+            case Ok((status, headers, body)):
+                self._actor.tell(m.ServerOutcome(server, failed=status >= 500))
+                self._outcomes.deliver(progress, reply, status, headers, body)
+                return None
+
+    def _generation_goes_on(self, progress, failure) -> bool:
+        if progress.sends >= MAX_SENDS or progress.time_left() <= 0:
+            return False
+        if failure.kind.has_not_run():
+            return True
+        progress.ran = True
+        return (
+            progress.route.is_resumable
+            and failure.kind == FailureKind.BROKEN
+            and max(progress.runs, 1) < progress.route.max_attempts
+        )
+
+    def _free(self, progress, source: KvSource) -> None:
+        try:
+            self._calls.free(source)
+        except OSError as exc:
+            log.info(
+                "handle not freed, it lapses by itself",
+                extra={"request_id": progress.req.request_id, "error": repr(exc)},
+            )
--- a/src/sesameport/entry/http_front.py
+++ b/src/sesameport/entry/http_front.py
@@ -69,7 +69,7 @@
 
 
 class HttpReply:
-    """Answer one request; satisfies ``forwarding.Reply``.
+    """Answer one request; satisfies ``outcomes.Reply``.
 
     Parameters
     ----------
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -27,7 +27,6 @@
     "ServersChanged",
     "ServersListed",
     "SnapshotWanted",
-    "SpendRetry",
     "StoreState",
     "Tick",
     "UseEntry",
@@ -65,6 +64,7 @@
     See `AdmitGeneration` for ``is_first`` and ``spends_budget``.
     """
 
+    request_id: str
     service: str
     workspace: str
     charge_tokens: float
@@ -136,13 +136,6 @@
     kv_refused: bool = False
 
 
-@attrs.frozen
-class SpendRetry:
-    """Ask for one repeat to a service from the budget."""
-
-    service: str
-
-
 @attrs.frozen
 class Configure:
     """Take over a configuration if it is newer."""
--- /dev/null
+++ b/src/sesameport/entry/outcomes.py
@@ -0,0 +1,231 @@
+"""Keep what happens to a request, answer its caller and log its end."""
+
+import time
+from typing import Protocol
+
+import attrs
+from result import Err, Ok, Result
+
+from sesameport.entry import messages as m
+from sesameport.entry.contracts import EntryRoute
+from sesameport.entry.requests import (
+    AnswerBroken,
+    CallerGone,
+    CallFailure,
+    EntryRequest,
+    FailureKind,
+    OpenAnswer,
+)
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["MAX_SENDS", "Outcomes", "Progress", "Reply", "read_whole"]
+
+MAX_SENDS = 4
+"""Servers that one request is sent to, whether or not they ran it. It bounds the time
+spent on servers that refuse."""
+
+log = get_logger("requests")
+
+
+class Reply(Protocol):
+    """Answer a caller."""
+
+    def whole(self, status: int, headers, body: bytes) -> None:
+        """Send a complete answer of a backend server."""
+        ...
+
+    def refuse(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Send an answer of the router itself."""
+        ...
+
+    def start(self, status: int, headers) -> None:
+        """Send the head of a stream."""
+        ...
+
+    def send(self, data: bytes) -> None:
+        """Send a part of a stream; raises ``CallerGone`` if the caller left."""
+        ...
+
+    def finish(self) -> None:
+        """End a stream as complete."""
+        ...
+
+    def abort(self) -> None:
+        """Close the connection so that the stream does not look complete."""
+        ...
+
+
+@attrs.define
+class Progress:
+    """Keep what happened to a request, for its log line."""
+
+    req: EntryRequest
+    route: EntryRoute
+    version: int
+    sends: int = 0
+    runs: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    servers: list[str] = attrs.field(factory=list)
+    waited_s: float = 0.0
+    first_s: float | None = None
+    status: int = 0
+    outcome: str = ""
+    reason: str = ""
+    ran: bool = False
+
+    def fail(self, outcome: str, reason: str) -> None:
+        """Set the outcome and its reason."""
+        self.outcome = outcome
+        self.reason = reason
+
+    def time_left(self) -> float:
+        """Return the time until the request has to be answered, seconds."""
+        return self.req.deadline - time.monotonic()
+
+
+class Outcomes:
+    """Answer callers with what became of their requests.
+
+    Parameters
+    ----------
+    actor : pykka.ActorRef
+        The entry actor, which judges servers.
+    metrics : Metrics
+        Counters and histograms.
+    """
+
+    def __init__(self, actor, metrics):
+        self._actor = actor
+        self._metrics = metrics
+
+    def deliver(self, progress, reply, status, headers, body) -> None:
+        """Pass on a whole answer of a server."""
+        progress.status = status
+        progress.outcome = "served" if status < 400 else "server-failed"
+        reply.whole(status, headers, body)
+
+    def refuse(self, progress, reply, refused: m.Refused) -> None:
+        """Tell a caller that its request was not admitted."""
+        if progress.ran:
+            progress.fail("failed", refused.reason)
+            progress.status = 502
+            reply.refuse(502, refused.reason)
+            return
+        progress.fail("refused", refused.reason)
+        progress.status = 429 if refused.over_quota else 503
+        reply.refuse(progress.status, refused.reason, refused.retry_after_s)
+
+    def fail(self, progress, reply, failure) -> None:
+        """Tell a caller that its request failed; 503 only if it has not run."""
+        reason = f"{failure.kind}: {failure.detail}"
+        if failure.kind == FailureKind.TIMEOUT:
+            progress.fail("timed-out", reason)
+            progress.status = 504
+            reply.refuse(504, "timeout")
+        elif failure.kind.has_not_run() and not progress.ran:
+            progress.fail("refused", reason)
+            progress.status = 503
+            reply.refuse(503, str(failure.kind), 1.0)
+        else:
+            progress.fail("failed", reason)
+            progress.status = 502
+            reply.refuse(502, str(failure.kind))
+
+    def turn_away(self, req, reply, status, reason, retry_after_s=None) -> None:
+        """Answer a request that no route or key lets in."""
+        log.info(
+            "request turned away",
+            extra={"request_id": req.request_id, "status": status, "reason": reason},
+        )
+        self._metrics.count(
+            "sesameport_entry_requests_total",
+            kind="none",
+            outcome="turned-away",
+            reason=reason,
+        )
+        reply.refuse(status, reason, retry_after_s)
+
+    def note_failure(self, progress, server: str, failure, call: str = "run") -> None:
+        """Log a failed call and report it to the judgement of its server."""
+        if failure.kind == FailureKind.CALLER_LEFT:
+            return
+        unreachable = failure.kind == FailureKind.UNREACHABLE
+        failed = failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT)
+        refused = failure.kind == FailureKind.REFUSED
+        is_decode = call == "decode"
+        self._actor.tell(
+            m.ServerOutcome(
+                server,
+                failed,
+                unreachable,
+                refused and not is_decode,
+                refused and is_decode,
+            )
+        )
+        log.info(
+            "attempt failed",
+            extra={
+                "request_id": progress.req.request_id,
+                "server": server,
+                "call": call,
+                "failure": str(failure.kind),
+                "detail": failure.detail,
+                "send": progress.sends,
+                "age_s": round(time.monotonic() - progress.req.received_at, 3),
+            },
+        )
+
+    def record(self, progress) -> None:
+        """Count and log the end of a request."""
+        req = progress.req
+        total_s = time.monotonic() - req.received_at
+        kind = str(progress.route.kind)
+        reason = progress.reason.partition(":")[0]
+        self._metrics.count(
+            "sesameport_entry_requests_total",
+            kind=kind,
+            outcome=progress.outcome or "failed",
+            reason=reason,
+        )
+        first_s = progress.first_s if progress.first_s is not None else total_s
+        if progress.outcome == "served":
+            self._metrics.observe("sesameport_entry_answer_seconds", first_s, kind=kind)
+        log.info(
+            "request ended",
+            extra={
+                "request_id": req.request_id,
+                "route": progress.route.name,
+                "kind": kind,
+                "workspace": req.workspace,
+                "outcome": progress.outcome or "failed",
+                "reason": progress.reason,
+                "status": progress.status,
+                "servers": ",".join(progress.servers),
+                "sends": progress.sends,
+                "waited_s": round(progress.waited_s, 3),
+                "first_s": round(first_s, 3),
+                "total_s": round(total_s, 3),
+                "caller_wait_s": req.caller_wait_s,
+                "tokens": attrs.astuple(req.tokens) if req.tokens else (),
+                "version": progress.version,
+            },
+        )
+
+
+def read_whole(answer: OpenAnswer) -> Result[tuple, CallFailure]:
+    """Read an answer to its end and close it; Ok holds status, headers and body."""
+    try:
+        body = b"".join(answer.chunks())
+    except AnswerBroken as exc:
+        return Err(CallFailure(FailureKind.BROKEN, str(exc)))
+    except TimeoutError as exc:
+        return Err(CallFailure(FailureKind.TIMEOUT, str(exc)))
+    except CallerGone:
+        return Err(CallFailure(FailureKind.CALLER_LEFT))
+    finally:
+        answer.close()
+    if 200 <= answer.status < 300 and not answer.is_signed:
+        return Err(CallFailure(FailureKind.BROKEN, "success without signature"))
+    return Ok((answer.status, answer.headers, body))
--- a/src/sesameport/telemetry/tests/test_pages.py
+++ b/src/sesameport/telemetry/tests/test_pages.py
@@ -6,7 +6,7 @@
 from sesameport.telemetry.metrics import METRICS
 from sesameport.world import RefusalType
 
-PAGE = (pathlib.Path(__file__).parents[4] / "docs" / "operating.md").read_text()
+PAGE = (pathlib.Path(__file__).parents[4] / "docs" / "OPERATIONS.md").read_text()
 
 
 def test_alert_examples_use_existing_metrics():
