--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -58,12 +58,16 @@
     longest_prefill_wait_s : float
         Prompts waiting at a prefill server, in seconds of its work, above which it
         gets no more.
+    own_reading_below : float
+        Part of the decode memory that is reserved below which decode servers read
+        prompts themselves while prefill servers have long queues.
     """
 
     memory_share: float = 1.0
     prefill_tokens_per_s: float = 30_000.0
     other_centre_cost: float = 0.08
     longest_prefill_wait_s: float = 0.45
+    own_reading_below: float = 0.7
 
 
 @attrs.frozen
@@ -134,8 +138,8 @@
     The least loaded decode server is taken, since a step takes longer the more
     requests run. A server in the caller's data centre is preferred among nearly equal
     ones. While all prefill servers are away or have failed the request, the decode
-    server reads the prompt itself. It does not while they are only busy: the prompt
-    would be read at half the speed, between the tokens of running streams.
+    server reads the prompt itself, at half the speed and between the tokens of running
+    streams. While they are only busy, it does so if decode memory is not scarce.
     """
     needed = kv_tokens(req.prompt_tokens, req.output_tokens)
     limit = policy.memory_share * profile.kv_tokens
@@ -147,13 +151,25 @@
     prefill = _cheapest(
         _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
     )
-    if prefill is None and any(
-        _reads_prompts(server) and server.name not in req.excluded for server in servers
-    ):
+    if prefill is None and _waits_for_prefill(req, profile, servers, use, policy):
         return None
     return Placement(decode, prefill, needed, req.prompt_tokens)
 
 
+def _waits_for_prefill(req, profile, servers, use, policy) -> bool:
+    """Tell whether a request waits for a prefill server that has a long queue.
+
+    While decode memory is scarce, the engines' time is better spent on their streams.
+    """
+    if not any(
+        _reads_prompts(server) and server.name not in req.excluded for server in servers
+    ):
+        return False
+    decodes = [item for item in servers if item.role == ServerRole.DECODE]
+    reserved = sum(use.of(item.name).kv_tokens for item in decodes)
+    return reserved >= policy.own_reading_below * profile.kv_tokens * len(decodes)
+
+
 def _decode_costs(req, profile, servers, use, cost_factor, policy, needed, limit):
     for server in servers:
         if server.role not in (ServerRole.DECODE, ServerRole.BOTH):
