--- a/src/sesameport/admission/waiting_room.py
+++ b/src/sesameport/admission/waiting_room.py
@@ -40,8 +40,8 @@
 class RefusalTimes:
     """Choose when a refused caller should come back.
 
-    A caller comes back once, and a burst lasts some seconds, so that a late return finds
-    memory more often than an early one. Callers honour a third of the time that they
+    A caller comes back once, and a burst lasts some seconds, so that a late return
+    finds memory more often than an early one. Callers honour a third of the time that they
     have left, 4.5 s for a draft. They are spread, otherwise they meet once more as a
     burst. ``shortest_s`` and ``spread_s`` are in seconds.
     """
