Leave silent servers sooner

Cause: an engine that goes dark was noticed by keep-alive probes after 3 s. A prefill is no run and may be repeated, so it is given a second; repeatable plain requests get three targets before another server is tried; unsent bytes end a connection to a server after 1.5 s. When the second server does worse, the first one's own failure is passed on. Tests: test_silent_prefill_engine_costs_a_second, test_hanging_server_is_left_for_another, test_failure_of_a_server_is_passed_on; the first two fail without the bounds.

--- a/src/sesameport/adapters/sockets.py
+++ b/src/sesameport/adapters/sockets.py
@@ -2,7 +2,7 @@
 
 import socket
 
-__all__ = ["KEEPALIVE_OPTIONS"]
+__all__ = ["KEEPALIVE_OPTIONS", "SERVER_OPTIONS"]
 
 KEEPALIVE_OPTIONS = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -14,3 +14,11 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
 ]
 """Options that end a connection whose peer is silent, without a call to it."""
+
+SERVER_OPTIONS = [
+    *KEEPALIVE_OPTIONS[:-1],
+    # Requests go on elsewhere when a server went silent, and their targets are below a
+    # second; a wrong guess costs one of them, where a store connection carries many.
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1_500),
+]
+"""The same for connections to backend servers; silence is noticed within 2 s."""
--- a/src/sesameport/admission/waiting_room.py
+++ b/src/sesameport/admission/waiting_room.py
@@ -41,9 +41,9 @@
     """Choose when a refused caller should come back.
 
     A caller comes back once, and a burst lasts some seconds, so that a late return
-    finds memory more often than an early one. Callers honour a third of the time that they
-    have left, 4.5 s for a draft. They are spread, otherwise they meet once more as a
-    burst. ``shortest_s`` and ``spread_s`` are in seconds.
+    finds memory more often than an early one. Callers honour a third of the time that
+    they have left, 4.5 s for a draft. They are spread, otherwise they meet once more
+    as a burst. ``shortest_s`` and ``spread_s`` are in seconds.
     """
 
     shortest_s: float = 2.8
--- a/src/sesameport/entry/desk.py
+++ b/src/sesameport/entry/desk.py
@@ -157,7 +157,7 @@
                 "request_id": ask.request_id,
                 "workspace": ask.workspace,
                 "charge": ask.charge_tokens,
-                "level": round(verdict.level),
+                "bucket": round(verdict.level),
                 "retry_after_s": round(verdict.retry_after_s, 2),
                 **self._view_of_fleet(now),
             },
--- a/src/sesameport/entry/generation_path.py
+++ b/src/sesameport/entry/generation_path.py
@@ -194,7 +194,7 @@
             case Err(failure):
                 self._outcomes.note_failure(progress, server.name, failure, "prefill")
                 progress.excluded.add(server.name)
-                if failure.kind == FailureKind.BROKEN:
+                if failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT):
                     # A prefill is no run: its loss leaves nothing behind.
                     failure = attrs.evolve(failure, kind=FailureKind.REFUSED)
                 return None, failure
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -151,7 +151,10 @@
         """Log a failed call and report it to the judgement of its server."""
         if failure.kind == FailureKind.CALLER_LEFT:
             return
-        unreachable = failure.kind == FailureKind.UNREACHABLE
+        # A prefill takes a fraction of its bound, unless its server has gone silent.
+        unreachable = failure.kind == FailureKind.UNREACHABLE or (
+            call == "prefill" and failure.kind == FailureKind.TIMEOUT
+        )
         failed = failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT)
         refused = failure.kind == FailureKind.REFUSED
         is_decode = call == "decode"
--- a/src/sesameport/entry/plain_path.py
+++ b/src/sesameport/entry/plain_path.py
@@ -10,6 +10,10 @@
 
 __all__ = ["PlainPath"]
 
+PATIENCE_TARGETS = 3.0
+"""Targets of its route after which a repeatable request is tried at another server. Few
+answers of a sound server take that long, and the second try still ends in time."""
+
 
 class PlainPath:
     """Run plain requests, each on the thread of its caller.
@@ -73,15 +77,27 @@
             if failure.kind == FailureKind.CALLER_LEFT:
                 raise CallerGone
             if not self._goes_on(progress, failure):
-                self._outcomes.fail(progress, reply, failure)
+                if fallback is not None:
+                    self._outcomes.deliver(progress, reply, *fallback)
+                else:
+                    self._outcomes.fail(progress, reply, failure)
                 return
             spends_budget = spends_budget or failure.kind != FailureKind.UNREACHABLE
 
     def _try_plain(self, progress, server, watch):
-        result = self._calls.run(server.address, server.name, progress.req, watch)
+        result = self._calls.run(
+            server.address,
+            server.name,
+            progress.req,
+            watch,
+            within_s=self._patience_s(progress),
+        )
         match result:
             case Err(failure):
                 self._outcomes.note_failure(progress, server.name, failure)
+                if not failure.kind.has_not_run():
+                    progress.ran = True
+                    progress.runs += 1
                 return result
             case Ok(answer):
                 pass
@@ -95,6 +111,13 @@
                 self._actor.tell(m.ServerOutcome(server.name, failed=status >= 500))
         return read
 
+    def _patience_s(self, progress) -> float | None:
+        """Return how long an answer is awaited before another server is tried."""
+        route = progress.route
+        if not route.may_repeat() or progress.runs + 1 >= route.max_attempts:
+            return None
+        return PATIENCE_TARGETS * route.target_s
+
     def _may_try_again(self, progress, status: int) -> bool:
         """Tell whether a server's own failure may be put right by another server."""
         return (
@@ -110,7 +133,6 @@
             return False
         if failure.kind.has_not_run():
             return True
-        progress.ran = True
         return (
             progress.route.may_repeat() and progress.runs < progress.route.max_attempts
         )
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -190,8 +190,12 @@
         req: EntryRequest,
         watch: CallerWatch,
         source: KvSource | None = None,
+        within_s: float | None = None,
     ) -> Result[OpenAnswer, CallFailure]:
-        """Have a request run and return its answer once the status is known."""
+        """Have a request run and return its answer once the status is known.
+
+        The answer is awaited for ``within_s`` seconds, or to the request's deadline.
+        """
         ...
 
     def free(self, source: KvSource) -> None:
--- a/src/sesameport/entry/tests/test_requests.py
+++ b/src/sesameport/entry/tests/test_requests.py
@@ -207,3 +207,47 @@
     world.configure(4)
     time.sleep(0.2)
     assert world.call("/open/x").status == 404
+
+
+def test_silent_prefill_engine_costs_a_second_and_not_the_draft(world, host):
+    # Guards against waiting for a dark engine until the caller gives up.
+    second = world.add_replica("p2", "llm", "prefill")
+    wait_until(lambda: host.known_servers() >= 4)
+    for replica in (world.replicas["p1"], second):
+        replica.silent_prefills = 1
+    started = time.monotonic()
+    world.replicas["p1"].silent_prefills = 1
+    second.silent_prefills = 0
+    answers = [world.draft(request_id=f"s{n}").status for n in range(3)]
+    assert answers == [200, 200, 200]
+    assert time.monotonic() - started < 2.5
+
+
+def test_hanging_server_is_left_for_another_on_safe_routes_only(world, host):
+    second = world.add_replica("s2", "desk")
+    wait_until(lambda: host.known_servers() >= 4)
+    routes = [{**route, "targetLatencyMs": 100} for route in configuration()["routes"]]
+    world.configure(2, routes=routes)
+    wait_until(lambda: host.version() == 2)
+    world.replicas["s1"].faults[:] = ["hang"]
+    started = time.monotonic()
+    statuses = [
+        world.call("/look/x", request_id=f"l{n}", deadline_ms=1_000).status
+        for n in range(3)
+    ]
+    assert statuses == [200, 200, 200]
+    assert time.monotonic() - started < 0.9
+    for replica in (world.replicas["s1"], second):
+        replica.faults[:] = ["hang"]
+        replica.runs.clear()
+    assert world.call("/book/x", "POST", b"lot", deadline_ms=1_000).status == 504
+    assert len(world.replicas["s1"].runs + second.runs) == 1
+
+
+def test_failure_of_a_server_is_passed_on_when_no_other_does_better(world, host):
+    second = world.add_replica("s2", "desk")
+    wait_until(lambda: host.known_servers() >= 4)
+    world.replicas["s1"].faults[:] = second.faults[:] = ["error"]
+    answer = world.call("/look/x")
+    assert answer.status == 500
+    assert answer.headers["x-response-seal"] == "e"
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
-from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
+from sesameport.adapters.sockets import SERVER_OPTIONS
 from sesameport.adapters.watched_socket import WatchedSocket
 from sesameport.entry.requests import (
     AnswerBroken,
@@ -32,13 +32,17 @@
 """Bound of one connection attempt, seconds: a round trip is a few milliseconds, and a
 request still has to reach another server within its target."""
 
+PREFILL_WITHIN_S = 1.0
+"""Bound of a prefill, seconds. Prompts wait up to 0.45 s and are read in 0.1 to 0.3 s.
+A server that takes longer has gone silent, and another can still read the prompt."""
+
 FREE_S = 0.5
 """Bound of the call that frees a handle, which lapses by itself soon, seconds."""
 
 READ_BYTES = 65_536
 
 _ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError)
-_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *KEEPALIVE_OPTIONS]
+_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *SERVER_OPTIONS]
 
 
 @attrs.define
@@ -88,7 +92,7 @@
     ) -> Result[PrefillResult, CallFailure]:
         """Have a prompt read and its KV cache kept."""
         extra = [(names.STAGE, "prefill")]
-        match self._open(address, server, req, watch, extra):
+        match self._open(address, server, req, watch, extra, PREFILL_WITHIN_S):
             case Err(failure):
                 return Err(failure)
             case Ok(answer):
@@ -119,12 +123,13 @@
         req: EntryRequest,
         watch: CallerWatch,
         source: KvSource | None = None,
+        within_s: float | None = None,
     ) -> Result[OpenAnswer, CallFailure]:
         """Have a request run and return its answer once the status is known."""
         extra = []
         if source is not None:
             extra.append((names.KV_SOURCE, f"{source.address}/{source.handle}"))
-        return self._open(address, server, req, watch, extra)
+        return self._open(address, server, req, watch, extra, within_s)
 
     def free(self, source: KvSource) -> None:
         """Free the KV cache of a prefill; it lapses by itself if this fails."""
@@ -137,12 +142,16 @@
             conn.close()
 
     def _open(
-        self, address, server, req, watch, extra
+        self, address, server, req, watch, extra, within_s
     ) -> Result[OpenAnswer, CallFailure]:
         host, _, port = address.rpartition(":")
-        left_s = req.deadline - time.monotonic()
+        now = time.monotonic()
+        left_s = req.deadline - now
         if left_s <= 0:
             return Err(CallFailure(FailureKind.TIMEOUT, "no time left"))
+        give_up_at = req.deadline
+        if within_s is not None:
+            give_up_at = min(give_up_at, now + within_s)
         conn = HTTPConnection(
             host, int(port), timeout=min(CONNECT_S, left_s), socket_options=_OPTIONS
         )
@@ -155,7 +164,7 @@
             conn.close()
             return Err(CallFailure(FailureKind.CALLER_LEFT))
         conn.timeout = max(0.001, req.deadline - time.monotonic())
-        conn.sock = sock = WatchedSocket.wrap(conn.sock, watch, req.deadline)
+        conn.sock = sock = WatchedSocket.wrap(conn.sock, watch, give_up_at)
         try:
             self._send(conn, server, req, extra)
             response = conn.getresponse()
@@ -218,7 +227,7 @@
     if sock.caller_left:
         return CallFailure(FailureKind.CALLER_LEFT)
     if sock.timed_out:
-        return CallFailure(FailureKind.TIMEOUT, "no answer before the deadline")
+        return CallFailure(FailureKind.TIMEOUT, "no answer in time")
     return CallFailure(FailureKind.BROKEN, repr(exc))
 
 
--- a/src/sesameport/platform/orders.py
+++ b/src/sesameport/platform/orders.py
@@ -6,7 +6,7 @@
 import urllib3
 from result import Err, Ok, Result
 
-from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
+from sesameport.adapters.sockets import SERVER_OPTIONS
 from sesameport.entry.role_keeper import EngineState, RoleChange
 from sesameport.entry.servers import EntryServer
 from sesameport.platform import names
@@ -17,7 +17,7 @@
 TIMEOUT_S = 0.6
 """Bound of one call, seconds; an order has to be sent soon after the lease's write."""
 
-_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *KEEPALIVE_OPTIONS]
+_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *SERVER_OPTIONS]
 _OUTCOMES = {200: "holds", 202: "accepted", 409: "conflict", 412: "fenced"}
 
 
--- a/src/sesameport/platform/tests/standins.py
+++ b/src/sesameport/platform/tests/standins.py
@@ -207,6 +207,7 @@
         self.events = events
         self.pause_s = pause_s
         self.faults = []
+        self.silent_prefills = 0
         self.seen = []
         self.runs = []
         self.orders = []
@@ -251,6 +252,10 @@
         if fault == "refuse":
             handler.reply(503, b"", [("X-Not-Executed", "1")])
             return
+        if headers.get("x-stage") == "prefill" and self.silent_prefills:
+            self.silent_prefills -= 1
+            self._wait_for_caller(handler)
+            return
         if headers.get("x-stage") == "prefill":
             tokens = int(headers["x-token-count"].split(",")[0])
             handle = {"kvHandle": f"h{len(self.seen)}", "tokens": tokens, "version": 1}
