Scale the number of role changes with the fleet

Spacing and hysteresis now count in engines; six engines behave as before. An ordered engine counts under its new role until its entry shows it.

--- a/src/sesameport/admission/roles.py
+++ b/src/sesameport/admission/roles.py
@@ -23,11 +23,12 @@
 SLOWER_WEIGHT = 0.01
 """Weight of a prefill that took longer than known."""
 
-GAIN = 1.25
-"""Factor by which a plan has to carry more requests than the present one. Hysteresis
-keeps engines from changing to and fro when two plans are about equal."""
+GAIN_ENGINES = 1.5
+"""Engines' worth of work that a plan has to gain before a prefill engine is made to
+decode. Hysteresis keeps engines from changing to and fro when two plans are about
+equal; with few engines one change is a large step, with many a small one."""
 
-GAIN_TO_PREFILL = 2.0
+GAIN_ENGINES_TO_PREFILL = 6.0
 """The same for making a decode engine read prompts. It is away until its running
 requests have ended, and meanwhile decode engines can read prompts themselves."""
 
@@ -127,7 +128,8 @@
             return 0
         plan = self.best(prefill + decode, kv_tokens)
         step = 1 if plan.decode > decode else -1
-        gain = GAIN if step > 0 else GAIN_TO_PREFILL
+        extra = GAIN_ENGINES if step > 0 else GAIN_ENGINES_TO_PREFILL
+        gain = 1.0 + extra / (prefill + decode)
         if plan.requests_per_s < gain * self.carries(prefill, decode, kv_tokens):
             return 0
         return step
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -86,7 +86,7 @@
             m.RunEnded: desk.run_ended,
             m.Withdraw: desk.withdraw,
             m.ServerOutcome: desk.note_outcome,
-            m.RoleOrdered: desk.role_ordered,
+            m.RoleOrdered: self._role_ordered,
             m.NextRoleChange: lambda message, now: self._roles.next_change(now),
             m.FleetReport: self._take_report,
             m.Tick: self._tick,
@@ -122,6 +122,11 @@
                 message.future.set(refused)
             return refused if isinstance(message, m.AdmitPlain) else None
 
+    def _role_ordered(self, message: m.RoleOrdered, now: float) -> None:
+        until = now + message.seconds
+        self._roles.note_ordered(message.server, message.role, until)
+        self._desk.role_ordered(message, now)
+
     def _wake_at(self, when: float) -> None:
         actor_ref = self.actor_ref
         self._timers.call_at("waiting", when, lambda at: actor_ref.tell(m.Tick(at)))
--- a/src/sesameport/entry/role_choice.py
+++ b/src/sesameport/entry/role_choice.py
@@ -5,6 +5,7 @@
 from sesameport.admission import RolePlanner
 from sesameport.entry.desk import AdmissionDesk
 from sesameport.entry.role_keeper import RoleChange
+from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 from sesameport.world import ServerRole
 
@@ -28,6 +29,11 @@
         self._host = host
         self._desk = desk
         self._lost_at: dict[str, float] = {}
+        self._ordered: dict[str, tuple[ServerRole, float]] = {}
+
+    def note_ordered(self, server: str, role: ServerRole, until: float) -> None:
+        """Count an engine under its new role until its entry shows it."""
+        self._ordered[server] = (role, until)
 
     def note_lost(self, service: str, now: float) -> None:
         """Note that a server of a service was lost."""
@@ -51,13 +57,17 @@
         servers = self._desk.directory.of_service(service.name)
         lost_at = self._lost_at.get(service.name, -math.inf)
         planner = RolePlanner(self._desk.mix(service.name), now - lost_at)
-        prefill = [item for item in servers if item.role == ServerRole.PREFILL]
-        decode = [item for item in servers if item.role == ServerRole.DECODE]
+        roles = {item.name: self._role_of(item, now) for item in servers}
+        prefill = [item for item in servers if roles[item.name] == ServerRole.PREFILL]
+        decode = [item for item in servers if roles[item.name] == ServerRole.DECODE]
         step = planner.next_change(len(prefill), len(decode), service.engine.kv_tokens)
         if step == 0:
             return None
         candidates = prefill if step > 0 else decode
-        idlest = min(candidates, key=lambda item: self._load_of(item.name))
+        settled = [item for item in candidates if item.name not in self._ordered]
+        if not settled:
+            return None
+        idlest = min(settled, key=lambda item: self._load_of(item.name))
         role = ServerRole.DECODE if step > 0 else ServerRole.PREFILL
         log.info(
             "role change planned",
@@ -70,7 +80,14 @@
                 "kv_token_s": round(planner.mix.kv_token_s),
             },
         )
-        return RoleChange(idlest, role)
+        return RoleChange(idlest, role, len(servers))
+
+    def _role_of(self, server: EntryServer, now: float) -> ServerRole:
+        role, until = self._ordered.get(server.name, (server.role, now))
+        if role == server.role or until <= now:
+            self._ordered.pop(server.name, None)
+            return server.role
+        return role
 
     def _load_of(self, server: str) -> tuple[float, float, str]:
         use = self._desk.use.of(server)
--- a/src/sesameport/entry/role_keeper.py
+++ b/src/sesameport/entry/role_keeper.py
@@ -25,9 +25,9 @@
 LEASE_KIND = "entry-leases"
 LEASE_NAME = "role-orders"
 
-ORDER_SPACING_S = 12.0
-"""Time between two orders, seconds: an engine is away for about six, and the effect of
-a change is measured before the next."""
+ORDER_SPACING_ENGINE_S = 72.0
+"""Time between two orders times the number of engines, seconds. An engine is away for
+about six seconds, so that no more than one in twelve is away at a time."""
 
 QUIET_LEASES = 2.0
 """Lease times for which a record stands unchanged before another host takes it over."""
@@ -37,10 +37,11 @@
 
 @attrs.frozen
 class RoleChange:
-    """Name a server that is to change its role."""
+    """Name a server that is to change its role, and the engines of its service."""
 
     server: EntryServer
     role: ServerRole
+    engines: int = 1
 
 
 @attrs.frozen
@@ -132,10 +133,8 @@
         step = self._lease.next_step(record, version, _boot_time())
         if step == LeaseStep.WAIT:
             return
-        if (
-            record is not None
-            and 0 <= time.time() - record.ordered_at < ORDER_SPACING_S
-        ):
+        spacing_s = ORDER_SPACING_ENGINE_S / change.engines
+        if record is not None and 0 <= time.time() - record.ordered_at < spacing_s:
             return
         match self._orders.state(change.server):
             case Err(reason):
--- /dev/null
+++ b/src/sesameport/entry/tests/test_roles.py
@@ -0,0 +1,145 @@
+"""Test that role changes come from one host and in a bounded number."""
+
+import time
+
+from result import Err, Ok
+
+from sesameport.admission.order_lease import OrderRecord, encode_record
+from sesameport.entry.contracts import (
+    EngineProfile,
+    EntryConfiguration,
+    EntryService,
+)
+from sesameport.entry.desk import AdmissionDesk
+from sesameport.entry.role_choice import RoleChooser
+from sesameport.entry.role_keeper import (
+    LEASE_KIND,
+    LEASE_NAME,
+    EngineState,
+    RoleKeeper,
+)
+from sesameport.entry.servers import EntryServer
+from sesameport.entry.settings import EntrySettings
+from sesameport.entry.tests.conftest import wait_until
+from sesameport.platform.store import ObjectStore
+from sesameport.platform.tests.standins import StoreStandin
+from sesameport.world import ServerRole
+
+
+def chooser(host="h1", prefill=14, decode=14):
+    settings = EntrySettings(host, "a", "r", "127.0.0.1", "", "", 0, "")
+    desk = AdmissionDesk(settings, lambda now: None, lambda at: None)
+    profile = EngineProfile(12, 29_216)
+    service = EntryService("llm", engine=profile)
+    desk.configuration = EntryConfiguration(1, services=(service,))
+    for number in range(prefill + decode):
+        role = ServerRole.PREFILL if number < prefill else ServerRole.DECODE
+        desk.directory.put(EntryServer(f"e{number}", "llm", "", "a", role))
+    return RoleChooser(host, desk), desk
+
+
+def test_engines_that_were_ordered_count_under_their_new_role():
+    # Guards against ordering the whole side while entries still show the old roles.
+    choice, _ = chooser()
+    ordered = []
+    for now in range(40):
+        change = choice.next_change(float(now))
+        if change is None:
+            break
+        assert change.engines == 28
+        choice.note_ordered(change.server.name, change.role, 1_000.0)
+        ordered.append(change.server.name)
+    # The best split of the assumed mix has six engines for prefill.
+    assert 4 <= len(ordered) <= 8
+    assert len(set(ordered)) == len(ordered)
+
+
+def test_only_the_first_host_that_is_heard_plans():
+    choice, desk = chooser("h2")
+    assert choice.next_change(0.0) is not None
+    desk.use.take_report("h1", {}, 0.0)
+    assert choice.next_change(0.0) is None
+
+
+class Orders:
+    """Take orders in place of engines."""
+
+    def __init__(self, taken=0):
+        self.given = []
+        self.taken = taken
+
+    def state(self, server):
+        return Ok(EngineState(server.role, False, self.taken))
+
+    def change_role(self, change, holder, epoch, orders_taken):
+        self.given.append((change.server.name, holder, epoch, orders_taken))
+        return Ok("accepted")
+
+
+class Count:
+    """Take metrics and drop them."""
+
+    def count(self, *args, **labels):
+        return None
+
+
+def keeper(host, standin, orders, choice):
+    store = ObjectStore(standin.address)
+    return RoleKeeper(
+        host,
+        0.1,
+        store,
+        orders,
+        lambda: choice.next_change(0.0),
+        lambda change: None,
+        Count(),
+    )
+
+
+def test_orders_carry_a_fencing_number_that_rises_with_the_holder():
+    standin, orders = StoreStandin(), Orders(taken=3)
+    choice, _ = chooser()
+    keeper("h1", standin, orders, choice).run_once()
+    assert orders.given == [("e0", "h1", 1, 3)]
+    record = standin.spec(LEASE_KIND, LEASE_NAME)
+    assert (record["holder"], record["epoch"]) == ("h1", 1)
+    old = encode_record(OrderRecord("h1", 1, "e0", "decode", time.time() - 60.0))
+    store = ObjectStore(standin.address)
+    version = store.get(LEASE_KIND, LEASE_NAME).unwrap().version
+    assert store.update(LEASE_KIND, LEASE_NAME, old, version).is_ok()
+    second = keeper("h2", standin, orders, choice)
+    second.run_once()
+    assert len(orders.given) == 1
+    wait_until(lambda: second.run_once() or len(orders.given) == 2, 3.0)
+    assert orders.given[1] == ("e0", "h2", 2, 3)
+    standin.stop()
+
+
+def test_orders_are_spaced_by_the_number_of_engines():
+    standin, orders = StoreStandin(), Orders()
+    choice, _ = chooser()
+    once = keeper("h1", standin, orders, choice)
+    once.run_once()
+    once.run_once()
+    assert len(orders.given) == 1
+    standin.stop()
+
+
+def test_lost_answer_of_the_lease_write_gives_no_order():
+    standin, orders = StoreStandin(), Orders()
+    choice, _ = chooser()
+    once = keeper("h1", standin, orders, choice)
+    standin.fault = "lost"
+    once.run_once()
+    assert orders.given == []
+    standin.stop()
+
+
+def test_engine_that_does_not_answer_gets_no_order():
+    standin, orders = StoreStandin(), Orders()
+    orders.state = lambda server: Err("away")
+    choice, _ = chooser()
+    keeper("h1", standin, orders, choice).run_once()
+    assert orders.given == []
+    assert standin.spec(LEASE_KIND, LEASE_NAME) is None
+    standin.stop()
