Delete the registrations of gone hosts

Cause: hosts register their peer address in the store and nothing there expires by itself, so that replaced hosts piled up and every host went on connecting to them. The first host by name deletes registrations that were silent for ten minutes, under the version it saw; a host that finds its own missing registers again. Records of servers that are gone are dropped as well.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -27,6 +27,10 @@
 SNAPSHOT_INTEREST_S = 5.0
 """Time after a question for which changes are published as snapshots, seconds."""
 
+HOST_GONE_S = 600.0
+"""Silence after which a host's registration is deleted, seconds: longer than regions
+lose each other. A host that was only cut off registers again."""
+
 log = get_logger("entry")
 
 
@@ -72,6 +76,7 @@
         self._roles = RoleChooser(settings.name, self._desk)
         self._addresses: dict[str, str] = {}
         self._peer_sequences: dict[str, tuple[int, int]] = {}
+        self._heard_at: dict[str, float] = {}
         self._reported_at = 0.0
         self._snapshot_at = 0.0
         self._snapshot_due = False
@@ -97,6 +102,7 @@
             m.FleetSnapshot: self._take_snapshot,
             m.StoreState: self._note_store,
             m.AskCounts: self._counts,
+            m.AskGoneHosts: self._gone_hosts,
             m.SnapshotWanted: self._snapshot_wanted,
         }
 
@@ -135,6 +141,16 @@
         desk = self._desk
         return m.Counts(len(desk.directory.all()), len(desk.use.hosts()))
 
+    def _gone_hosts(self, message: m.AskGoneHosts, now: float) -> tuple[str, ...]:
+        """Return registered hosts that are silent for long, if this host cleans up."""
+        if min([self._settings.name, *self._desk.use.hosts()]) != self._settings.name:
+            return ()
+        return tuple(
+            name
+            for name, at in self._heard_at.items()
+            if now - at > HOST_GONE_S and name in self._addresses
+        )
+
     # -- the fleet -------------------------------------------------------------
 
     def _report(self, now: float) -> None:
@@ -165,6 +181,7 @@
         elif known >= (report.incarnation, report.sequence):
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
+        self._heard_at[report.host] = now
         uses = {
             name: ServerUse(use.kv_tokens, use.runs, use.prefill_tokens)
             for name, use in report.uses.items()
@@ -255,6 +272,7 @@
                 self._note_lost(name, now)
                 self._desk.directory.remove(name, now)
                 log.info("server entry removed", extra={"server": name})
+                self._desk.health.forget(name)
         self._note_news(now)
         self._desk.serve_all(now)
 
@@ -287,6 +305,8 @@
     def _take_hosts(self, message: m.HostsChanged, now: float) -> None:
         addresses = message.addresses
         self._addresses = dict(addresses)
+        others = [name for name in addresses if name != self._settings.name]
+        self._heard_at = {name: self._heard_at.get(name, now) for name in others}
         self._desk.budget.hosts = max(1, len(addresses))
         self._peers.connect(
             set(addresses.values()) | set(self._settings.seed_addresses)
@@ -311,6 +331,7 @@
             log.warning("host silent", extra={"peer": host})
         for name in self._desk.directory.expire(now):
             log.info("server lapsed", extra={"server": name})
+            self._desk.health.forget(name)
         self._desk.serve_all(now)
         self._ask_snapshots(now)
         self._publish_snapshot(now)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -47,6 +47,9 @@
 ROLE_PERIOD_S = 1.5
 """Period at which the roles of engines are looked at, seconds."""
 
+SWEEP_PERIOD_S = 60.0
+"""Period at which registrations of gone hosts are looked for, seconds."""
+
 ANNOUNCE_RETRY_S = 1.0
 UNREADY_S = 2.6
 """Time between becoming unready and closing, seconds: the balancer asks every second
@@ -225,10 +228,11 @@
             self._actor, wire.configuration_name, wire.decode_configuration
         )
         servers = ServerSink(self._actor, wire.decode_server)
+        self._host_sink = hosts = HostSink(self._actor)
         for kind, sink in (
             (wire.configuration_kind, configurations),
             (wire.server_kind, servers),
-            (HOST_KIND, HostSink(self._actor)),
+            (HOST_KIND, hosts),
         ):
             KindFollower(store, kind, sink, health, self.metrics, self._closing).start()
 
@@ -242,6 +246,7 @@
             self.metrics,
         )
         self._timers.subscribe("roles", ROLE_PERIOD_S, self._keep_roles)
+        self._timers.subscribe("sweep", SWEEP_PERIOD_S, self._sweep_hosts)
 
     def _note_ordered(self, change: RoleChange) -> None:
         table = self._view.table
@@ -256,6 +261,20 @@
         # The calls wait for others, so they do not run on the timer's thread.
         threading.Thread(target=self._roles.run_once, name="roles", daemon=True).start()
 
+    def _sweep_hosts(self, now: float) -> None:
+        threading.Thread(target=self.sweep_hosts, name="sweep", daemon=True).start()
+
+    def sweep_hosts(self) -> None:
+        """Register again if need be, and delete what gone hosts left.
+
+        A host that was cut off for long finds its registration deleted. Only the first
+        host by name deletes.
+        """
+        if not self._host_sink.knows(self._settings.name):
+            self._announce_now()
+        for name in self._actor.ask(m.AskGoneHosts()):
+            self._host_sink.delete(self._store, name)
+
     def _announce(self, now: float) -> None:
         # The call may wait for the store, so it does not run on the timer's thread.
         threading.Thread(
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -13,6 +13,7 @@
     "AdmitPlain",
     "Admitted",
     "AskCounts",
+    "AskGoneHosts",
     "Configure",
     "Counts",
     "FleetReport",
@@ -183,6 +184,11 @@
     """Ask what the host knows; answered with `Counts`."""
 
 
+@attrs.frozen
+class AskGoneHosts:
+    """Ask which registrations of hosts are to be deleted; answered with their names."""
+
+
 @attrs.frozen
 class Counts:
     """Give the number of registered servers and of other hosts that report."""
--- a/src/sesameport/entry/sinks.py
+++ b/src/sesameport/entry/sinks.py
@@ -100,22 +100,38 @@
     def __init__(self, actor: pykka.ActorRef):
         self._actor = actor
         self._addresses: dict[str, str] = {}
+        self._versions: dict[str, int] = {}
 
     def listed(self, objects: Iterable[StoredObject]) -> None:
         """Take a listing."""
         self._addresses = {}
+        self._versions = {}
         self.changed(objects)
 
     def changed(self, objects: Iterable[StoredObject]) -> None:
         """Take changes."""
         for stored in objects:
             address = None if stored.deleted else _address(stored.value)
+            self._versions[stored.name] = stored.version
             if address is None:
                 self._addresses.pop(stored.name, None)
             else:
                 self._addresses[stored.name] = address
         self._actor.tell(m.HostsChanged(dict(self._addresses)))
 
+    def knows(self, name: str) -> bool:
+        """Tell whether a host is registered, as far as the last answer shows."""
+        return name in self._addresses
+
+    def delete(self, platform: Platform, name: str) -> None:
+        """Delete a registration unless its host has written it again."""
+        version = self._versions.get(name)
+        if version is None:
+            return
+        result = platform.delete(HOST_KIND, name, version)
+        outcome = "deleted" if result.is_ok() else str(result.unwrap_err().kind)
+        log.info("host registration", extra={"peer": name, "outcome": outcome})
+
 
 def _address(value: bytes) -> str | None:
     try:
--- a/src/sesameport/entry/tests/test_store_faults.py
+++ b/src/sesameport/entry/tests/test_store_faults.py
@@ -1,5 +1,6 @@
 """Test hosts while the store is away, forgetful or holds odd entries."""
 
+import threading
 import time
 
 from sesameport.entry.tests.conftest import configuration, wait_until
@@ -72,8 +73,6 @@
     wait_until(lambda: other.is_ready() and other.known_servers() >= 3)
     wait_until(lambda: other.heard_hosts() == 1 and host.heard_hosts() == 1)
     world.replicas["d1"].pause_s = 0.25
-    import threading
-
     large = {"X-Token-Count": "9000,400"}
     threads = [
         threading.Thread(
@@ -89,3 +88,27 @@
     assert answer.status == 503
     for thread in threads:
         thread.join()
+
+
+def test_registration_of_a_gone_host_is_deleted_and_no_other(world, host, monkeypatch):
+    # Guards against registrations that pile up as hosts are replaced.
+    monkeypatch.setattr("sesameport.entry.actor.HOST_GONE_S", 1.5)
+    world.start_host("h2")
+    wait_until(lambda: host.heard_hosts() == 1)
+    world.store.put("entry-hosts", "gone", {"address": "127.0.0.1:9"})
+    time.sleep(1.0)
+    host.sweep_hosts()
+    assert world.store.spec("entry-hosts", "gone") is not None
+    time.sleep(0.8)
+    host.sweep_hosts()
+    assert world.store.spec("entry-hosts", "gone") is None
+    assert world.store.spec("entry-hosts", "h1") is not None
+    assert world.store.spec("entry-hosts", "h2") is not None
+
+
+def test_host_whose_registration_was_deleted_registers_again(world, host):
+    wait_until(lambda: world.store.spec("entry-hosts", "h1") is not None)
+    world.store.remove("entry-hosts", "h1")
+    time.sleep(0.3)
+    host.sweep_hosts()
+    assert world.store.spec("entry-hosts", "h1") is not None
