Remove settings and fields that nothing reads

Bounds, sizes and times that were decoded without a use only look like behaviour. The report between hosts carries the account's own type instead of a copy of it.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -5,7 +5,7 @@
 
 import pykka
 
-from sesameport.admission import RouteTable, ServerUse
+from sesameport.admission import RouteTable
 from sesameport.entry import messages as m
 from sesameport.entry.desk import AdmissionDesk
 from sesameport.entry.role_choice import RoleChooser
@@ -156,17 +156,13 @@
     def _report(self, now: float) -> None:
         self._reported_at = now
         self._sequence += 1
-        uses = {
-            name: m.UseEntry(use.kv_tokens, use.runs, use.prefill_tokens)
-            for name, use in self._desk.use.own.items()
-        }
         version = self._desk.configuration.version if self._desk.configuration else 0
         self._peers.publish(
             m.FleetReport(
                 self._settings.name,
                 self._incarnation,
                 self._sequence,
-                uses,
+                dict(self._desk.use.own),
                 self._desk.quota.charged(),
                 version,
                 self._desk.health.pauses(now),
@@ -182,11 +178,7 @@
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
         self._heard_at[report.host] = now
-        uses = {
-            name: ServerUse(use.kv_tokens, use.runs, use.prefill_tokens)
-            for name, use in report.uses.items()
-        }
-        self._desk.use.take_report(report.host, uses, now, report.waiting)
+        self._desk.use.take_report(report.host, report.uses, now, report.waiting)
         self._desk.quota.take_report(
             report.host, report.incarnation, report.charged, now
         )
--- a/src/sesameport/entry/contracts.py
+++ b/src/sesameport/entry/contracts.py
@@ -98,15 +98,12 @@
         Requests that one engine runs at once.
     kv_tokens : int
         KV cache of one engine, tokens.
-    handle_s : float
-        Time for which the result of a prefill is kept, seconds.
     role_change_s : float
         Time that a change between prefill and decode takes, seconds.
     """
 
     slots: int
     kv_tokens: int
-    handle_s: float = 0.5
     role_change_s: float = 6.0
 
 
@@ -115,7 +112,6 @@
     """Describe one service; ``engine`` is None for plain services."""
 
     name: str
-    max_connections: int = 0
     engine: EngineProfile | None = None
 
 
@@ -147,11 +143,10 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Bound what a caller may send and how long it may stay idle."""
+    """Bound what a caller may send and how long its connection may stay idle."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    header_s: float = 3.0
     idle_s: float = 15.0
 
 
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -3,7 +3,7 @@
 import attrs
 import pykka
 
-from sesameport.admission import Generation, Placement
+from sesameport.admission import Generation, Placement, ServerUse
 from sesameport.entry.contracts import EntryConfiguration
 from sesameport.entry.servers import EntryServer
 from sesameport.world import ServerRole
@@ -30,7 +30,6 @@
     "SnapshotWanted",
     "StoreState",
     "Tick",
-    "UseEntry",
     "Withdraw",
 ]
 
@@ -221,15 +220,6 @@
     now: float
 
 
-@attrs.frozen
-class UseEntry:
-    """Give the use of one server in a report; see ``ServerUse``."""
-
-    kv_tokens: float
-    runs: int
-    prefill_tokens: float
-
-
 @attrs.frozen
 class FleetReport:
     """Tell the other hosts what this host uses and has charged.
@@ -240,7 +230,7 @@
         Process that reports.
     sequence : int
         Number of the report; older ones are dropped.
-    uses : dict of str to UseEntry
+    uses : dict of str to ServerUse
         Use of each server.
     charged : dict of str to float
         Tokens charged since the start of the process, by workspace.
@@ -255,7 +245,7 @@
     host: str
     incarnation: int
     sequence: int
-    uses: dict[str, UseEntry] = attrs.field(factory=dict)
+    uses: dict[str, ServerUse] = attrs.field(factory=dict)
     charged: dict[str, float] = attrs.field(factory=dict)
     version: int = 0
     paused: dict[str, float] = attrs.field(factory=dict)
--- a/src/sesameport/entry/servers.py
+++ b/src/sesameport/entry/servers.py
@@ -29,8 +29,6 @@
         Requests that it runs at once.
     started_at_ms : int
         Start of this incarnation, Unix milliseconds; 0 when it is not known.
-    cold_s : float
-        Time for which it is slow after its start, seconds.
     """
 
     name: str
@@ -41,4 +39,3 @@
     state: ServerState = ServerState.LIVE
     slots: int = 1
     started_at_ms: int = 0
-    cold_s: float = 0.0
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -11,34 +11,21 @@
 
     Attributes
     ----------
-    contact_s : float
-        Time after a disturbance within which a host counts as undisturbed again.
-    drain_s : float
-        Time for which a leaving server still takes new work.
     grace_s : float
         Time between SIGTERM and SIGKILL.
     configuration_s : float
         Time after which an accepted configuration is in force everywhere.
     lease_s : float
         Time that has to pass between orders of two hosts.
-    thaw_s : float
-        Time after a pause within which late orders are forgiven.
     retry_ratio, retry_window_s, retry_slack : float
         Fleet-wide budget for repeats: in any window ``ratio * requests + slack``.
-    quota_window_s : float
-        Window over which rates are judged.
     """
 
-    contact_s: float = 3.0
-    drain_s: float = 2.0
     grace_s: float = 8.0
-    configuration_s: float = 2.0
     lease_s: float = 3.0
-    thaw_s: float = 0.3
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
-    quota_window_s: float = 8.0
 
 
 @attrs.frozen
@@ -51,14 +38,11 @@
 
     name: str
     data_centre: str
-    region: str
     ip: str
     caller_listen: str
     ready_listen: str
     peer_port: int
     store_address: str
-    memory_mb: int = 0
-    is_first_start: bool = False
     seed_addresses: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
     metrics_port: int = 9464
--- a/src/sesameport/entry/tests/conftest.py
+++ b/src/sesameport/entry/tests/conftest.py
@@ -94,7 +94,6 @@
         settings = EntrySettings(
             name=name,
             data_centre="a",
-            region="r",
             ip="127.0.0.1",
             caller_listen="127.0.0.1:0",
             ready_listen="127.0.0.1:0",
--- a/src/sesameport/entry/tests/test_desk.py
+++ b/src/sesameport/entry/tests/test_desk.py
@@ -22,7 +22,7 @@
 
 
 def settings(name):
-    return EntrySettings(name, "a", "r", "127.0.0.1", "", "", 0, "")
+    return EntrySettings(name, "a", "127.0.0.1", "", "", 0, "")
 
 
 class Fleet:
--- a/src/sesameport/entry/tests/test_roles.py
+++ b/src/sesameport/entry/tests/test_roles.py
@@ -27,7 +27,7 @@
 
 
 def chooser(host="h1", prefill=14, decode=14):
-    settings = EntrySettings(host, "a", "r", "127.0.0.1", "", "", 0, "")
+    settings = EntrySettings(host, "a", "127.0.0.1", "", "", 0, "")
     desk = AdmissionDesk(settings, lambda now: None, lambda at: None)
     profile = EngineProfile(12, 29_216)
     service = EntryService("llm", engine=profile)
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -78,10 +78,9 @@
         profile = EngineProfile(
             slots=int(engine.get("slots") or 1),
             kv_tokens=int(engine["kvCapacityTokens"]),
-            handle_s=float(engine.get("kvRetentionS") or 0.5),
             role_change_s=float(engine.get("switchS") or 6.0),
         )
-    return EntryService(item["name"], int(item.get("maxConnections") or 0), profile)
+    return EntryService(item["name"], profile)
 
 
 def _workspace(item: dict) -> EntryWorkspace:
@@ -101,6 +100,5 @@
     return CallerLimits(
         header_bytes=int(table.get("maxHeaderBytes") or default.header_bytes),
         body_bytes=int(table.get("maxBodyBytes") or default.body_bytes),
-        header_s=float(table.get("headerTimeoutMs") or default.header_s * 1000) / 1000,
         idle_s=float(table.get("idleTimeoutMs") or default.idle_s * 1000) / 1000,
     )
--- a/src/sesameport/platform/names.py
+++ b/src/sesameport/platform/names.py
@@ -6,7 +6,6 @@
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
     "HOP_HEADERS",
-    "INSTANCE_ID",
     "KV_SOURCE",
     "LAST_EVENT_ID",
     "LENGTH_HINT",
@@ -30,7 +29,6 @@
 KV_SOURCE = "x-kv-source"
 EXPECT_INSTANCE = "x-expect-instance"
 EXPECT_VERSION = "x-expect-version"
-INSTANCE_ID = "x-instance-id"
 SEAL = "x-response-seal"
 NOT_EXECUTED = "x-not-executed"
 
--- a/src/sesameport/platform/servers.py
+++ b/src/sesameport/platform/servers.py
@@ -51,7 +51,6 @@
             return Err(f"unknown stage {data['stage']!r}")
         role = ROLES[data["stage"]]
     born = data.get("born")
-    cold_ms = data.get("coldRemainingMs")
     return Ok(
         EntryServer(
             name=name,
@@ -63,6 +62,5 @@
             slots=slots,
             # Unix milliseconds of the start: a change means that it forgot everything.
             started_at_ms=born if isinstance(born, int) else 0,
-            cold_s=float(cold_ms) / 1000.0 if isinstance(cold_ms, (int, float)) else 0,
         )
     )
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -13,7 +13,6 @@
     "nodeName": str,
     "ip": str,
     "zone": str,
-    "region": str,
     "internalPorts": list,
     "listen.front": str,
     "listen.readyAddress": str,
@@ -23,16 +22,11 @@
 # The platform's bounds by the project's name; a name that ends in Ms is in
 # milliseconds there.
 _BOUNDS = {
-    "contact_s": "contactMs",
-    "drain_s": "drainMs",
     "grace_s": "graceS",
-    "configuration_s": "configMs",
     "lease_s": "leaseMs",
-    "thaw_s": "thawMs",
     "retry_ratio": "retryBudgetRatio",
     "retry_window_s": "retryWindowS",
     "retry_slack": "retrySlack",
-    "quota_window_s": "quotaWindowS",
 }
 
 
@@ -73,19 +67,15 @@
     findings.extend(bound_findings)
     if findings:
         return None, findings
-    limits = data.get("limits", {})
     return (
         EntrySettings(
             name=data["nodeName"],
             data_centre=data["zone"],
-            region=data["region"],
             ip=data["ip"],
             caller_listen=data["listen"]["front"],
             ready_listen=data["listen"]["readyAddress"],
             peer_port=ports[0],
             store_address=data["platform"]["address"],
-            memory_mb=limits.get("memoryMb", 0),
-            is_first_start=bool(data.get("bootstrap", False)),
             seed_addresses=_seed_addresses(data.get("seeds"), ports[0]),
             bounds=bounds,
         ),
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -22,7 +22,7 @@
 front = "10.1.0.3:8360"
 readyAddress = "10.1.0.3:8365"
 [bounds]
-drainMs = 2500
+leaseMs = 2500
 graceS = 8
 retrySlack = 58
 [platform]
@@ -146,19 +146,19 @@
     found, findings = load_platform_settings(SETTINGS, "node.toml")
     assert findings == []
     assert found.name == "edge-a-1"
-    assert found.bounds.drain_s == 2.5
+    assert found.bounds.lease_s == 2.5
     assert found.bounds.retry_slack == 58.0
     assert found.seed_addresses == ("10.1.0.4:7500", "10.2.0.18:7500")
 
 
 def test_findings_of_settings_name_their_places_and_come_together():
     text = SETTINGS.replace('front = "10.1.0.3:8360"', 'front = "nowhere"')
-    text = text.replace("drainMs = 2500", 'drainMs = "soon"')
+    text = text.replace("leaseMs = 2500", 'leaseMs = "soon"')
     text = text.replace('zone = "a"', "zone = 7")
     found, findings = load_platform_settings(text, "node.toml")
     assert found is None
     assert {(item.file, item.path) for item in findings} == {
         ("node.toml", "listen.front"),
-        ("node.toml", "bounds.drainMs"),
+        ("node.toml", "bounds.leaseMs"),
         ("node.toml", "zone"),
     }
