--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -20,6 +20,13 @@
 
 __all__ = ["Forwarder"]
 
+SHORT_REQUEST_S = 1.0
+"""Time before the end of the process within which no request is let in, seconds: many
+times the usual time of a plain request."""
+
+COME_BACK_S = 0.2
+"""Retry-After of a host that is stopping, seconds; another host can serve at once."""
+
 
 class Forwarder:
     """Forward requests of callers.
@@ -45,9 +52,19 @@
         self._generations = GenerationPath(actor, calls, self._outcomes, data_centre)
 
     def forward(
-        self, req: EntryRequest, host: str, key: str, reply: Reply, watch: CallerWatch
+        self,
+        req: EntryRequest,
+        host: str,
+        key: str,
+        reply: Reply,
+        watch: CallerWatch,
+        ends_at: float | None = None,
     ) -> None:
-        """Answer one request."""
+        """Answer one request.
+
+        ``ends_at`` is the monotonic time at which the process ends, if it is about to:
+        then only requests that can end before are let in.
+        """
         table: RouteTable | None = self._view.table
         if table is None:
             self._outcomes.turn_away(req, reply, 503, "no-configuration", 1.0)
@@ -56,6 +73,12 @@
         if route is None:
             self._outcomes.turn_away(req, reply, 404, "no-route")
             return
+        if ends_at is not None:
+            left_s = ends_at - req.received_at
+            if route.kind == RequestKind.STREAM or left_s < SHORT_REQUEST_S:
+                self._outcomes.turn_away(req, reply, 503, "host-stopping", COME_BACK_S)
+                return
+            req = attrs.evolve(req, deadline=min(req.deadline, ends_at))
         workspace, priority, charge = "", route.priority, 0.0
         if table.needs_key(route):
             found = table.find_workspace(key_digest(key)) if key else None
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -55,7 +55,10 @@
 """Time between becoming unready and closing, seconds: the balancer asks every second
 and takes a host out after two misses."""
 
-STOP_MARGIN_S = 0.7
+LAST_ANSWERS_S = 0.3
+"""Time for requests that were read as the host closed, seconds."""
+
+STOP_MARGIN_S = 1.0
 """Time before the end of the grace time at which what still runs is given up, seconds:
 the process has to end by itself."""
 
@@ -124,6 +127,7 @@
         self._in_flight = 0
         self._changed = threading.Condition()
         self._draining_since: float | None = None
+        self._ends_at: float | None = None
         self._closing = threading.Event()
         self._peers = PeerExchange(settings.ip, settings.peer_port, self._tell)
         self._actor = EntryActor.start(
@@ -170,11 +174,15 @@
         unready_until = min(since + UNREADY_S, until)
         while time.monotonic() < unready_until:
             time.sleep(max(0.0, unready_until - time.monotonic()))
-        # A request that comes later could not end within the grace time.
-        self._front.close_to_new()
+        # The balancer goes on sending here while most hosts of the data centre drain.
+        # Short requests are still answered; streams could not end in the grace time.
+        self._ends_at = until
         with self._changed:
             while self._in_flight and time.monotonic() < until:
                 self._changed.wait(until - time.monotonic())
+        self._front.close_to_new()
+        with self._changed:
+            self._changed.wait_for(lambda: not self._in_flight, LAST_ANSWERS_S)
             left = self._in_flight
         log.info("stopped", extra={"given_up": left})
         return left == 0
@@ -327,7 +335,7 @@
                 host = http.inheaders.get(b"Host", b"").decode("latin-1").strip()
                 key = self._wire.key_of(headers)
                 watch = CallerConnection(http.conn.socket)
-                self._forwarder.forward(req, host, key, reply, watch)
+                self._forwarder.forward(req, host, key, reply, watch, self._ends_at)
 
     def _handle_ready(self, http: StrictRequest, body: bytes) -> None:
         reply = HttpReply(http, lambda: False)
