Keep an error of the clean-up call from replacing the caller's answer

Cause: freeing a handle at a server that just went away raised an error of the HTTP library that was not caught, and the caller got a 500 of the router in place of a 503. Found by reading the change; test_handle_that_cannot_be_freed_costs_no_answer. Reading an answer to its end is one function now.

--- a/src/sesameport/entry/generation_path.py
+++ b/src/sesameport/entry/generation_path.py
@@ -10,7 +10,7 @@
 from sesameport.admission import Generation, Placement, expected_output
 from sesameport.entry import messages as m
 from sesameport.entry.events import EventCutter
-from sesameport.entry.outcomes import MAX_SENDS, Outcomes, read_whole
+from sesameport.entry.outcomes import MAX_SENDS, Outcomes
 from sesameport.entry.requests import (
     AnswerBroken,
     CallerGone,
@@ -18,6 +18,7 @@
     FailureKind,
     KvSource,
     ServerCalls,
+    read_whole,
 )
 from sesameport.telemetry.logs import get_logger
 
@@ -256,10 +257,10 @@
         )
 
     def _free(self, progress, source: KvSource) -> None:
-        try:
-            self._calls.free(source)
-        except OSError as exc:
+        freed = self._calls.free(source)
+        if freed.is_err():
+            request_id, error = progress.req.request_id, freed.unwrap_err()
             log.info(
                 "handle not freed, it lapses by itself",
-                extra={"request_id": progress.req.request_id, "error": repr(exc)},
+                extra={"request_id": request_id, "error": error},
             )
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -4,21 +4,16 @@
 from typing import Protocol
 
 import attrs
-from result import Err, Ok, Result
 
 from sesameport.entry import messages as m
 from sesameport.entry.contracts import EntryRoute
 from sesameport.entry.requests import (
-    AnswerBroken,
-    CallerGone,
-    CallFailure,
     EntryRequest,
     FailureKind,
-    OpenAnswer,
 )
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["MAX_SENDS", "Outcomes", "Progress", "Reply", "read_whole"]
+__all__ = ["MAX_SENDS", "Outcomes", "Progress", "Reply"]
 
 MAX_SENDS = 4
 """Servers that one request is sent to, whether or not they ran it. It bounds the time
@@ -215,20 +210,3 @@
                 "version": progress.version,
             },
         )
-
-
-def read_whole(answer: OpenAnswer) -> Result[tuple, CallFailure]:
-    """Read an answer to its end and close it; Ok holds status, headers and body."""
-    try:
-        body = b"".join(answer.chunks())
-    except AnswerBroken as exc:
-        return Err(CallFailure(FailureKind.BROKEN, str(exc)))
-    except TimeoutError as exc:
-        return Err(CallFailure(FailureKind.TIMEOUT, str(exc)))
-    except CallerGone:
-        return Err(CallFailure(FailureKind.CALLER_LEFT))
-    finally:
-        answer.close()
-    if 200 <= answer.status < 300 and not answer.is_signed:
-        return Err(CallFailure(FailureKind.BROKEN, "success without signature"))
-    return Ok((answer.status, answer.headers, body))
--- a/src/sesameport/entry/plain_path.py
+++ b/src/sesameport/entry/plain_path.py
@@ -5,8 +5,13 @@
 from result import Err, Ok
 
 from sesameport.entry import messages as m
-from sesameport.entry.outcomes import MAX_SENDS, Outcomes, read_whole
-from sesameport.entry.requests import CallerGone, FailureKind, ServerCalls
+from sesameport.entry.outcomes import MAX_SENDS, Outcomes
+from sesameport.entry.requests import (
+    CallerGone,
+    FailureKind,
+    ServerCalls,
+    read_whole,
+)
 
 __all__ = ["PlainPath"]
 
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 import attrs
-from result import Result
+from result import Err, Ok, Result
 
 from sesameport.entry.contracts import EntryRoute
 
@@ -21,6 +21,8 @@
     "PrefillResult",
     "ServerCalls",
     "TokenCounts",
+    "read_body",
+    "read_whole",
 ]
 
 
@@ -198,6 +200,35 @@
         """
         ...
 
-    def free(self, source: KvSource) -> None:
+    def free(self, source: KvSource) -> Result[None, str]:
         """Free the KV cache of a prefill that is not used."""
         ...
+
+
+def read_body(answer: OpenAnswer) -> Result[bytes, CallFailure]:
+    """Read an answer to its end and close it."""
+    try:
+        return Ok(b"".join(answer.chunks()))
+    except AnswerBroken as exc:
+        return Err(CallFailure(FailureKind.BROKEN, str(exc)))
+    except TimeoutError as exc:
+        return Err(CallFailure(FailureKind.TIMEOUT, str(exc)))
+    except CallerGone:
+        return Err(CallFailure(FailureKind.CALLER_LEFT))
+    finally:
+        answer.close()
+
+
+def read_whole(answer: OpenAnswer) -> Result[tuple, CallFailure]:
+    """Read an answer for a caller; Ok holds its status, headers and body.
+
+    A success counts only with the server's signature.
+    """
+    match read_body(answer):
+        case Err(failure):
+            return Err(failure)
+        case Ok(body):
+            pass
+    if 200 <= answer.status < 300 and not answer.is_signed:
+        return Err(CallFailure(FailureKind.BROKEN, "success without signature"))
+    return Ok((answer.status, answer.headers, body))
--- a/src/sesameport/entry/tests/test_requests.py
+++ b/src/sesameport/entry/tests/test_requests.py
@@ -251,3 +251,13 @@
     answer = world.call("/look/x")
     assert answer.status == 500
     assert answer.headers["x-response-seal"] == "e"
+
+
+def test_handle_that_cannot_be_freed_costs_no_answer(world, host):
+    # Guards against an error of the clean-up call in place of the caller's answer.
+    world.replicas["d1"].faults[:] = ["refuse"] * 4
+    prefill = world.replicas["p1"]
+    prefill.stops_after_prefill = True
+    answer = world.draft()
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -23,6 +23,7 @@
     KvSource,
     OpenAnswer,
     PrefillResult,
+    read_body,
 )
 from sesameport.platform import names
 
@@ -97,16 +98,11 @@
                 return Err(failure)
             case Ok(answer):
                 pass
-        try:
-            body = b"".join(answer.chunks())
-        except AnswerBroken as exc:
-            return Err(CallFailure(FailureKind.BROKEN, str(exc)))
-        except TimeoutError as exc:
-            return Err(CallFailure(FailureKind.TIMEOUT, str(exc)))
-        except CallerGone:
-            return Err(CallFailure(FailureKind.CALLER_LEFT))
-        finally:
-            answer.close()
+        match read_body(answer):
+            case Err(failure):
+                return Err(failure)
+            case Ok(body):
+                pass
         if answer.status != 200:
             detail = f"prefill answered {answer.status}"
             return Err(CallFailure(FailureKind.BROKEN, detail))
@@ -131,15 +127,18 @@
             extra.append((names.KV_SOURCE, f"{source.address}/{source.handle}"))
         return self._open(address, server, req, watch, extra, within_s)
 
-    def free(self, source: KvSource) -> None:
+    def free(self, source: KvSource) -> Result[None, str]:
         """Free the KV cache of a prefill; it lapses by itself if this fails."""
         host, _, port = source.address.rpartition(":")
         conn = HTTPConnection(host, int(port), timeout=FREE_S, socket_options=_OPTIONS)
         try:
             conn.request("DELETE", f"/v1/kv-handle/{source.handle}")
             conn.getresponse()
+        except _ERRORS as exc:
+            return Err(repr(exc))
         finally:
             conn.close()
+        return Ok(None)
 
     def _open(
         self, address, server, req, watch, extra, within_s
--- a/src/sesameport/platform/tests/standins.py
+++ b/src/sesameport/platform/tests/standins.py
@@ -49,6 +49,7 @@
     def __init__(self):
         self._server = _Server(("127.0.0.1", 0), _Handler)
         self._server.standin = self
+        self._stopped = False
         self.address = f"127.0.0.1:{self._server.server_port}"
         threading.Thread(
             target=self._server.serve_forever,
@@ -58,8 +59,10 @@
 
     def stop(self):
         """Stop listening."""
-        self._server.shutdown()
-        self._server.server_close()
+        if not self._stopped:
+            self._stopped = True
+            self._server.shutdown()
+            self._server.server_close()
 
 
 class StoreStandin(_Standin):
@@ -208,6 +211,7 @@
         self.pause_s = pause_s
         self.faults = []
         self.silent_prefills = 0
+        self.stops_after_prefill = False
         self.seen = []
         self.runs = []
         self.orders = []
@@ -260,6 +264,9 @@
             tokens = int(headers["x-token-count"].split(",")[0])
             handle = {"kvHandle": f"h{len(self.seen)}", "tokens": tokens, "version": 1}
             handler.reply(200, handle)
+            if self.stops_after_prefill:
+                self.stops_after_prefill = False
+                threading.Thread(target=self.stop, daemon=True).start()
             return
         self.runs.append(headers["x-request-id"])
         self._run(handler, headers, fault)
