Keep the tests that speak the wire beside the adapter

Cause: whole-path tests under entry/ spelled the platform's names, which only platform/ is to know. They moved with their stand-ins; nothing in them changed.

--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -3,10 +3,10 @@
 import json
 
 from sesameport.entry.contracts import RequestKind, key_digest
-from sesameport.entry.tests.conftest import configuration
 from sesameport.platform import callers, servers
 from sesameport.platform.configuration import decode_configuration
 from sesameport.platform.settings import is_platform_settings, load_platform_settings
+from sesameport.platform.tests.conftest import configuration
 from sesameport.world import ServerRole, ServerState
 
 SETTINGS = """
--- a/src/sesameport/entry/tests/test_requests.py
+++ b/src/sesameport/platform/tests/test_requests.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from sesameport.entry.tests.conftest import HOST, KEY, configuration, wait_until
+from sesameport.platform.tests.conftest import HOST, KEY, configuration, wait_until
 
 
 def test_plain_request_is_passed_on_unchanged_without_the_key(world, host):
--- a/src/sesameport/entry/tests/test_roles.py
+++ b/src/sesameport/platform/tests/test_roles.py
@@ -20,8 +20,8 @@
 )
 from sesameport.entry.servers import EntryServer
 from sesameport.entry.settings import EntrySettings
-from sesameport.entry.tests.conftest import wait_until
 from sesameport.platform.store import ObjectStore
+from sesameport.platform.tests.conftest import wait_until
 from sesameport.platform.tests.standins import StoreStandin
 from sesameport.world import ServerRole
 
--- a/src/sesameport/entry/tests/test_shutdown.py
+++ b/src/sesameport/platform/tests/test_shutdown.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sesameport.entry.tests.conftest import wait_until
+from sesameport.platform.tests.conftest import wait_until
 
 
 @pytest.fixture
--- a/src/sesameport/entry/tests/test_store_faults.py
+++ b/src/sesameport/platform/tests/test_store_faults.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from sesameport.entry.tests.conftest import configuration, wait_until
+from sesameport.platform.tests.conftest import configuration, wait_until
 
 
 def test_host_without_configuration_answers_503_and_is_not_ready(world):
