Take no removal after the first contact for a lapse

Cause: a host that had just started took its first contact with the store for the end of an outage. Ruled out: a late watch, the log shows the removal 48 ms after it. The first contact ends no outage now; the new test fails without the change.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -83,6 +83,7 @@
         self._snapshot_asked_at = -math.inf
         self._asked_at = -math.inf
         self._store_reachable = False
+        self._had_store = False
         desk = self._desk
         self._handlers = {
             m.AdmitGeneration: desk.admit_generation,
@@ -310,7 +311,10 @@
             return
         self._store_reachable = is_reachable
         if is_reachable:
-            self._desk.directory.note_regained(now)
+            # The first contact ends no outage: what is removed after it is gone.
+            if self._had_store:
+                self._desk.directory.note_regained(now)
+            self._had_store = True
             self._peers.ask_snapshots(False)
             log.info("store regained")
         else:
--- a/src/sesameport/platform/tests/test_store_faults.py
+++ b/src/sesameport/platform/tests/test_store_faults.py
@@ -112,3 +112,10 @@
     time.sleep(0.3)
     host.sweep_hosts()
     assert world.store.spec("entry-hosts", "h1") is not None
+
+
+def test_server_that_leaves_right_after_a_host_started_gets_no_work(world, host):
+    # Guards against taking the first contact with the store for the end of an outage
+    # (hunt-ba50-7 of norrgrepp-port: work 2.1 s after the entry was removed).
+    world.store.remove("servers", "s1")
+    wait_until(lambda: world.call("/look/x").status == 503, 1.0)
