Hold workspace rates over the users' window in place of a bucket of one burst

A draft is charged some 14,000 tokens and the burst holds 16,500, so a workspace that sent two drafts within 1.3 s was refused although it had used a small part of what it may spend in quotaWindowS. Ruled out: reports that arrive late (all 8 hosts heard, the oldest report 1.2 s old with no change) and charges that are not returned.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -354,6 +354,7 @@
         self._admission.budget.update_limits(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
+        self._admission.quota.change_window(bounds.quota_window_s, now)
         if self._addresses:
             self._apply_hosts(m.HostsChanged(self._addresses), now)
 
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -81,7 +81,7 @@
         self.use = FleetUse()
         self.health = ServerHealth()
         self.monitor = ServerMonitor(self.registry, self.health, on_change, self._rng)
-        self.quota = FleetQuota()
+        self.quota = FleetQuota(bounds.quota_window_s)
         self.budget = WindowedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -18,6 +18,8 @@
     retry_ratio, retry_window_s, retry_slack : float
         Fleet-wide retry budget: at most ``ratio * requests + slack`` retries in any
         window.
+    quota_window_s : float
+        Window over which the rate and burst of a workspace hold, seconds.
     """
 
     grace_s: float = 8.0
@@ -25,6 +27,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
+    quota_window_s: float = 8.0
 
 
 @attrs.frozen
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -1,9 +1,8 @@
 """Load the settings file that the users' platform writes for each process."""
 
+import math
 import tomllib
 
-import attrs
-
 from sesameport.domain import Finding
 from sesameport.entry.settings import EntrySettings, FleetBounds
 
@@ -25,12 +24,16 @@
     "retry_ratio": "retryBudgetRatio",
     "retry_window_s": "retryWindowS",
     "retry_slack": "retrySlack",
+    "quota_window_s": "quotaWindowS",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
 Values whose name ends in ``Ms`` are in milliseconds.
 """
 
+_POSITIVE_BOUNDS = frozenset({"retryWindowS", "quotaWindowS"})
+"""Bounds that must not be 0, because rates are counted over these times."""
+
 
 def is_platform_settings(text: str) -> bool:
     """Return whether a settings file has the platform's layout."""
@@ -62,7 +65,7 @@
             findings.append(Finding(file, path, "expected IP:port"))
     ports = data.get("internalPorts")
     if isinstance(ports, list) and not (
-        len(ports) == 2 and all(isinstance(port, int) for port in ports)
+        len(ports) == 2 and all(type(port) is int for port in ports)
     ):
         findings.append(Finding(file, "internalPorts", "expected two port numbers"))
     bounds, bound_findings = _parse_bounds(data.get("bounds", {}), file)
@@ -98,13 +101,21 @@
 
 def _parse_bounds(table, file: str) -> tuple[FleetBounds, list[Finding]]:
     findings, values = [], {}
-    field_names = {field.name for field in attrs.fields(FleetBounds)}
+    if not isinstance(table, dict):
+        return FleetBounds(), [Finding(file, "bounds", "expected a table")]
     for name, platform_name in _PLATFORM_BOUND_NAMES.items():
-        if name not in field_names or platform_name not in table:
+        if platform_name not in table:
             continue
         value = table[platform_name]
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-            message = f"expected a number of 0 or more, got {value!r}"
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        must_be_positive = platform_name in _POSITIVE_BOUNDS
+        if (
+            not is_number
+            or not 0 <= value < math.inf
+            or (must_be_positive and value == 0)
+        ):
+            expected = "above 0" if must_be_positive else "of 0 or more"
+            message = f"expected a number {expected}, got {value!r}"
             findings.append(Finding(file, f"bounds.{platform_name}", message))
             continue
         values[name] = value / 1000.0 if platform_name.endswith("Ms") else float(value)
