Import modules of packages when their names are first used

Cause: a restarted entry host serves no one until its imports are done, and the package files of adapters, telemetry, domain and interfaces import modules that only the daemon needs.

Change: lazy_exports.export_lazily (PEP 562) in these four packages; public names and __all__ are as before.

--- a/src/sesameport/adapters/__init__.py
+++ b/src/sesameport/adapters/__init__.py
@@ -1,19 +1,6 @@
 """Implement the clients of the platform, engines, plain services, peers and timers."""
 
-from sesameport.adapters.bulkheads import (
-    Bulkhead,
-    BulkheadEngine,
-    BulkheadLimits,
-    BulkheadPlainService,
-    BulkheadPlatform,
-    Bulkheads,
-)
-from sesameport.adapters.engine import HttpEngine, HttpTokenStream
-from sesameport.adapters.peer_connections import PeerLinkCounters
-from sesameport.adapters.peer_link import ZmqPeerLink
-from sesameport.adapters.plain import HttpPlainService
-from sesameport.adapters.platform import HttpPlatform
-from sesameport.adapters.timers import TimerService
+from sesameport.lazy_exports import export_lazily
 
 __all__ = [
     "Bulkhead",
@@ -30,3 +17,26 @@
     "TimerService",
     "ZmqPeerLink",
 ]
+
+__getattr__, __dir__ = export_lazily(
+    __name__,
+    {
+        "bulkheads": (
+            "Bulkhead",
+            "BulkheadEngine",
+            "BulkheadLimits",
+            "BulkheadPlainService",
+            "BulkheadPlatform",
+            "Bulkheads",
+        ),
+        "engine": (
+            "HttpEngine",
+            "HttpTokenStream",
+        ),
+        "peer_connections": ("PeerLinkCounters",),
+        "peer_link": ("ZmqPeerLink",),
+        "plain": ("HttpPlainService",),
+        "platform": ("HttpPlatform",),
+        "timers": ("TimerService",),
+    },
+)
--- a/src/sesameport/domain/__init__.py
+++ b/src/sesameport/domain/__init__.py
@@ -1,33 +1,6 @@
 """Define the data classes of a deployment, its services and its requests."""
 
-from sesameport.domain.findings import Finding, format_findings
-from sesameport.domain.requests import (
-    CompletionRequest,
-    Execution,
-    PlainRequest,
-    Refusal,
-    RefusalType,
-    Usage,
-)
-from sesameport.domain.service_documents import (
-    LatencyTargets,
-    Model,
-    RegionShare,
-    Route,
-    ServerClass,
-    ServiceDocument,
-    ServiceKind,
-    Urgency,
-    Workspace,
-)
-from sesameport.domain.topology import (
-    BackendServer,
-    DataCentre,
-    Host,
-    Link,
-    ServerRole,
-    ServerState,
-)
+from sesameport.lazy_exports import export_lazily
 
 __all__ = [
     "BackendServer",
@@ -54,3 +27,40 @@
     "Workspace",
     "format_findings",
 ]
+
+__getattr__, __dir__ = export_lazily(
+    __name__,
+    {
+        "findings": (
+            "Finding",
+            "format_findings",
+        ),
+        "requests": (
+            "CompletionRequest",
+            "Execution",
+            "PlainRequest",
+            "Refusal",
+            "RefusalType",
+            "Usage",
+        ),
+        "service_documents": (
+            "LatencyTargets",
+            "Model",
+            "RegionShare",
+            "Route",
+            "ServerClass",
+            "ServiceDocument",
+            "ServiceKind",
+            "Urgency",
+            "Workspace",
+        ),
+        "topology": (
+            "BackendServer",
+            "DataCentre",
+            "Host",
+            "Link",
+            "ServerRole",
+            "ServerState",
+        ),
+    },
+)
--- a/src/sesameport/interfaces/__init__.py
+++ b/src/sesameport/interfaces/__init__.py
@@ -1,35 +1,6 @@
 """Define the protocols through which decision code uses external systems."""
 
-from sesameport.interfaces.engine import (
-    CacheEvent,
-    CacheEvents,
-    DecodeCall,
-    Engine,
-    EngineError,
-    EngineErrorKind,
-    Hold,
-    HoldKind,
-    KvHandle,
-    LoadReport,
-    Order,
-    OrderKind,
-    PlainResponse,
-    PlainService,
-    PrefillCall,
-    TokenEvent,
-    TokenStream,
-)
-from sesameport.interfaces.peers import PeerLink, Sender
-from sesameport.interfaces.platform import (
-    HostList,
-    ObjectList,
-    Platform,
-    PlatformError,
-    PlatformErrorKind,
-    StoredObject,
-    WatchBatch,
-)
-from sesameport.interfaces.timers import Timers
+from sesameport.lazy_exports import export_lazily
 
 __all__ = [
     "CacheEvent",
@@ -60,3 +31,42 @@
     "TokenStream",
     "WatchBatch",
 ]
+
+__getattr__, __dir__ = export_lazily(
+    __name__,
+    {
+        "engine": (
+            "CacheEvent",
+            "CacheEvents",
+            "DecodeCall",
+            "Engine",
+            "EngineError",
+            "EngineErrorKind",
+            "Hold",
+            "HoldKind",
+            "KvHandle",
+            "LoadReport",
+            "Order",
+            "OrderKind",
+            "PlainResponse",
+            "PlainService",
+            "PrefillCall",
+            "TokenEvent",
+            "TokenStream",
+        ),
+        "peers": (
+            "PeerLink",
+            "Sender",
+        ),
+        "platform": (
+            "HostList",
+            "ObjectList",
+            "Platform",
+            "PlatformError",
+            "PlatformErrorKind",
+            "StoredObject",
+            "WatchBatch",
+        ),
+        "timers": ("Timers",),
+    },
+)
--- a/src/sesameport/telemetry/__init__.py
+++ b/src/sesameport/telemetry/__init__.py
@@ -4,69 +4,7 @@
 optional.
 """
 
-from sesameport.telemetry.burn import (
-    BUDGET_PERIOD_S,
-    WINDOW_LENGTHS_S,
-    BurnCounters,
-    BurnSnapshot,
-    ServiceCounts,
-    ServiceSnapshot,
-    WorkspaceCounts,
-    merge_snapshots,
-)
-from sesameport.telemetry.decisions import (
-    DecisionKind,
-    DecisionRecord,
-    DecisionRing,
-)
-from sesameport.telemetry.logs import (
-    JsonLineHandler,
-    bind_request,
-    get_logger,
-    redact_secrets,
-)
-from sesameport.telemetry.metrics import (
-    METRICS,
-    MetricDefinition,
-    Metrics,
-)
-from sesameport.telemetry.objectives import (
-    BURN_RULES,
-    Budget,
-    BurnAlert,
-    BurnRule,
-    ServiceReport,
-    Severity,
-    WorkspaceReport,
-    burn_rate,
-    evaluate_objectives,
-    max_min_shares,
-)
-from sesameport.telemetry.outcomes import (
-    Outcome,
-    OutcomeKind,
-)
-from sesameport.telemetry.recorder import (
-    Recorder,
-)
-from sesameport.telemetry.report import (
-    FleetReport,
-    make_report,
-    to_html,
-    to_json,
-    to_text,
-)
-from sesameport.telemetry.status import (
-    DocumentStatus,
-    HoldStatus,
-    HostStatus,
-    LeaseStatus,
-    MemberStatus,
-    ShareStatus,
-    decode_status,
-    encode_status,
-)
-from sesameport.telemetry.status_api import StatusApi
+from sesameport.lazy_exports import export_lazily
 
 __all__ = [
     "BURN_RULES",
@@ -115,3 +53,70 @@
     "to_json",
     "to_text",
 ]
+
+__getattr__, __dir__ = export_lazily(
+    __name__,
+    {
+        "burn": (
+            "BUDGET_PERIOD_S",
+            "WINDOW_LENGTHS_S",
+            "BurnCounters",
+            "BurnSnapshot",
+            "ServiceCounts",
+            "ServiceSnapshot",
+            "WorkspaceCounts",
+            "merge_snapshots",
+        ),
+        "decisions": (
+            "DecisionKind",
+            "DecisionRecord",
+            "DecisionRing",
+        ),
+        "logs": (
+            "JsonLineHandler",
+            "bind_request",
+            "get_logger",
+            "redact_secrets",
+        ),
+        "metrics": (
+            "METRICS",
+            "MetricDefinition",
+            "Metrics",
+        ),
+        "objectives": (
+            "BURN_RULES",
+            "Budget",
+            "BurnAlert",
+            "BurnRule",
+            "ServiceReport",
+            "Severity",
+            "WorkspaceReport",
+            "burn_rate",
+            "evaluate_objectives",
+            "max_min_shares",
+        ),
+        "outcomes": (
+            "Outcome",
+            "OutcomeKind",
+        ),
+        "recorder": ("Recorder",),
+        "report": (
+            "FleetReport",
+            "make_report",
+            "to_html",
+            "to_json",
+            "to_text",
+        ),
+        "status": (
+            "DocumentStatus",
+            "HoldStatus",
+            "HostStatus",
+            "LeaseStatus",
+            "MemberStatus",
+            "ShareStatus",
+            "decode_status",
+            "encode_status",
+        ),
+        "status_api": ("StatusApi",),
+    },
+)
