--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -1,11 +1,12 @@
 """Exchange reports between entry hosts over ZeroMQ publish and subscribe.
 
 Every message contains the complete state of its host, so the next message replaces a
-lost one. A host that cannot reach the store requests snapshots by subscribing to them.
-The publisher receives the subscription even if it does not know the host. One thread
-owns the sockets.
+lost one. A host that cannot reach the store requests snapshots by subscribing to them
+at a few hosts. The publisher receives the subscription even if it does not know the
+host. One thread owns the sockets.
 """
 
+import random
 import threading
 from collections.abc import Callable
 
@@ -31,6 +32,11 @@
 QUEUED_MESSAGES = 200
 """Number of messages queued for one slow host; further messages are dropped."""
 
+SNAPSHOT_SOURCES = 3
+"""Number of hosts from which snapshots are requested. A snapshot holds the whole
+configuration, and those of all hosts would saturate the link of the receiving host.
+Each request chooses other hosts, because some may have no store either."""
+
 _REPORT = b"r"
 _SNAPSHOT = b"s"
 _CONNECT = b"connect"
@@ -62,6 +68,7 @@
         on_message: Callable[[HostReport | FleetSnapshot | SnapshotRequested], None],
     ):
         self._on_message = on_message
+        self._rng = random.Random()
         self._context = zmq.Context()
         self._publisher = self._socket(zmq.XPUB)
         # Every subscription is reported, not only the first to a topic.
@@ -91,7 +98,7 @@
         self._control.send_multipart([_CONNECT, wanted])
 
     def request_snapshots(self, wanted: bool) -> None:
-        """Request a snapshot from all hosts, or end the subscription to snapshots."""
+        """Request a snapshot from a few hosts, or end the subscription to snapshots."""
         self._control.send_multipart([_REQUEST, b"1" if wanted else b""])
 
     def _socket(self, kind: int) -> zmq.Socket:
@@ -111,22 +118,27 @@
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
         subscriber.subscribe(_REPORT)
+        snapshots = self._socket(zmq.SUB)
+        snapshots.subscribe(_SNAPSHOT)
         poller = zmq.Poller()
-        for sock in (control, subscriber, self._publisher):
+        for sock in (control, subscriber, snapshots, self._publisher):
             poller.register(sock, zmq.POLLIN)
         connected: set[str] = set()
+        sources: set[str] = set()
         while True:
             ready = dict(poller.poll())
             if control in ready:
                 topic, data = control.recv_multipart()
                 if topic == _CONNECT:
-                    connected = _update_connections(subscriber, connected, data)
+                    connected = self._update_connections(subscriber, connected, data)
                 elif topic == _REQUEST:
-                    _subscribe_again(subscriber, bool(data))
+                    sources = self._choose_sources(snapshots, sources, connected, data)
                 else:
                     self._send(topic, data)
             if subscriber in ready:
                 self._receive(*subscriber.recv_multipart())
+            if snapshots in ready:
+                self._receive(*snapshots.recv_multipart())
             if self._publisher in ready and self._publisher.recv() == b"\x01s":
                 self._on_message(SnapshotRequested())
 
@@ -136,6 +148,42 @@
         except zmq.ZMQError as exc:
             log.warning("peer message not sent", extra={"reason": str(exc)})
 
+    def _update_connections(
+        self, subscriber: zmq.Socket, connected: set[str], data: bytes
+    ) -> set[str]:
+        wanted = set(msgspec.msgpack.decode(data))
+        self._disconnect(subscriber, connected - wanted)
+        for address in wanted - connected:
+            subscriber.connect(f"tcp://{address}")
+        return wanted
+
+    def _disconnect(self, subscriber: zmq.Socket, addresses: set[str]) -> None:
+        """Disconnect a subscriber after handling the messages that have arrived.
+
+        Polling reads the first part of a message ahead. If its connection ends before
+        the second part is read, ZeroMQ aborts the process.
+        """
+        while addresses and subscriber.poll(0):
+            self._receive(*subscriber.recv_multipart())
+        for address in addresses:
+            subscriber.disconnect(f"tcp://{address}")
+
+    def _choose_sources(
+        self, snapshots: zmq.Socket, sources: set[str], connected: set[str], data: bytes
+    ) -> set[str]:
+        """Connect to other sources of snapshots, or to none, and return them."""
+        # ZeroMQ sends publishers only a new subscription, so the previous connections
+        # end first.
+        self._disconnect(snapshots, sources)
+        if not data:
+            return set()
+        candidates = sorted(connected - sources) or sorted(connected)
+        count = min(SNAPSHOT_SOURCES, len(candidates))
+        chosen = set(self._rng.sample(candidates, count))
+        for address in chosen:
+            snapshots.connect(f"tcp://{address}")
+        return chosen
+
     def _receive(self, topic: bytes, data: bytes) -> None:
         decode = decode_report if topic == _REPORT else _decode_snapshot
         match decode(data):
@@ -150,25 +198,3 @@
         return Ok(msgspec.msgpack.decode(data, type=FleetSnapshot))
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
         return Err(str(exc))
-
-
-def _update_connections(
-    subscriber: zmq.Socket, connected: set[str], data: bytes
-) -> set[str]:
-    wanted = set(msgspec.msgpack.decode(data))
-    for address in wanted - connected:
-        subscriber.connect(f"tcp://{address}")
-    for address in connected - wanted:
-        subscriber.disconnect(f"tcp://{address}")
-    return wanted
-
-
-def _subscribe_again(subscriber: zmq.Socket, wanted: bool) -> None:
-    # ZeroMQ sends publishers only a new subscription, so end the previous one first.
-    try:
-        subscriber.unsubscribe(_SNAPSHOT)
-    except zmq.ZMQError as exc:
-        # There was no subscription yet.
-        log.debug("not subscribed", extra={"reason": str(exc)})
-    if wanted:
-        subscriber.subscribe(_SNAPSHOT)
