Pause a server for reported connections only if two hosts report it

A full queue of one plain server was shared the same way, and moved its load to the other two.

Change: a report by one host starts a probe; two hosts that report a server pause it. If reports would exclude more than half of the servers of a role, they are ignored, and only a host's own failures count. A refusal by a plain server pauses it for 0.1 s on the host that was refused.

--- a/src/sesameport/admission/server_health.py
+++ b/src/sesameport/admission/server_health.py
@@ -6,6 +6,10 @@
 exponential backoff. Hosts share these pauses, so not every host has to lose a
 request to detect the fault. Each host then probes an unreachable server until it can
 connect again.
+
+A host whose own link is saturated cannot connect to any server. Its report that a
+server is unreachable therefore counts only together with that of another host, and a
+load that saturates the links of many hosts must not take all servers out of use.
 """
 
 from collections.abc import Iterable, Mapping
@@ -30,10 +34,16 @@
 stopped server expires within three heartbeats of 1.2 s. A changed entry ends the pause
 early."""
 
+FULL_QUEUE_PAUSE_S = 0.1
+"""Pause after a server refused a request because its queue was full, seconds."""
+
 FAILED_PROBE_PAUSE_S = 1.2
 """Pause after a failed probe, seconds. The next probe completes within this time:
 probes start every 0.5 s and time out after 0.4 s."""
 
+MIN_UNREACHABLE_REPORTS = 2
+"""Number of other hosts that must report a server as unreachable to pause it here."""
+
 MAX_REMOTE_PAUSE_S = 10.0
 """Upper limit for a pause reported by another host, seconds."""
 
@@ -63,7 +73,7 @@
 
     _records: dict[str, _ServerRecord] = attrs.field(factory=dict)
     _remote_pauses: dict[str, float] = attrs.field(factory=dict)
-    _remote_unreachable: dict[str, float] = attrs.field(factory=dict)
+    _remote_unreachable: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     def record_answer(self, server: str, failed: bool) -> None:
         """Record a response and whether it reported a failure of the server."""
@@ -96,8 +106,9 @@
         names = {
             name for name, record in self._records.items() if record.is_unreachable
         }
-        remote = self._remote_unreachable.items()
-        names.update(name for name, until in remote if now < until)
+        names.update(
+            name for name in self._remote_unreachable if self._reporters(name, now)
+        )
         return sorted(names)
 
     def record_probe(self, server: str, reached: bool, now: float) -> None:
@@ -115,6 +126,16 @@
         """Record a refusal of work, which does not count as a failure."""
         self._back_off(server, now)
 
+    def record_full_queue(self, server: str, now: float) -> None:
+        """Record a refusal by a server whose queue is full.
+
+        The pause is short and not shared with other hosts. The queue has room again
+        after one request, and if every host paused the server, its load would move to
+        the other servers and fill their queues too.
+        """
+        record = self._records.setdefault(server, _ServerRecord())
+        record.unshared_until = max(record.unshared_until, now + FULL_QUEUE_PAUSE_S)
+
     def record_wrong_server(self, server: str, now: float) -> None:
         """Record that a different server answered, or one with a different role."""
         self.pause(server, WRONG_SERVER_PAUSE_S, now)
@@ -137,20 +158,35 @@
         record.paused_until = max(record.paused_until, now + seconds)
 
     def apply_pauses(
-        self, pauses: Mapping[str, float], unreachable: Iterable[str], now: float
+        self,
+        host: str,
+        pauses: Mapping[str, float],
+        unreachable: Iterable[str],
+        now: float,
     ) -> None:
         """Apply the pauses reported by another host, in seconds from now.
 
         ``unreachable`` names the paused servers that should be probed. A server that
         is changing its role is not among them, which saves a probe from every host.
         """
+        unreachable = frozenset(unreachable)
         for server, seconds in pauses.items():
             until = now + min(seconds, MAX_REMOTE_PAUSE_S)
+            if server in unreachable:
+                self._remote_unreachable.setdefault(server, {})[host] = until
+                continue
             self._remote_pauses[server] = max(
                 self._remote_pauses.get(server, 0.0), until
             )
-        for server in unreachable:
-            self._remote_unreachable[server] = self._remote_pauses.get(server, 0.0)
+
+    def _reporters(self, server: str, now: float) -> int:
+        """Return how many other hosts currently report a server as unreachable."""
+        ends = self._remote_unreachable.get(server)
+        if not ends:
+            return 0
+        for host in [host for host, until in ends.items() if until <= now]:
+            del ends[host]
+        return len(ends)
 
     def pauses(self, now: float) -> dict[str, float]:
         """Return the pauses that originate from this host, in seconds from now."""
@@ -170,6 +206,12 @@
 
     def is_paused(self, server: str, now: float) -> bool:
         """Return whether a server is currently excluded from placement."""
+        return self.is_paused_here(server, now) or self.is_reported_unreachable(
+            server, now
+        )
+
+    def is_paused_here(self, server: str, now: float) -> bool:
+        """Return whether a server is paused without regard to reported connections."""
         if now < self._remote_pauses.get(server, 0.0):
             return True
         record = self._records.get(server)
@@ -177,6 +219,10 @@
             return False
         return now < max(record.shared_pause_until(), record.unshared_until)
 
+    def is_reported_unreachable(self, server: str, now: float) -> bool:
+        """Return whether enough other hosts currently cannot reach a server."""
+        return self._reporters(server, now) >= MIN_UNREACHABLE_REPORTS
+
     def _back_off(self, server: str, now: float) -> None:
         record = self._records.setdefault(server, _ServerRecord())
         record.backoff_until = max(record.backoff_until, now + record.next_backoff_s())
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -209,7 +209,9 @@
         self._admission.quota.apply_report(
             report.host, report.incarnation, report.charged, now
         )
-        self._admission.health.apply_pauses(report.paused, report.unreachable, now)
+        self._admission.health.apply_pauses(
+            report.host, report.paused, report.unreachable, now
+        )
         self._admission.place_waiting(now)
 
     def _serve_snapshot(self, message: m.SnapshotRequested, now: float) -> None:
--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -1,9 +1,11 @@
 """Track the health of backend servers from the outcomes of calls and probes."""
 
+import collections
 import random
 from collections.abc import Callable
 
 from sesameport.admission import ServerHealth, ServerRegistry
+from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -45,14 +47,30 @@
         self._rng = rng
 
     def usable_servers(self, service: str, now: float) -> list[EntryServer]:
-        """Return the servers of a service that take new work and are not paused."""
-        usable = []
+        """Return the servers of a service that take new work and are not paused.
+
+        Reports of other hosts may exclude at most half of the servers of a role. If
+        they name more, the links of the reporting hosts are the likelier fault.
+        """
+        usable, excluded = [], []
         for server in self._registry.live_servers(service):
-            if self._health.is_paused(server.name, now):
+            if self._health.is_paused_here(server.name, now):
                 continue
             if self._registry.is_near_removal(server.name, now):
                 continue
+            if self._health.is_reported_unreachable(server.name, now):
+                excluded.append(server)
+                continue
             usable.append(server)
+        if not excluded:
+            return usable
+        usable_count = collections.Counter(server.role for server in usable)
+        excluded_count = collections.Counter(server.role for server in excluded)
+        usable.extend(
+            server
+            for server in excluded
+            if excluded_count[server.role] > usable_count[server.role]
+        )
         return usable
 
     def record_outcome(self, message: m.CallOutcome, now: float) -> None:
@@ -66,6 +84,9 @@
         elif message.wrong_server:
             self._health.record_wrong_server(server, now)
         elif message.refused:
+            if self._is_plain(server):
+                self._health.record_full_queue(server, now)
+                return
             self._health.record_refusal(server, now)
         elif message.refused_decode:
             self._health.record_decode_refusal(server, now)
@@ -85,6 +106,10 @@
             log.warning("server paused", extra={"server": server, "reason": reason})
             self._on_change(now)
 
+    def _is_plain(self, name: str) -> bool:
+        server = self._registry.get(name)
+        return server is not None and server.role == ServerRole.PLAIN
+
     def probe_targets(self, now: float) -> list[EntryServer]:
         """Return the servers to probe, a random sample if there are many."""
         candidates = [
--- /dev/null
+++ b/src/sesameport/entry/tests/test_server_monitor.py
@@ -0,0 +1,58 @@
+"""Test which servers a host uses while other hosts report them as unreachable."""
+
+import random
+
+import pytest
+
+from sesameport.admission import ServerHealth, ServerRegistry
+from sesameport.domain import ServerRole
+from sesameport.entry import messages as m
+from sesameport.entry.server_monitor import ServerMonitor
+from sesameport.entry.servers import EntryServer
+
+
+@pytest.fixture
+def monitor():
+    registry, health = ServerRegistry(), ServerHealth()
+    for n in range(3):
+        name = f"s{n}"
+        registry.put(EntryServer(name, "desk", f"1.2.3.{n}:80", "a", ServerRole.PLAIN))
+    return ServerMonitor(registry, health, lambda now: None, random.Random(1)), health
+
+
+def report(health, hosts, servers):
+    for n in range(hosts):
+        health.apply_pauses(f"h{n}", dict.fromkeys(servers, 2.0), servers, 0.0)
+
+
+def names(monitor, now):
+    return {server.name for server in monitor.usable_servers("desk", now)}
+
+
+def test_server_that_several_hosts_cannot_reach_is_not_used(monitor):
+    monitor, health = monitor
+    report(health, 2, ["s1"])
+    assert names(monitor, 0.1) == {"s0", "s2"}
+
+
+def test_reports_of_many_choked_hosts_leave_the_servers_in_use(monitor):
+    # 35 of 61 hosts had saturated links and could not connect to any of three booking
+    # servers. The other 26 hosts refused all bookings for seven seconds.
+    monitor, health = monitor
+    report(health, 35, ["s0", "s1", "s2"])
+    assert names(monitor, 0.1) == {"s0", "s1", "s2"}
+
+
+def test_own_failures_exclude_a_server_although_reports_are_ignored(monitor):
+    monitor, health = monitor
+    report(health, 35, ["s0", "s1", "s2"])
+    monitor.record_outcome(m.CallOutcome("s0", unreachable=True), 0.0)
+    assert names(monitor, 0.1) == {"s1", "s2"}
+
+
+def test_full_queue_of_a_plain_server_is_not_reported(monitor):
+    monitor, health = monitor
+    monitor.record_outcome(m.CallOutcome("s0", refused=True), 0.0)
+    assert names(monitor, 0.05) == {"s1", "s2"}
+    assert health.pauses(0.05) == {}
+    assert names(monitor, 0.2) == {"s0", "s1", "s2"}
