Call the store less: announce hosts, read changes together, one thread in an outage

After an outage a watch without a change also hid for up to 25 s that the store was back.

Change: a host registers, lists the hosts once and announces its address to them by a subscription; listings are repeated every 60 s. A watch is called again 0.4 s after the call before it at the earliest. While the store is down one thread tries to reach it, by a watch of 0.1 s. The addresses of hosts moved from actor.py to host_addresses.py, their registration to host_directory.py.

The test of expired registrations lists before it waits, since registrations are no longer watched; its times are as before.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -8,6 +8,7 @@
 from sesameport.admission import RouteTable
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
+from sesameport.entry.host_addresses import HostAddresses
 from sesameport.entry.report_scheduler import ReportScheduler
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.settings import EntrySettings
@@ -28,11 +29,6 @@
 SNAPSHOT_REQUEST_LIFETIME_S = 5.0
 """Time after a request for which changes are published as snapshots, seconds."""
 
-HOST_EXPIRY_S = 600.0
-"""Time without reports after which a host's registration is deleted, seconds. It
-exceeds the longest partition between regions. A host that was only cut off registers
-again."""
-
 log = get_logger("entry")
 
 
@@ -77,9 +73,8 @@
             settings, self._schedule_report, self._wake_at
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
-        self._addresses: dict[str, str] = {}
+        self._addresses = HostAddresses(settings.name)
         self._peer_sequences: dict[str, tuple[int, int]] = {}
-        self._report_times: dict[str, float] = {}
         self._reported_at = 0.0
         self._snapshot_at = 0.0
         self._snapshot_due = False
@@ -107,6 +102,7 @@
             m.ServersListed: self._apply_servers,
             m.ServersChanged: self._apply_servers,
             m.HostsChanged: self._apply_hosts,
+            m.HostAnnounced: self._add_host,
             m.FleetSnapshot: self._apply_snapshot,
             m.StoreConnectivity: self._apply_connectivity,
             m.GetFleetCounts: self._counts,
@@ -154,11 +150,7 @@
             != self._settings.name
         ):
             return ()
-        return tuple(
-            name
-            for name, at in self._report_times.items()
-            if now - at > HOST_EXPIRY_S and name in self._addresses
-        )
+        return self._addresses.expired(now)
 
     def _schedule_report(self, now: float) -> None:
         at = self._report_scheduler.schedule_change(now)
@@ -204,7 +196,7 @@
         elif known >= (report.incarnation, report.sequence):
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
-        self._report_times[report.host] = now
+        self._addresses.record_report(report.host, now)
         self._admission.use.apply_report(report.host, report.uses, now, report.waiting)
         self._admission.quota.apply_report(
             report.host, report.incarnation, report.charged, now
@@ -232,7 +224,7 @@
                 self._store_reachable,
                 self._admission.configuration,
                 tuple(self._admission.registry.all()),
-                dict(self._addresses),
+                dict(self._addresses.by_name),
             )
         )
 
@@ -250,7 +242,7 @@
             self._configure(m.ApplyConfiguration(snapshot.configuration, source), now)
         if snapshot.is_current or not self._admission.registry.all():
             self._replace_servers(snapshot.servers, now)
-        if not self._addresses:
+        if not self._addresses.by_name:
             self._apply_hosts(m.HostsChanged(snapshot.addresses), now)
 
     def _request_snapshots(self, now: float) -> None:
@@ -337,18 +329,19 @@
                 },
             )
 
+    def _add_host(self, message: m.HostAnnounced, now: float) -> None:
+        """Connect to a host that has connected to this one."""
+        if self._addresses.announce(message.name, message.address, now):
+            self._connect_hosts()
+
     def _apply_hosts(self, message: m.HostsChanged, now: float) -> None:
-        addresses = message.addresses
-        self._addresses = dict(addresses)
-        others = [name for name in addresses if name != self._settings.name]
-        self._report_times = {
-            name: self._report_times.get(name, now) for name in others
-        }
-        self._admission.budget.hosts = max(1, len(addresses))
-        self._report_scheduler.hosts = max(1, len(others))
-        self._peers.connect(
-            set(addresses.values()) | set(self._settings.seed_addresses)
-        )
+        self._addresses.replace(message.addresses, now)
+        self._connect_hosts()
+
+    def _connect_hosts(self) -> None:
+        self._admission.budget.hosts = max(1, len(self._addresses.by_name))
+        self._report_scheduler.hosts = max(1, len(self._addresses.others()))
+        self._peers.connect(self._addresses.connections(self._settings.seed_addresses))
 
     def _apply_settings(self, message: m.ApplySettings, now: float) -> None:
         self._settings = message.settings
@@ -357,8 +350,8 @@
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self._admission.quota.change_window(bounds.quota_window_s, now)
-        if self._addresses:
-            self._apply_hosts(m.HostsChanged(self._addresses), now)
+        if self._addresses.by_name:
+            self._connect_hosts()
 
     def _apply_connectivity(self, message: m.StoreConnectivity, now: float) -> None:
         is_reachable = message.is_reachable
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -13,6 +13,7 @@
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.current_routes import CurrentRoutes
 from sesameport.entry.forwarding import Forwarder
+from sesameport.entry.host_directory import HostDirectory
 from sesameport.entry.http_listener import (
     CallerSocket,
     HttpListener,
@@ -23,13 +24,7 @@
 from sesameport.entry.reachability_probe import ReachabilityProbe
 from sesameport.entry.role_controller import RoleChange, RoleController
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
-from sesameport.entry.store_handlers import (
-    HOST_KIND,
-    ConfigurationHandler,
-    HostRegistrationHandler,
-    ServerEntryHandler,
-    register_host,
-)
+from sesameport.entry.store_handlers import ConfigurationHandler, ServerEntryHandler
 from sesameport.entry.store_watch import ListWatcher, StoreHealth
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
@@ -53,7 +48,7 @@
 """Period at which the roles of engines are checked, seconds."""
 
 HOST_CLEANUP_PERIOD_S = 60.0
-"""Period at which registrations of expired hosts are deleted, seconds."""
+"""Period at which hosts are listed and expired registrations deleted, seconds."""
 
 REGISTRATION_RETRY_S = 1.0
 UNREADY_S = 2.6
@@ -93,7 +88,9 @@
         self._ends_at: float | None = None
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
-        self._peers = PeerExchange(settings.ip, settings.peer_port, self._tell)
+        self._peers = PeerExchange(
+            settings.name, settings.ip, settings.peer_port, self._tell
+        )
         self._actor = EntryActor.start(
             settings,
             self._routes,
@@ -237,11 +234,12 @@
             self._actor, adapter.configuration_name, adapter.decode_configuration
         )
         servers = ServerEntryHandler(self._actor, adapter.decode_server)
-        self._host_registrations = hosts = HostRegistrationHandler(self._actor)
+        self._directory = HostDirectory(
+            store, settings.name, self._peers.address, self._tell
+        )
         for kind, handler in (
             (adapter.configuration_kind, configurations),
             (adapter.server_kind, servers),
-            (HOST_KIND, hosts),
         ):
             ListWatcher(
                 store, kind, handler, health, self.metrics, self._closing
@@ -280,28 +278,20 @@
         ).start()
 
     def delete_expired_hosts(self) -> None:
-        """Register this host again if needed, and delete expired registrations.
+        """Delete the registrations of expired hosts; see `HostDirectory.clean_up`.
 
-        Other hosts delete the registration of a host that is cut off for a long time.
         Only the first host by name deletes registrations.
         """
-        if not self._host_registrations.is_registered(self._settings.name):
-            self._register()
-        for name in self._actor.ask(m.GetExpiredHosts()):
-            self._host_registrations.delete(self._store, name)
+        self._directory.clean_up(lambda: self._actor.ask(m.GetExpiredHosts()))
 
     def _start_registration(self, now: float) -> None:
         # The call may block on the store, so the timer thread must not run it.
         threading.Thread(target=self._register, name="announce", daemon=True).start()
 
     def _register(self) -> None:
-        match register_host(self._store, self._settings.name, self._peers.address):
-            case Ok(_):
-                log.info("host registered", extra={"address": self._peers.address})
-            case Err(reason):
-                log.info("host not registered yet", extra={"reason": reason})
-                retry_at = self._timers.now() + REGISTRATION_RETRY_S
-                self._timers.call_at("announce", retry_at, self._start_registration)
+        if not self._directory.join():
+            retry_at = self._timers.now() + REGISTRATION_RETRY_S
+            self._timers.call_at("announce", retry_at, self._start_registration)
 
     def _tick(self, now: float) -> None:
         self._actor.tell(m.Tick(now))
--- /dev/null
+++ b/src/sesameport/entry/host_addresses.py
@@ -0,0 +1,91 @@
+"""Track the peer addresses of the other hosts.
+
+Addresses come from listings of the registrations, which may be older than the
+announcement of a host that has just started.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+__all__ = ["HostAddresses"]
+
+ANNOUNCEMENT_LIFETIME_S = 60.0
+"""Time for which an announced host is kept although a listing lacks it, seconds. It
+equals the period of the listings, so the next one decides."""
+
+HOST_EXPIRY_S = 600.0
+"""Time without reports after which a host's registration is deleted, seconds. It
+exceeds the longest partition between regions. A host that was only cut off registers
+again."""
+
+
+@attrs.define
+class HostAddresses:
+    """Hold the address of each host and the time of its last report.
+
+    Parameters
+    ----------
+    own_name : str
+        Name of this host, which does not report to itself.
+
+    Examples
+    --------
+    >>> addresses = HostAddresses("h1")
+    >>> addresses.announce("h2", "10.0.0.2:7500", 0.0)
+    True
+    >>> addresses.replace({"h1": "10.0.0.1:7500"}, 1.0)
+    >>> addresses.others()
+    ['h2']
+    """
+
+    own_name: str
+    by_name: dict[str, str] = attrs.field(factory=dict)
+    _announced_at: dict[str, float] = attrs.field(factory=dict)
+    _reported_at: dict[str, float] = attrs.field(factory=dict)
+
+    def announce(self, name: str, address: str, now: float) -> bool:
+        """Add an announced host; return whether its address is new."""
+        self._announced_at[name] = now
+        if self.by_name.get(name) == address:
+            return False
+        self.by_name = {**self.by_name, name: address}
+        self._reported_at.setdefault(name, now)
+        return True
+
+    def replace(self, listed: Mapping[str, str], now: float) -> None:
+        """Apply a listing and keep the hosts that announced themselves recently."""
+        self._announced_at = {
+            name: at
+            for name, at in self._announced_at.items()
+            if now - at < ANNOUNCEMENT_LIFETIME_S
+        }
+        kept = {
+            name: self.by_name[name]
+            for name in self._announced_at
+            if name in self.by_name
+        }
+        self.by_name = {**listed, **kept}
+        self._reported_at = {
+            name: self._reported_at.get(name, now) for name in self.others()
+        }
+
+    def record_report(self, name: str, now: float) -> None:
+        """Record the time of a host's report."""
+        self._reported_at[name] = now
+
+    def others(self) -> list[str]:
+        """Return the names of the other hosts."""
+        return [name for name in self.by_name if name != self.own_name]
+
+    def connections(self, seeds: Iterable[str]) -> set[str]:
+        """Return the addresses to receive from, including the seeds."""
+        return {*self.by_name.values(), *seeds}
+
+    def expired(self, now: float) -> tuple[str, ...]:
+        """Return the hosts that have not reported for so long that they are gone."""
+        return tuple(
+            name
+            for name, at in self._reported_at.items()
+            if now - at > HOST_EXPIRY_S and name in self.by_name
+        )
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -19,6 +19,7 @@
     "FleetCounts",
     "HostReport",
     "FleetSnapshot",
+    "HostAnnounced",
     "HostsChanged",
     "GetNextRoleChange",
     "PrefillEnded",
@@ -225,6 +226,14 @@
     addresses: dict[str, str]
 
 
+@attrs.frozen
+class HostAnnounced:
+    """Report the name and the peer address of a host that connected to this one."""
+
+    name: str
+    address: str
+
+
 @attrs.frozen
 class ApplySettings:
     """Apply settings that changed in the settings file."""
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -3,7 +3,8 @@
 Every message contains the complete state of its host, so the next message replaces a
 lost one. A host that cannot reach the store requests snapshots by subscribing to them
 at a few hosts. The publisher receives the subscription even if it does not know the
-host. One thread owns the sockets.
+host. A host announces its own address the same way, by a subscription that names it.
+One thread owns the sockets.
 """
 
 import random
@@ -14,7 +15,12 @@
 import zmq
 from result import Err, Ok, Result
 
-from sesameport.entry.messages import FleetSnapshot, HostReport, SnapshotRequested
+from sesameport.entry.messages import (
+    FleetSnapshot,
+    HostAnnounced,
+    HostReport,
+    SnapshotRequested,
+)
 from sesameport.entry.report_codec import decode_report, encode_report
 from sesameport.telemetry.logs import get_logger
 
@@ -39,6 +45,7 @@
 
 _REPORT = b"r"
 _SNAPSHOT = b"s"
+_ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
 
@@ -52,21 +59,27 @@
 
     Parameters
     ----------
+    name : str
+        Name of this host.
     ip : str
         Address of this host.
     port : int
         Port on which every host publishes.
     on_message : callable
-        Handles messages of other hosts and ``SnapshotRequested``, on the thread of the
-        exchange.
+        Handles messages of other hosts, ``SnapshotRequested`` and ``HostAnnounced``, on
+        the thread of the exchange.
     """
 
     def __init__(
         self,
+        name: str,
         ip: str,
         port: int,
-        on_message: Callable[[HostReport | FleetSnapshot | SnapshotRequested], None],
+        on_message: Callable[
+            [HostReport | FleetSnapshot | SnapshotRequested | HostAnnounced], None
+        ],
     ):
+        self._name = name
         self._on_message = on_message
         self._rng = random.Random()
         self._context = zmq.Context()
@@ -118,6 +131,8 @@
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
         subscriber.subscribe(_REPORT)
+        own = msgspec.msgpack.encode((self._name, self.address))
+        subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
         snapshots.subscribe(_SNAPSHOT)
         poller = zmq.Poller()
@@ -139,8 +154,24 @@
                 self._receive(*subscriber.recv_multipart())
             if snapshots in ready:
                 self._receive(*snapshots.recv_multipart())
-            if self._publisher in ready and self._publisher.recv() == b"\x01s":
-                self._on_message(SnapshotRequested())
+            if self._publisher in ready:
+                self._handle_subscription(self._publisher.recv())
+
+    def _handle_subscription(self, message: bytes) -> None:
+        is_new, topic = message[:1] == b"\x01", message[1:]
+        if not is_new:
+            return
+        if topic == _SNAPSHOT:
+            self._on_message(SnapshotRequested())
+            return
+        if not topic.startswith(_ANNOUNCEMENT):
+            return
+        try:
+            fields = msgspec.msgpack.decode(topic[1:], type=tuple[str, str])
+        except msgspec.DecodeError as exc:
+            log.warning("announcement unreadable", extra={"reason": str(exc)})
+            return
+        self._on_message(HostAnnounced(*fields))
 
     def _send(self, topic: bytes, data: bytes) -> None:
         try:
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -1,4 +1,9 @@
-"""List and watch kinds of objects in the platform's store, each on its own thread."""
+"""List and watch kinds of objects in the platform's store, each on its own thread.
+
+Each call to the store costs money, also one that fails. Changes that arrive in quick
+succession are therefore read together, and while the store is unreachable only one
+thread of a host tries to reach it.
+"""
 
 import random
 import threading
@@ -17,6 +22,18 @@
 """Timeout of a watch call, seconds. Each call costs money, and TCP keep-alive detects a
 dead connection sooner."""
 
+RETRY_WATCH_TIMEOUT_S = 0.1
+"""Timeout of a watch call after a failed one, seconds. Its response shows that the
+store can be reached again. A long watch would respond only at the next change."""
+
+WATCH_INTERVAL_S = 0.4
+"""Shortest time between two watch calls of one kind, seconds. A single change is read
+immediately; those that follow within this time are read together. It is a fifth of the
+shortest time in which a configuration must be in force."""
+
+TURN_CHECK_S = 0.5
+"""Period at which a thread that waits for the store checks whether to stop, seconds."""
+
 BACKOFF_BASE_S = 0.1
 MAX_BACKOFF_S = 1.0
 """Bounds of the backoff after a failed call, seconds. The maximum keeps nine hosts
@@ -27,20 +44,33 @@
 
 
 class StoreHealth:
-    """Report each change between a reachable and an unreachable store once."""
+    """Report each change between a reachable and an unreachable store once.
+
+    While the store is unreachable, one kind of objects at a time is read to find out
+    when it can be reached again.
+    """
 
     def __init__(self, on_change: Callable[[bool], None]):
         self._on_change = on_change
-        self._lock = threading.Lock()
-        self._is_reachable = False
-
-    def record(self, is_reachable: bool) -> None:
-        """Record the outcome of a call."""
-        with self._lock:
-            if self._is_reachable == is_reachable:
-                return
+        self._changed = threading.Condition()
+        self._is_reachable: bool | None = None
+        self._probing_kind: str | None = None
+
+    def record(self, kind: str, is_reachable: bool) -> None:
+        """Record the outcome of a call for a kind of objects."""
+        with self._changed:
+            was_reachable = self._is_reachable
             self._is_reachable = is_reachable
-        self._on_change(is_reachable)
+            self._probing_kind = None if is_reachable else self._probing_kind or kind
+            self._changed.notify_all()
+        if is_reachable != bool(was_reachable):
+            self._on_change(is_reachable)
+
+    def wait_for_turn(self, kind: str, closing: threading.Event) -> None:
+        """Wait while the store is unreachable and another kind is read."""
+        with self._changed:
+            while self._probing_kind not in (None, kind) and not closing.is_set():
+                self._changed.wait(TURN_CHECK_S)
 
 
 class ObjectHandler(Protocol):
@@ -102,21 +132,25 @@
     def _run(self) -> None:
         version, failures = None, 0
         while not self._closing.is_set():
+            self._health.wait_for_turn(self._kind, self._closing)
+            called_at = time.monotonic()
             if version is None:
                 result = self._platform.list(self._kind)
             else:
-                result = self._platform.watch(self._kind, version, WATCH_TIMEOUT_S)
+                timeout_s = RETRY_WATCH_TIMEOUT_S if failures else WATCH_TIMEOUT_S
+                result = self._platform.watch(self._kind, version, timeout_s)
             operation = "list" if version is None else "watch"
             match result:
                 case Ok(batch):
                     self._count(operation, "ok")
-                    self._health.record(True)
+                    self._health.record(self._kind, True)
                     failures = 0
                     if version is None:
                         self._handler.handle_listing(batch.objects)
                     elif batch.changes:
                         self._handler.handle_changes(batch.changes)
                     version = batch.version
+                    self._closing.wait(called_at + WATCH_INTERVAL_S - time.monotonic())
                 case Err(error):
                     self._count(operation, str(error.kind))
                     if error.kind == PlatformErrorKind.GONE:
@@ -125,7 +159,7 @@
                         continue
                     # One failed watch does not show that the store is unreachable.
                     if failures:
-                        self._health.record(False)
+                        self._health.record(self._kind, False)
                     failures += 1
                     self._log_failure(operation, error, failures)
                     self._back_off(failures)
@@ -146,7 +180,7 @@
 
     def _back_off(self, failures: int) -> None:
         max_s = min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2**failures)
-        time.sleep(max_s * (0.5 + 0.5 * self._rng.random()))
+        self._closing.wait(max_s * (0.5 + 0.5 * self._rng.random()))
 
     def _count(self, operation: str, result: str) -> None:
         self._metrics.count(
--- a/src/sesameport/entry/tests/test_peers.py
+++ b/src/sesameport/entry/tests/test_peers.py
@@ -21,7 +21,7 @@
         self.name = name
         self.requests, self.snapshots = 0, []
         self.lock = threading.Lock()
-        self.exchange = PeerExchange("127.0.0.1", 0, self.handle).start()
+        self.exchange = PeerExchange(name, "127.0.0.1", 0, self.handle).start()
 
     def handle(self, message):
         with self.lock:
@@ -95,10 +95,10 @@
 
         report = HostReport("h", 1, 1, {}, {}, 1, {}, {}, [])
         senders = [
-            PeerExchange("127.0.0.1", 0, lambda message: None).start()
+            PeerExchange("h", "127.0.0.1", 0, lambda message: None).start()
             for _ in range(4)
         ]
-        receiver = PeerExchange("127.0.0.1", 0, lambda message: None).start()
+        receiver = PeerExchange("h", "127.0.0.1", 0, lambda message: None).start()
         addresses = {sender.address for sender in senders}
         until = time.monotonic() + 4.0
         while time.monotonic() < until:
--- a/src/sesameport/platform/tests/test_store_faults.py
+++ b/src/sesameport/platform/tests/test_store_faults.py
@@ -104,10 +104,11 @@
     cluster, host, monkeypatch
 ):
     # Guards against registrations that accumulate as hosts are replaced.
-    monkeypatch.setattr("sesameport.entry.actor.HOST_EXPIRY_S", 1.5)
+    monkeypatch.setattr("sesameport.entry.host_addresses.HOST_EXPIRY_S", 1.5)
     cluster.start_host("h2")
     wait_until(lambda: host.peer_count() == 1)
     cluster.store.put("entry-hosts", "gone", {"address": "127.0.0.1:9"})
+    host.delete_expired_hosts()
     time.sleep(1.0)
     host.delete_expired_hosts()
     assert cluster.store.spec("entry-hosts", "gone") is not None
@@ -132,3 +133,27 @@
     # removed.
     cluster.store.remove("servers", "s1")
     wait_until(lambda: cluster.send_request("/look/x").status == 503, 1.0)
+
+
+def test_hosts_find_each_other_whichever_starts_first(cluster):
+    # A host lists the registrations once, so an earlier host learns of a later one by
+    # its announcement.
+    hosts = [cluster.start_host(f"h{n}") for n in range(1, 4)]
+    wait_until(lambda: all(host.peer_count() == 2 for host in hosts))
+
+
+def test_store_gets_two_calls_for_the_registration_of_a_host(cluster):
+    # Each call costs money. A watch of the registrations cost 195 hosts a call for each
+    # host that started.
+    hosts = [cluster.start_host(f"h{n}") for n in range(1, 6)]
+    wait_until(lambda: all(host.peer_count() == 4 for host in hosts))
+    calls = [path for _, path in cluster.store.calls if "/entry-hosts" in path]
+    assert len(calls) == 2 * len(hosts)
+
+
+def test_restarted_host_at_another_address_is_found(cluster, host):
+    cluster.store.put("entry-hosts", "h2", {"address": "127.0.0.1:9"})
+    other = cluster.start_host("h2")
+    wait_until(lambda: other.peer_count() == 1 and host.peer_count() == 1)
+    spec = cluster.store.spec("entry-hosts", "h2")
+    assert spec == {"address": other.peer_address}
