Bound the bytes that a server may send in every part of a response

Eight requests to such a server grew the host by 625 MB in 1.5 s (a body without length, an event without end); a huge chunk was read into memory whole, interim responses and trailers were read until the deadline, and a stream whose event passed 1 MiB ended in an unhandled ValueError and a 500 that says nothing about whether the request ran. After a stray CR all events of a stream were kept back. A stream that ran into its deadline was not recorded for the server.

Change: CancellableSocket counts the bytes that may arrive before the next part of a response: 64 KiB for a head, 72 KiB between two parts of a body. Bodies end at 64 MiB, events at 64 KiB, prefill responses at 64 KiB. A plain response of more than 16 KiB is forwarded as it arrives; before that it can still be replaced by another server's. An event ends at an empty line with or without CR.

--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -1,10 +1,14 @@
-"""Cancel reads from a backend server when the caller disconnects."""
+"""Bound reads from a backend server, and cancel them when the caller disconnects."""
 
 import select
 import socket
 import time
 
-__all__ = ["CancellableSocket"]
+__all__ = ["CancellableSocket", "ReadLimitExceeded"]
+
+
+class ReadLimitExceeded(OSError):
+    """Raised when a server sends more bytes than the reader has allowed."""
 
 
 class CancellableSocket(socket.socket):
@@ -18,6 +22,7 @@
 
     _caller = None
     _deadline = 0.0
+    _allowed_bytes: int | None = None
     caller_disconnected = False
     timed_out = False
 
@@ -41,6 +46,18 @@
         wrapped._deadline = deadline
         return wrapped
 
+    def extend_deadline(self, deadline: float) -> None:
+        """Let reads time out at a later monotonic time, seconds."""
+        self._deadline = max(self._deadline, deadline)
+
+    def allow_bytes(self, count: int) -> None:
+        """Set how many bytes may be received before the next call of this method.
+
+        A parser that reads until the end of a line or of a header block would otherwise
+        read without end from a server that never sends it.
+        """
+        self._allowed_bytes = count
+
     def recv_into(self, *args, **kwargs) -> int:
         """Receive data into a buffer.
 
@@ -50,9 +67,16 @@
             If the deadline passes first.
         ConnectionAbortedError
             If the caller disconnects first.
+        ReadLimitExceeded
+            If all allowed bytes have been received.
         """
+        if self._allowed_bytes is not None and self._allowed_bytes <= 0:
+            raise ReadLimitExceeded("more bytes than a response may have here")
         self._wait()
-        return super().recv_into(*args, **kwargs)
+        received = super().recv_into(*args, **kwargs)
+        if self._allowed_bytes is not None:
+            self._allowed_bytes -= received
+        return received
 
     def _wait(self) -> None:
         poller = select.poll()
--- a/src/sesameport/entry/event_buffer.py
+++ b/src/sesameport/entry/event_buffer.py
@@ -4,10 +4,44 @@
 the last event that the caller received.
 """
 
-__all__ = ["EventBuffer"]
+from sesameport.entry.requests import IncompleteResponse
 
-_END = b"\n\n"
-_MAX_PENDING_BYTES = 1_048_576
+__all__ = ["EventBuffer", "EventLengthLimit"]
+
+MAX_EVENT_BYTES = 65_536
+"""Largest event. A server in trouble may send bytes without ever ending an event."""
+
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+
+
+def _end_of_events(data: bytes | bytearray) -> int:
+    """Return the position after the last complete event, or 0."""
+    ends = [data.rfind(end) + len(end) for end in _EVENT_ENDS if end in data]
+    return max(ends, default=0)
+
+
+class EventLengthLimit:
+    """Check the length of the events of a stream that is forwarded as it arrives."""
+
+    def __init__(self):
+        self._length = 0
+        self._last_bytes = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes unchanged.
+
+        Raises
+        ------
+        IncompleteResponse
+            If an event exceeds the maximum length.
+        """
+        joined = self._last_bytes + data
+        end = _end_of_events(joined)
+        self._length = len(joined) - end if end else self._length + len(data)
+        self._last_bytes = joined[-2:]
+        if self._length > MAX_EVENT_BYTES:
+            raise IncompleteResponse(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        return data
 
 
 class EventBuffer:
@@ -29,26 +63,29 @@
 
     def __init__(self):
         self.last_id = ""
-        self._pending = b""
+        self._pending = bytearray()
 
     def discard_incomplete(self) -> None:
         """Discard the incomplete event of a run that broke off."""
-        self._pending = b""
+        self._pending = bytearray()
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the events that are now complete."""
+        """Add bytes and return the events that are now complete.
+
+        Raises
+        ------
+        IncompleteResponse
+            If an event exceeds the maximum length.
+        """
         self._pending += data
-        end = self._pending.replace(b"\r\n", b"\n").rfind(_END)
-        if b"\r" in self._pending:
-            end = self._pending.rfind(b"\r\n\r\n")
-            length = end + 4
-        else:
-            length = end + len(_END)
-        if end < 0:
-            if len(self._pending) > _MAX_PENDING_BYTES:
-                raise ValueError("event exceeds the size limit without an end")
+        end = _end_of_events(self._pending)
+        if not end:
+            if len(self._pending) > MAX_EVENT_BYTES:
+                self._pending = bytearray()
+                raise IncompleteResponse(f"event exceeds {MAX_EVENT_BYTES} bytes")
             return b""
-        done, self._pending = self._pending[:length], self._pending[length:]
+        done = bytes(self._pending[:end])
+        del self._pending[:end]
         for line in reversed(done.splitlines()):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -9,7 +9,7 @@
 
 from sesameport.admission import GenerationRequest, Placement, expected_output_tokens
 from sesameport.entry import messages as m
-from sesameport.entry.event_buffer import EventBuffer
+from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
 from sesameport.entry.local_prefill import LocalPrefill
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
 from sesameport.entry.requests import (
@@ -316,10 +316,11 @@
             ), has_started
         if events is not None:
             events.discard_incomplete()
+        checked = events if events is not None else EventLengthLimit()
         try:
             for chunk in response.chunks():
                 local_prefill.report_end(True)
-                data = events.feed(chunk) if events is not None else chunk
+                data = checked.feed(chunk)
                 if not data:
                     continue
                 progress.record_event()
@@ -332,7 +333,9 @@
             self._outcomes.record_failure(progress, server, failure)
             return failure, has_started
         except TimeoutError as exc:
-            return CallFailure(FailureKind.TIMEOUT, str(exc)), has_started
+            failure = CallFailure(FailureKind.TIMEOUT, str(exc))
+            self._outcomes.record_failure(progress, server, failure)
+            return failure, has_started
         if not has_started:
             writer.start(response.status, response.headers)
             has_started = True
@@ -344,13 +347,16 @@
         return None, has_started
 
     def _forward_error_response(self, progress, server, response, writer):
-        match read_response(response):
+        chunks = response.chunks()
+        match read_response(response, chunks):
             case Err(failure):
                 self._outcomes.record_failure(progress, server, failure)
                 return failure
             case Ok((status, headers, body)):
                 self._actor.tell(m.CallOutcome(server, failed=status >= 500))
-                self._outcomes.send_response(progress, writer, status, headers, body)
+                self._outcomes.send_response(
+                    progress, writer, status, headers, body, chunks
+                )
                 return None
 
     def _may_retry(self, progress, failure) -> bool:
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -1,6 +1,7 @@
 """Track the progress of a request, respond to its caller and log the outcome."""
 
 import time
+from collections.abc import Iterator
 from typing import Protocol
 
 import attrs
@@ -8,9 +9,11 @@
 from sesameport.entry import messages as m
 from sesameport.entry.configuration import EntryRoute
 from sesameport.entry.requests import (
+    MAX_BUFFERED_BYTES,
     EntryRequest,
     FailureKind,
     KvSource,
+    forward_rest,
 )
 from sesameport.telemetry.logs import get_logger
 
@@ -131,11 +134,27 @@
         self._actor = actor
         self._metrics = metrics
 
-    def send_response(self, progress, writer, status, headers, body) -> None:
-        """Send a complete response of a server to the caller."""
+    def send_response(
+        self, progress, writer, status, headers, body, rest: Iterator[bytes] = iter(())
+    ) -> None:
+        """Send a response of a server to the caller.
+
+        If the body exceeds ``MAX_BUFFERED_BYTES``, ``rest`` yields what follows it.
+        """
         progress.status = status
         progress.outcome = "served" if status < 400 else "server-failed"
-        writer.send_complete(status, headers, body)
+        if len(body) <= MAX_BUFFERED_BYTES:
+            writer.send_complete(status, headers, body)
+            return
+        writer.start(status, headers)
+        writer.send(body)
+        failure = forward_rest(rest, writer.send)
+        if failure is None:
+            writer.finish()
+            return
+        self.record_failure(progress, progress.servers[-1], failure)
+        progress.set_outcome("broken-off", failure.detail)
+        writer.abort()
 
     def refuse(self, progress, writer, refused: m.Refused) -> None:
         """Respond to a caller whose request was not admitted."""
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -70,11 +70,11 @@
                 ended = m.RunEnded(plain=server, seconds=time.monotonic() - started)
                 self._actor.tell(ended)
             match outcome:
-                case Ok((status, headers, body)) if not self._may_retry_status(
+                case Ok((status, headers, body, rest)) if not self._may_retry_status(
                     progress, status
                 ):
                     self._outcomes.send_response(
-                        progress, writer, status, headers, body
+                        progress, writer, status, headers, body, rest
                     )
                     return
                 case Ok(response):
@@ -111,13 +111,16 @@
                 pass
         progress.has_run = True
         progress.runs += 1
-        result = read_response(response)
-        match result:
+        chunks = response.chunks()
+        match read_response(response, chunks):
             case Err(failure):
                 self._outcomes.record_failure(progress, server.name, failure)
-            case Ok((status, _, _)):
+                return Err(failure)
+            case Ok((status, headers, body)):
                 self._actor.tell(m.CallOutcome(server.name, failed=status >= 500))
-        return result
+                # The rest of a large body is not replaced by that of another server.
+                response.extend_deadline(progress.req.deadline)
+                return Ok((status, headers, body, chunks))
 
     def _response_timeout_s(self, progress) -> float | None:
         """Return the timeout of an attempt that may be retried, else None."""
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -1,7 +1,7 @@
 """Define caller requests and the interface for calls to backend servers."""
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import attrs
@@ -21,11 +21,19 @@
     "PrefillResult",
     "ServerClient",
     "TokenCounts",
+    "MAX_BUFFERED_BYTES",
+    "forward_rest",
     "read_body",
     "read_response",
 ]
 
 
+MAX_BUFFERED_BYTES = 16_384
+"""Largest response that is read completely before it is sent to the caller. An
+incomplete response can then be replaced by that of another server. The limit keeps
+memory bounded while servers send bodies without end to many requests."""
+
+
 @attrs.frozen
 class TokenCounts:
     """Represent the size of a generation in tokens.
@@ -175,6 +183,10 @@
         """
         ...
 
+    def extend_deadline(self, deadline: float) -> None:
+        """Allow the rest of the body until a later monotonic time, seconds."""
+        ...
+
     def close(self) -> None:
         """Close the connection, which cancels a request that is still running."""
         ...
@@ -214,30 +226,73 @@
         ...
 
 
-def read_body(response: OpenResponse) -> Result[bytes, CallFailure]:
-    """Return the body of a response and close the response."""
+def read_body(response: OpenResponse, max_bytes: int) -> Result[bytes, CallFailure]:
+    """Return the body of a response and close the response.
+
+    A body of more than ``max_bytes`` is a failure.
+    """
     try:
-        return Ok(b"".join(response.chunks()))
-    except IncompleteResponse as exc:
-        return Err(CallFailure(FailureKind.BROKEN, str(exc)))
-    except TimeoutError as exc:
-        return Err(CallFailure(FailureKind.TIMEOUT, str(exc)))
-    except CallerDisconnected:
-        return Err(CallFailure(FailureKind.CALLER_LEFT))
+        body = _read_up_to(response.chunks(), max_bytes)
+    except _READ_ERRORS as exc:
+        return Err(_to_read_failure(exc))
     finally:
         response.close()
+    if len(body) > max_bytes:
+        return Err(CallFailure(FailureKind.BROKEN, f"body exceeds {max_bytes} bytes"))
+    return Ok(body)
 
 
-def read_response(response: OpenResponse) -> Result[tuple, CallFailure]:
+def read_response(
+    response: OpenResponse, chunks: Iterator[bytes]
+) -> Result[tuple, CallFailure]:
     """Return the status, headers and body of a response for a caller.
 
-    A success status without the server's signature is a failure.
+    A success status without the server's signature is a failure. If the body has more
+    than ``MAX_BUFFERED_BYTES``, only its first part is returned, and ``chunks`` has the
+    rest. The response stays open in this case only.
     """
-    match read_body(response):
-        case Err(failure):
-            return Err(failure)
-        case Ok(body):
-            pass
     if 200 <= response.status < 300 and not response.is_signed:
+        response.close()
         return Err(CallFailure(FailureKind.BROKEN, "success without signature"))
+    try:
+        body = _read_up_to(chunks, MAX_BUFFERED_BYTES)
+    except _READ_ERRORS as exc:
+        response.close()
+        return Err(_to_read_failure(exc))
+    if len(body) <= MAX_BUFFERED_BYTES:
+        response.close()
     return Ok((response.status, response.headers, body))
+
+
+def forward_rest(
+    chunks: Iterator[bytes], send: Callable[[bytes], None]
+) -> CallFailure | None:
+    """Send the rest of a body as it arrives; return why it is incomplete, or None."""
+    try:
+        for chunk in chunks:
+            send(chunk)
+    except _READ_ERRORS as exc:
+        return _to_read_failure(exc)
+    return None
+
+
+def _read_up_to(chunks: Iterator[bytes], max_bytes: int) -> bytes:
+    """Return a body, or its first part if it has more than ``max_bytes``."""
+    parts, size = [], 0
+    for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
+            break
+    return b"".join(parts)
+
+
+_READ_ERRORS = (IncompleteResponse, TimeoutError, CallerDisconnected)
+
+
+def _to_read_failure(exc: Exception) -> CallFailure:
+    if isinstance(exc, CallerDisconnected):
+        return CallFailure(FailureKind.CALLER_LEFT)
+    if isinstance(exc, TimeoutError):
+        return CallFailure(FailureKind.TIMEOUT, str(exc))
+    return CallFailure(FailureKind.BROKEN, str(exc))
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -14,7 +14,10 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
-from sesameport.adapters.cancellable_socket import CancellableSocket
+from sesameport.adapters.cancellable_socket import (
+    CancellableSocket,
+    ReadLimitExceeded,
+)
 from sesameport.adapters.sockets import SERVER_KEEPALIVE_OPTIONS
 from sesameport.entry.requests import (
     CallerConnection,
@@ -45,7 +48,22 @@
 The handle expires soon in any case.
 """
 
-READ_SIZE_BYTES = 65_536
+READ_SIZE_BYTES = 8_192
+"""Largest part of a body that is read at once."""
+
+MAX_HEAD_BYTES = 65_536
+"""Largest status line with headers, interim responses included."""
+
+MAX_FRAMING_BYTES = 65_536
+"""Bytes that may arrive before the next part of a body: chunk sizes, trailers and what
+is read ahead."""
+
+MAX_PREFILL_RESPONSE_BYTES = 65_536
+"""Largest response of a prefill, which names a handle."""
+
+MAX_BODY_BYTES = 67_108_864
+"""Largest body of a response. It ends a body that a server in trouble sends without
+end."""
 
 _HTTP_ERRORS = (
     urllib3.exceptions.HTTPError,
@@ -72,14 +90,12 @@
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; see ``OpenResponse`` for the exceptions."""
+        received = 0
         try:
-            if self._response.chunked:
-                yield from self._response.read_chunked(decode_content=False)
-                return
-            while True:
-                chunk = self._response.read1(READ_SIZE_BYTES, decode_content=False)
-                if not chunk:
-                    return
+            for chunk in self._parts():
+                received += len(chunk)
+                if received > MAX_BODY_BYTES:
+                    raise ReadLimitExceeded(f"body exceeds {MAX_BODY_BYTES} bytes")
                 yield chunk
         except _HTTP_ERRORS as exc:
             if self._sock.caller_disconnected:
@@ -87,6 +103,28 @@
             if self._sock.timed_out:
                 raise TimeoutError("deadline passed") from exc
             raise IncompleteResponse(repr(exc)) from exc
+        finally:
+            self.close()
+
+    def _parts(self) -> Iterator[bytes]:
+        self._sock.allow_bytes(READ_SIZE_BYTES + MAX_FRAMING_BYTES)
+        if self._response.chunked:
+            for chunk in self._response.read_chunked(
+                READ_SIZE_BYTES, decode_content=False
+            ):
+                yield chunk
+                self._sock.allow_bytes(READ_SIZE_BYTES + MAX_FRAMING_BYTES)
+            return
+        while True:
+            chunk = self._response.read1(READ_SIZE_BYTES, decode_content=False)
+            if not chunk:
+                return
+            yield chunk
+            self._sock.allow_bytes(READ_SIZE_BYTES + MAX_FRAMING_BYTES)
+
+    def extend_deadline(self, deadline: float) -> None:
+        """Allow reads until a later monotonic time, seconds."""
+        self._sock.extend_deadline(deadline)
 
     def close(self) -> None:
         """Close the connection."""
@@ -118,7 +156,7 @@
                 return Err(failure)
             case Ok(response):
                 pass
-        match read_body(response):
+        match read_body(response, MAX_PREFILL_RESPONSE_BYTES):
             case Err(failure):
                 return Err(failure)
             case Ok(body):
@@ -196,6 +234,7 @@
             return Err(CallFailure(FailureKind.CALLER_LEFT))
         conn.timeout = max(0.001, req.deadline - time.monotonic())
         conn.sock = sock = CancellableSocket.wrap(conn.sock, caller, attempt_deadline)
+        sock.allow_bytes(MAX_HEAD_BYTES)
         try:
             self._send_request(conn, server, req, extra_headers)
             response = conn.getresponse()
