Report less between hosts, and handle reports that arrive together at once

Change: reports of changes name the workspaces charged since the last complete report (a topic of their own, so hosts of an older build get complete reports only); complete reports come every 1.0 to 2.5 s by the number of hosts; reports that arrive within 50 us for each host are handled in one message, with one placement; hosts that are heard or silent are logged in one line a tick. report_sender.py holds what actor.py had of it.

--- a/src/sesameport/admission/fleet_use.py
+++ b/src/sesameport/admission/fleet_use.py
@@ -17,10 +17,6 @@
 
 __all__ = ["FleetUse", "ServerUse"]
 
-REPORT_EXPIRY_S = 3.0
-"""Time without a report after which a host's use is removed, seconds. Three consecutive
-reports are missing by then."""
-
 
 @attrs.frozen
 class ServerUse:
@@ -108,12 +104,13 @@
         """Return the KV cache that requests waiting on other hosts need."""
         return self._waiting_totals.get(service, WaitingTokens())
 
-    def expire(self, now: float) -> list[str]:
-        """Remove the use of hosts that stopped reporting and return their names."""
+    def expire(self, now: float, expiry_s: float) -> list[str]:
+        """Remove the use of hosts that stopped reporting and return their names.
+
+        ``expiry_s`` is the time without a report after which a host counts as stopped.
+        """
         silent = [
-            host
-            for host, (at, _) in self._reports.items()
-            if now - at > REPORT_EXPIRY_S
+            host for host, (at, _) in self._reports.items() if now - at > expiry_s
         ]
         for host in silent:
             self._remove_host(host)
--- a/src/sesameport/admission/quota.py
+++ b/src/sesameport/admission/quota.py
@@ -272,22 +272,30 @@
         return dict(self._charged)
 
     def apply_report(
-        self, host: str, incarnation: int, charged: Mapping[str, float], now: float
+        self,
+        host: str,
+        incarnation: int,
+        charged: Mapping[str, float],
+        now: float,
+        is_complete: bool = True,
     ) -> None:
         """Add the tokens that another host charged since its last report.
 
-        The first report of a process only sets the baseline, because the time of its
-        charges is unknown.
+        The first complete report of a process only sets the baseline, because the time
+        of its charges is unknown. Reports that are not complete name the workspaces
+        with charges since the last complete one.
         """
         last_incarnation, last_charged = self._reported.get(host, (0, {}))
-        if last_incarnation == incarnation:
-            for workspace, total in charged.items():
-                window = self._windows.get(workspace)
-                if window is None:
-                    continue
-                change = total - last_charged.get(workspace, 0.0)
+        if last_incarnation != incarnation:
+            if is_complete:
+                self._reported[host] = (incarnation, dict(charged))
+            return
+        for workspace, total in charged.items():
+            change = total - last_charged.get(workspace, 0.0)
+            last_charged[workspace] = total
+            window = self._windows.get(workspace)
+            if window is not None and change:
                 window.charges.add(change, now)
-        self._reported[host] = (incarnation, dict(charged))
 
     def remove_host(self, host: str) -> None:
         """Remove the last reported charges of a host."""
--- a/src/sesameport/admission/tests/test_fleet_use.py
+++ b/src/sesameport/admission/tests/test_fleet_use.py
@@ -24,8 +24,8 @@
         "h1", {"d": ServerUse(200, 2, 0)}, 0.0, {"llm": WaitingTokens(4_000, 500)}
     )
     assert use.remote_waiting("llm") == WaitingTokens(4_000, 500)
-    assert use.expire(2.9) == []
-    assert use.expire(3.1) == ["h1"]
+    assert use.expire(2.9, 3.0) == []
+    assert use.expire(3.1, 3.0) == ["h1"]
     assert use.total_for("d") == ServerUse()
     assert use.remote_waiting("llm") == WaitingTokens()
 
@@ -57,7 +57,7 @@
         waiting[host] = {"llm": WaitingTokens(rng.randint(0, 5_000), 100)}
         use.apply_report(host, reports[host], now / 2, waiting[host])
         use.add_local(rng.choice(servers), ServerUse(rng.randint(-900, 900), 1, 3))
-        for expired in use.expire(now / 2):
+        for expired in use.expire(now / 2, 3.0):
             assert now / 2 - reported_at[expired] > 3.0
             del reports[expired], waiting[expired]
         for name in servers:
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from collections.abc import Callable
 
 import pykka
 
@@ -9,16 +10,13 @@
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
 from sesameport.entry.host_addresses import HostAddresses
-from sesameport.entry.report_scheduler import ReportScheduler
+from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.settings import EntrySettings
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
 
-MAX_REPORT_INTERVAL_S = 1.0
-"""Longest time between two reports of a host, seconds."""
-
 MIN_SNAPSHOT_INTERVAL_S = 0.5
 """Shortest time between two snapshots of a host, seconds."""
 
@@ -29,6 +27,9 @@
 SNAPSHOT_REQUEST_LIFETIME_S = 5.0
 """Time after a request for which changes are published as snapshots, seconds."""
 
+LOGGED_HOSTS = 8
+"""Number of host names in one log line. All hosts of a fleet may start at once."""
+
 log = get_logger("entry")
 
 
@@ -66,16 +67,18 @@
         self._metrics = metrics
         self._on_config = on_config
         self._on_probe_targets = on_probe_targets
-        self._incarnation = time.time_ns()
-        self._sequence = 0
-        self._report_scheduler = ReportScheduler()
+        self._reports = ReportSender(
+            settings.name, peers.publish, self._call_for_report
+        )
         self._admission = AdmissionController(
-            settings, self._schedule_report, self._wake_at
+            settings,
+            lambda now: self._reports.record_change(self._admission, now),
+            self._wake_at,
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
         self._addresses = HostAddresses(settings.name)
+        self._new_peers: list[str] = []
         self._peer_sequences: dict[str, tuple[int, int]] = {}
-        self._reported_at = 0.0
         self._snapshot_at = 0.0
         self._snapshot_due = False
         self._peer_request_at = -math.inf
@@ -94,7 +97,7 @@
             m.ProbeResult: self._handle_probe_result,
             m.RoleChangeOrdered: self._handle_role_ordered,
             m.GetNextRoleChange: lambda message, now: self._selector.next_change(now),
-            m.HostReport: self._handle_report,
+            m.HostReports: self._handle_reports,
             m.Tick: self._handle_tick,
             m.ReportDue: self._send_due_report,
             m.ApplyConfiguration: self._configure,
@@ -152,59 +155,33 @@
             return ()
         return self._addresses.expired(now)
 
-    def _schedule_report(self, now: float) -> None:
-        at = self._report_scheduler.schedule_change(now)
-        if at is None:
-            return
-        if at <= now:
-            self._send_report(now)
-            return
+    def _call_for_report(self, when: float) -> None:
         actor_ref = self.actor_ref
-        self._timers.call_at("report", at, lambda _: actor_ref.tell(m.ReportDue()))
+        self._timers.call_at("report", when, lambda _: actor_ref.tell(m.ReportDue()))
 
     def _send_due_report(self, message: m.ReportDue, now: float) -> None:
-        if self._report_scheduler.is_due:
-            self._send_report(now)
-
-    def _send_report(self, now: float) -> None:
-        self._reported_at = now
-        self._report_scheduler.record_sent(now)
-        self._sequence += 1
-        version = (
-            self._admission.configuration.version
-            if self._admission.configuration
-            else 0
-        )
-        self._peers.publish(
-            m.HostReport(
-                self._settings.name,
-                self._incarnation,
-                self._sequence,
-                dict(self._admission.use.local),
-                self._admission.quota.charged(),
-                version,
-                self._admission.health.pauses(now),
-                self._admission.report_waiting_tokens(now),
-                self._admission.health.unreachable(now),
-            )
-        )
+        self._reports.send_due(self._admission, now)
 
-    def _handle_report(self, report: m.HostReport, now: float) -> None:
+    def _handle_reports(self, message: m.HostReports, now: float) -> None:
+        for report in message.reports:
+            self._apply_report(report, now)
+        self._admission.place_waiting(now)
+
+    def _apply_report(self, report: m.HostReport, now: float) -> None:
         known = self._peer_sequences.get(report.host)
         if known is None or known[0] < report.incarnation:
-            log.info("host heard", extra={"peer": report.host})
+            self._new_peers.append(report.host)
         elif known >= (report.incarnation, report.sequence):
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
         self._addresses.record_report(report.host, now)
         self._admission.use.apply_report(report.host, report.uses, now, report.waiting)
         self._admission.quota.apply_report(
-            report.host, report.incarnation, report.charged, now
+            report.host, report.incarnation, report.charged, now, report.is_complete
         )
         self._admission.health.apply_pauses(
             report.host, report.paused, report.unreachable, now
         )
-        self._admission.place_waiting(now)
 
     def _serve_snapshot(self, message: m.SnapshotRequested, now: float) -> None:
         self._snapshot_due = True
@@ -340,7 +317,7 @@
 
     def _connect_hosts(self) -> None:
         self._admission.budget.hosts = max(1, len(self._addresses.by_name))
-        self._report_scheduler.hosts = max(1, len(self._addresses.others()))
+        self._reports.scheduler.hosts = max(1, len(self._addresses.others()))
         self._peers.connect(self._addresses.connections(self._settings.seed_addresses))
 
     def _apply_settings(self, message: m.ApplySettings, now: float) -> None:
@@ -371,9 +348,12 @@
         self._metrics.set("sesameport_entry_store_reachable", int(is_reachable))
 
     def _handle_tick(self, message: m.Tick, now: float) -> None:
-        for host in self._admission.use.expire(now):
+        silent = self._admission.use.expire(now, self._reports.scheduler.expiry_s())
+        for host in silent:
             self._peer_sequences.pop(host, None)
-            log.warning("host silent", extra={"peer": host})
+        _log_hosts(log.warning, "host silent", silent)
+        _log_hosts(log.info, "host heard", self._new_peers)
+        self._new_peers = []
         for name in self._admission.registry.expire(now):
             log.info("server entry expired", extra={"server": name})
             self._admission.health.remove_server(name)
@@ -381,8 +361,7 @@
         self._request_snapshots(now)
         self._publish_snapshot(now)
         self._start_probe(now)
-        if now - self._reported_at >= MAX_REPORT_INTERVAL_S:
-            self._send_report(now)
+        self._reports.send_periodic(self._admission, now)
 
     def _handle_probe_result(self, message: m.ProbeResult, now: float) -> None:
         self._admission.monitor.record_probe_result(message, now)
@@ -392,3 +371,10 @@
         targets = self._admission.monitor.probe_targets(now)
         if targets:
             self._on_probe_targets(targets)
+
+
+def _log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
+    """Log an event of several hosts in one line, with the first of their names."""
+    if hosts:
+        names = ",".join(hosts[:LOGGED_HOSTS])
+        write(event, extra={"peer": names, "hosts": len(hosts)})
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -18,6 +18,7 @@
     "ApplyConfiguration",
     "FleetCounts",
     "HostReport",
+    "HostReports",
     "FleetSnapshot",
     "HostAnnounced",
     "HostsChanged",
@@ -323,6 +324,9 @@
         KV cache for which requests wait, by service.
     unreachable : list of str
         Servers among ``paused`` to which this host could not connect.
+    is_complete : bool
+        Whether ``charged`` names all workspaces. Otherwise it names those with charges
+        since the last complete report.
     """
 
     host: str
@@ -334,6 +338,14 @@
     paused: dict[str, float] = attrs.field(factory=dict)
     waiting: dict[str, WaitingTokens] = attrs.field(factory=dict)
     unreachable: list[str] = attrs.field(factory=list)
+    is_complete: bool = True
+
+
+@attrs.frozen
+class HostReports:
+    """Deliver the reports of other hosts that arrived together."""
+
+    reports: tuple[HostReport, ...]
 
 
 @attrs.frozen
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -7,10 +7,13 @@
 One thread owns the sockets.
 """
 
+import math
 import random
 import threading
+import time
 from collections.abc import Callable
 
+import attrs
 import msgspec
 import zmq
 from result import Err, Ok, Result
@@ -19,6 +22,7 @@
     FleetSnapshot,
     HostAnnounced,
     HostReport,
+    HostReports,
     SnapshotRequested,
 )
 from sesameport.entry.report_codec import decode_report, encode_report
@@ -43,7 +47,14 @@
 configuration, and those of all hosts would saturate the link of the receiving host.
 Each request chooses other hosts, because some may have no store either."""
 
+RECEIVE_INTERVAL_PER_HOST_S = 0.00005
+"""Time between two reads of reports per sending host, seconds. Reports that arrive in
+between are handled together, which saves a small host most of its processor time."""
+
+MAX_REPORTS_AT_ONCE = 1_000
+
 _REPORT = b"r"
+_PARTIAL_REPORT = b"p"
 _SNAPSHOT = b"s"
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
@@ -76,7 +87,7 @@
         ip: str,
         port: int,
         on_message: Callable[
-            [HostReport | FleetSnapshot | SnapshotRequested | HostAnnounced], None
+            [HostReports | FleetSnapshot | SnapshotRequested | HostAnnounced], None
         ],
     ):
         self._name = name
@@ -101,7 +112,8 @@
     def publish(self, message: HostReport | FleetSnapshot) -> None:
         """Send a message to all hosts that have subscribed to its type."""
         if isinstance(message, HostReport):
-            self._control.send_multipart([_REPORT, encode_report(message)])
+            topic = _REPORT if message.is_complete else _PARTIAL_REPORT
+            self._control.send_multipart([topic, encode_report(message)])
             return
         self._control.send_multipart([_SNAPSHOT, msgspec.msgpack.encode(message)])
 
@@ -131,17 +143,25 @@
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
         subscriber.subscribe(_REPORT)
+        subscriber.subscribe(_PARTIAL_REPORT)
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
         snapshots.subscribe(_SNAPSHOT)
-        poller = zmq.Poller()
-        for sock in (control, subscriber, snapshots, self._publisher):
+        urgent, poller = zmq.Poller(), zmq.Poller()
+        for sock in (control, snapshots, self._publisher):
+            urgent.register(sock, zmq.POLLIN)
             poller.register(sock, zmq.POLLIN)
+        poller.register(subscriber, zmq.POLLIN)
         connected: set[str] = set()
         sources: set[str] = set()
+        receive_at = 0.0
         while True:
-            ready = dict(poller.poll())
+            wait_s = receive_at - time.monotonic()
+            if wait_s > 0:
+                ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
+            else:
+                ready = dict(poller.poll())
             if control in ready:
                 topic, data = control.recv_multipart()
                 if topic == _CONNECT:
@@ -151,9 +171,11 @@
                 else:
                     self._send(topic, data)
             if subscriber in ready:
-                self._receive(*subscriber.recv_multipart())
+                self._receive_reports(subscriber)
+                interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(connected)
+                receive_at = time.monotonic() + interval_s
             if snapshots in ready:
-                self._receive(*snapshots.recv_multipart())
+                self._receive_snapshot(snapshots.recv_multipart()[1])
             if self._publisher in ready:
                 self._handle_subscription(self._publisher.recv())
 
@@ -195,7 +217,11 @@
         the second part is read, ZeroMQ aborts the process.
         """
         while addresses and subscriber.poll(0):
-            self._receive(*subscriber.recv_multipart())
+            topic, data = subscriber.recv_multipart()
+            if topic == _SNAPSHOT:
+                self._receive_snapshot(data)
+            else:
+                self._deliver([self._decode_report(topic, data)])
         for address in addresses:
             subscriber.disconnect(f"tcp://{address}")
 
@@ -215,11 +241,37 @@
             snapshots.connect(f"tcp://{address}")
         return chosen
 
-    def _receive(self, topic: bytes, data: bytes) -> None:
-        decode = decode_report if topic == _REPORT else _decode_snapshot
-        match decode(data):
-            case Ok(message):
-                self._on_message(message)
+    def _receive_reports(self, subscriber: zmq.Socket) -> None:
+        """Handle all reports that have arrived, the newest partial one of each host."""
+        reports = []
+        while subscriber.poll(0) and len(reports) < MAX_REPORTS_AT_ONCE:
+            reports.append(self._decode_report(*subscriber.recv_multipart()))
+        self._deliver(reports)
+
+    def _decode_report(self, topic: bytes, data: bytes) -> HostReport | None:
+        match decode_report(data):
+            case Ok(report):
+                return attrs.evolve(report, is_complete=topic == _REPORT)
+            case Err(reason):
+                log.warning("peer message unreadable", extra={"reason": reason})
+                return None
+
+    def _deliver(self, reports: list[HostReport | None]) -> None:
+        kept, seen = [], set()
+        for report in reversed(reports):
+            if report is None:
+                continue
+            if report.host in seen and not report.is_complete:
+                continue
+            seen.add(report.host)
+            kept.append(report)
+        if kept:
+            self._on_message(HostReports(tuple(reversed(kept))))
+
+    def _receive_snapshot(self, data: bytes) -> None:
+        match _decode_snapshot(data):
+            case Ok(snapshot):
+                self._on_message(snapshot)
             case Err(reason):
                 log.warning("peer message unreadable", extra={"reason": reason})
 
