--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -56,7 +56,11 @@
 readiness every second and removes a host after two failed checks."""
 
 LAST_RESPONSES_S = 0.3
-"""Time to respond to requests that were read while the host closed, seconds."""
+"""Time to read requests that were sent before the host closed, seconds. A caller may
+have sent a part of one only."""
+
+DRAIN_CHECK_S = 0.01
+"""Period at which a closing host checks for requests in progress, seconds."""
 
 STOP_MARGIN_S = 1.0
 """Time before the end of the grace time at which running requests are abandoned,
@@ -170,14 +174,25 @@
             while self._in_flight and time.monotonic() < until:
                 self._in_flight_changed.wait(until - time.monotonic())
         self._caller_listener.stop_accepting()
+        self._finish_accepted(until)
         with self._in_flight_changed:
-            self._in_flight_changed.wait_for(
-                lambda: not self._in_flight, LAST_RESPONSES_S
-            )
             left = self._in_flight
         log.info("stopped", extra={"given_up": left})
         return left == 0
 
+    def _finish_accepted(self, until: float) -> None:
+        """Wait for requests that a thread is yet to read and for their responses."""
+        read_until = time.monotonic() + LAST_RESPONSES_S
+        until = max(until, read_until)
+        while self._caller_listener.has_work():
+            with self._in_flight_changed:
+                is_running = self._in_flight > 0
+                self._in_flight_changed.wait(DRAIN_CHECK_S)
+            if time.monotonic() >= (until if is_running else read_until):
+                return
+            if is_running:
+                read_until = time.monotonic() + LAST_RESPONSES_S
+
     def close(self) -> None:
         """Stop immediately without draining, for hosts that share a process."""
         self._timers.stop()
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -243,6 +243,11 @@
         # cheroot closes connections that were idle for longer than its timeout.
         self._server.timeout = 0
 
+    def has_work(self) -> bool:
+        """Return whether a request waits for a thread or is being read or answered."""
+        pool = self._server.requests
+        return pool.qsize > 0 or pool.idle < len(pool._threads)
+
     def stop(self) -> None:
         """Stop listening and abort requests in progress."""
         self._server.stop()
--- a/src/sesameport/platform/tests/test_shutdown.py
+++ b/src/sesameport/platform/tests/test_shutdown.py
@@ -62,3 +62,33 @@
     started = time.monotonic()
     assert host.shutdown()
     assert time.monotonic() - started < 1.0
+
+
+@pytest.mark.parametrize("attempt", range(3))
+def test_requests_that_wait_for_a_thread_are_answered(cluster, monkeypatch, attempt):
+    # A host counted only requests that a thread had begun to read. It stopped between
+    # two of them while others had been accepted and waited for a thread.
+    monkeypatch.setattr("sesameport.entry.host.MIN_THREADS", 1)
+    monkeypatch.setattr("sesameport.entry.host.MAX_THREADS", 1)
+    monkeypatch.setattr("sesameport.entry.host.UNREADY_S", 0.05)
+    host = cluster.start_host()
+    wait_until(lambda: host.is_ready() and host.server_count() >= 3)
+    cluster.replicas["s1"].pause_s = 0.05
+    responses = []
+    callers = [
+        threading.Thread(
+            target=lambda number=number: responses.append(
+                cluster.send_request("/look/x", request_id=f"q{number}")
+            )
+        )
+        for number in range(6)
+    ]
+    for caller in callers:
+        caller.start()
+    wait_until(lambda: cluster.replicas["s1"].executed_ids)
+    assert host.shutdown()
+    answered = len(responses)
+    for caller in callers:
+        caller.join()
+    assert [response.status for response in responses] == [200] * 6
+    assert answered >= 5  # the caller may still read the last response
