Forecast the wait of a large request by the engine that fits it first

The forecast took a request to need its whole KV cache from what the fleet gives back, so a prompt of 20,000 tokens was refused for a wait of 9 s while an engine had all but 2,000 of them free.

Change: forecast_fit_s, the time until one engine has given back what is missing there; the lower of the two forecasts counts. The log of placements moved to placement_log.py.

The new test of the load fails on the old code.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from sesameport.admission.fleet_use import FleetUse, ServerUse
-from sesameport.admission.forecast import forecast_wait_s
+from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
 from sesameport.admission.placement import (
     GenerationRequest,
     Placement,
@@ -54,6 +54,7 @@
     "place_generation",
     "choose_plain_server",
     "expected_output_tokens",
+    "forecast_fit_s",
     "forecast_wait_s",
     "reserved_kv_tokens",
 ]
--- a/src/sesameport/admission/waiting_queue.py
+++ b/src/sesameport/admission/waiting_queue.py
@@ -13,6 +13,7 @@
 which memory is likely to be free.
 """
 
+import math
 import random
 
 import attrs
@@ -171,6 +172,7 @@
         reserved_tokens: float,
         mean_reservation_s: float,
         now: float,
+        fit_s: float = math.inf,
     ) -> float | None:
         """Return the expected wait of a request that cannot be served in time.
 
@@ -188,16 +190,25 @@
             Mean time for which a request holds its KV cache, seconds.
         now : float
             Monotonic time, seconds.
+        fit_s : float
+            Expected time until the request fits into one engine if no other request
+            is served first, seconds.
         """
         needed = request.kv_tokens
+
+        def forecast_s(ahead: float, freed: float) -> float:
+            wait_s = forecast_wait_s(ahead, needed, freed, mean_reservation_s)
+            ahead_s = forecast_wait_s(ahead, 0.0, freed, mean_reservation_s)
+            return min(wait_s, ahead_s + fit_s * reserved_tokens / max(freed, 1.0))
+
         if not self.is_late(request, now):
             ahead = waiting.on_time - needed
-            wait_s = forecast_wait_s(ahead, needed, reserved_tokens, mean_reservation_s)
+            wait_s = forecast_s(ahead, reserved_tokens)
             if now + wait_s <= self.late_at(request):
                 return None
         ahead = waiting.on_time + waiting.late - needed
         freed = self.policy.late_memory_share * reserved_tokens
-        wait_s = forecast_wait_s(ahead, needed, freed, mean_reservation_s)
+        wait_s = forecast_s(ahead, freed)
         return None if now + wait_s <= self.refuse_at(request) else wait_s
 
     def discard(self, key: int) -> None:
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -25,11 +25,13 @@
     WindowedRetryBudget,
     WorkloadMix,
     choose_plain_server,
+    forecast_fit_s,
     place_generation,
     reserved_kv_tokens,
 )
 from sesameport.entry import messages as m
 from sesameport.entry.configuration import EntryConfiguration
+from sesameport.entry.placement_log import fleet_view_fields, log_placement
 from sesameport.entry.server_monitor import ServerMonitor
 from sesameport.entry.servers import EntryServer
 from sesameport.entry.settings import EntrySettings
@@ -171,18 +173,11 @@
                 "charge": req.charge_tokens,
                 "bucket": round(decision.level),
                 "retry_after_s": round(decision.retry_after_s, 2),
-                **self._fleet_view_fields(now),
+                **fleet_view_fields(self.use, now),
             },
         )
         return m.Refused("over-quota", decision.retry_after_s, True)
 
-    def _fleet_view_fields(self, now: float) -> dict:
-        """Return log fields with the number of reporting hosts and the report age."""
-        return {
-            "hosts_heard": len(self.use.hosts()),
-            "oldest_report_s": round(self.use.oldest_report_s(now), 3),
-        }
-
     def _excessive_wait_s(
         self, service: str, waiting_request: WaitingRequest, now: float
     ) -> float | None:
@@ -190,15 +185,26 @@
         queue = self._queues[service]
         waiting = queue.tokens(now).plus(self.use.remote_waiting(service))
         # An unreachable server releases no memory that this host could use.
-        reserved = sum(
+        reserved = [
             self.use.total_for(server.name).kv_tokens
             for server in self._decode_servers(service, now)
-        )
+        ]
         mean_reservation_s = self.workload_mix(service).mean_reservation_s
+        capacity = self._policy.memory_share * self._engine_tokens(service)
+        fit_s = forecast_fit_s(
+            waiting_request.kv_tokens,
+            [(capacity - tokens, tokens) for tokens in reserved],
+            mean_reservation_s,
+        )
         return queue.excessive_wait_s(
-            waiting_request, waiting, reserved, mean_reservation_s, now
+            waiting_request, waiting, sum(reserved), mean_reservation_s, now, fit_s
         )
 
+    def _engine_tokens(self, name: str) -> int:
+        """Return the KV cache of an engine of a service, 0 without a profile."""
+        service = self.configuration and self.configuration.service(name)
+        return service.engine.kv_tokens if service and service.engine else 0
+
     def _decode_servers(self, service: str, now: float) -> list[EntryServer]:
         """Return the usable servers of a service that can decode."""
         return [
@@ -231,27 +237,11 @@
             for name, change in placement.uses():
                 self.use.add_local(name, change)
             queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
-            self._log_placement(queued.req, placement, now)
+            log_placement(queued.req.request_id, placement, self.use, now)
             placed = True
         if placed:
             self._on_change(now)
 
-    def _log_placement(self, req: m.AdmitGeneration, placement, now: float) -> None:
-        prefill = placement.prefill
-        log.info(
-            "generation placed",
-            extra={
-                "request_id": req.request_id,
-                "decode": placement.decode.name,
-                "prefill": prefill.name if prefill else "",
-                "kv_tokens": placement.kv_tokens,
-                "decode_reserved": round(
-                    self.use.total_for(placement.decode.name).kv_tokens
-                ),
-                **self._fleet_view_fields(now),
-            },
-        )
-
     def _choose(
         self, req: m.AdmitGeneration, now: float
     ) -> Result[Placement, Shortage]:
@@ -334,7 +324,7 @@
                 "forecast_s": round(forecast_s, 3),
                 "is_returning": req.is_returning,
                 "retry_after_s": round(retry_after_s, 2),
-                **self._fleet_view_fields(now),
+                **fleet_view_fields(self.use, now),
             },
         )
         req.future.set(m.Refused(reason, retry_after_s))
--- a/src/sesameport/entry/tests/test_admission_controller.py
+++ b/src/sesameport/entry/tests/test_admission_controller.py
@@ -184,6 +184,36 @@
     assert all(controller.use.local == {} for controller in fleet.controllers)
 
 
+def admit_large_request(held):
+    """Submit a prompt of 30,000 tokens to four engines that hold ``held`` tokens each.
+
+    Return the controller and the future of the request.
+    """
+    fleet = Fleet(1, 4, 1)
+    controller = fleet.controllers[0]
+    for n in range(4):
+        controller.use.add_local(f"d{n}", ServerUse(held, 3, 0))
+    future = pykka.ThreadingFuture()
+    generation = GenerationRequest("llm", "a", 30_000, 700)
+    controller.admit_generation(
+        m.AdmitGeneration(1, "r1", generation, "w", 0.0, 0.9, 3.6, False, 1, future),
+        0.0,
+    )
+    return controller, future
+
+
+def test_large_request_waits_for_one_engine_while_the_fleet_is_nearly_idle():
+    # An engine of 37,563 tokens holds 10,000, so 3,200 more must come free on it. The
+    # forecast took the whole request to need memory that is not free yet and refused
+    # large prompts while under a third of the memory was used.
+    controller, future = admit_large_request(10_000)
+    with pytest.raises(pykka.Timeout):
+        future.get(timeout=0)
+    controller.use.add_local("d2", ServerUse(-4_000, -1, 0))
+    controller.place_waiting(1.0)
+    assert future.get(timeout=0).placement.decode.name == "d2"
+
+
 def test_error_in_one_request_does_not_block_others():
     controller = AdmissionController(settings("h"), lambda now: None, lambda at: None)
     controller.use.add_local("d", ServerUse(1, 1, 0))
