Add "sesameport outcomes", a table of requests not served in time, and bound explain

Cause: on-call engineers and developers counted refusals, failures and late answers by reason with scripts of their own; explain held all log lines in memory.

Change: outcomes counts ended requests by kind, outcome and reason and failed attempts by step, from logs or standard input. Both commands read line by line (log_lines.py).

--- a/src/sesameport/commands/__init__.py
+++ b/src/sesameport/commands/__init__.py
@@ -12,6 +12,7 @@
 from sesameport.commands.demo import Demo
 from sesameport.commands.documents import Get, Put
 from sesameport.commands.explain import Explain
+from sesameport.commands.outcomes import Outcomes
 from sesameport.commands.report import Report
 from sesameport.commands.serve import Serve
 from sesameport.commands.status import Status
@@ -25,7 +26,7 @@
     """Route requests between separate prefill and decode pools."""
 
     command: cappa.Subcommands[
-        Serve | Demo | Check | Put | Get | Status | Report | Bench | Explain
+        Serve | Demo | Check | Put | Get | Status | Report | Bench | Explain | Outcomes
     ]
 
 
--- a/src/sesameport/commands/explain.py
+++ b/src/sesameport/commands/explain.py
@@ -1,6 +1,5 @@
 """Print the log records of one request."""
 
-import json
 import pathlib
 import sys
 from collections.abc import Iterable
@@ -9,6 +8,8 @@
 import attrs
 import cappa
 
+from sesameport.commands.log_lines import iter_lines, parse_record
+
 __all__ = ["Explain", "format_request_log"]
 
 _LEADING_FIELDS = ("time", "host", "event")
@@ -31,14 +32,10 @@
     """
     records = []
     for line in lines:
-        start = line.find("{")
-        if start < 0 or request_id not in line:
-            continue
-        try:
-            record = json.loads(line[start:])
-        except json.JSONDecodeError:
+        if request_id not in line:
             continue
-        if isinstance(record, dict) and record.get("request_id") == request_id:
+        record = parse_record(line)
+        if record is not None and record.get("request_id") == request_id:
             records.append(record)
     records.sort(key=lambda record: str(record.get("time", "")))
     return [_format_record(record) for record in records]
@@ -55,16 +52,11 @@
 
 
 def _explain(command: "Explain") -> int:
-    lines: list[str] = []
-    for path in command.logs:
-        try:
-            lines.extend(path.read_text(errors="replace").splitlines())
-        except OSError as exc:
-            print(f"{path}: {exc.strerror}", file=sys.stderr)
-            return 1
-    if not command.logs:
-        lines.extend(sys.stdin)
-    records = format_request_log(command.request_id, lines)
+    try:
+        records = format_request_log(command.request_id, iter_lines(command.logs))
+    except OSError as exc:
+        print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
+        return 1
     if not records:
         print(f"no log record of request {command.request_id}", file=sys.stderr)
         return 1
