Let a scripted test server read whole requests; give its slow stream a long timeout

All events had arrived. The test's server closed its connection with the request's body unread, which resets the connection, and a stream that is reset is rightly not complete.

Change: the server reads the body as well.

--- a/src/sesameport/platform/tests/test_late_bytes.py
+++ b/src/sesameport/platform/tests/test_late_bytes.py
@@ -1,12 +1,13 @@
 """Test servers that send a response twice, too slowly or without progress."""
 
+import re
 import socket
 import threading
 import time
 
 import pytest
 
-from sesameport.platform.tests.conftest import wait_until
+from sesameport.platform.tests.conftest import make_configuration, wait_until
 
 SIGNED = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
 
@@ -33,13 +34,27 @@
     def _serve(self, conn):
         with conn:
             try:
-                head = conn.recv(65_536).decode("latin-1")
-                lines = head.lower().splitlines()
+                lines = self._read_head(conn).lower().splitlines()
                 ids = [line for line in lines if line.startswith("x-request-id:")]
                 self._answer(ids[0].partition(":")[2].strip(), conn)
             except OSError:
                 pass
 
+    def _read_head(self, conn):
+        """Return the head of a request after its body was read as well.
+
+        Closing a connection with unread bytes would reset it.
+        """
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += conn.recv(65_536)
+        head, _, body = data.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        length = re.search(r"content-length: *(\d+)", text, re.IGNORECASE)
+        while length and len(body) < int(length[1]):
+            body += conn.recv(65_536)
+        return text
+
     def stop(self):
         self._listener.close()
 
@@ -90,12 +105,18 @@
 
 
 def test_slow_stream_that_makes_progress_is_not_cut(cluster, scripted):
-    events = [f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 7)]
+    # Seven pauses of 0.4 s are longer than any gap that a caller calls in time, and far
+    # within the route's timeout.
+    routes = [
+        {**route, "timeoutMs": 14_000} for route in make_configuration()["routes"]
+    ]
+    cluster.configure(2, routes=routes)
+    events = [f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 8)]
     scripted(
-        "d1", "llm", lambda _, conn: event_stream(conn, events, 0.25), stage="decode"
+        "d1", "llm", lambda _, conn: event_stream(conn, events, 0.4), stage="decode"
     )
     for route in ("draft", "grade"):
-        response = cluster.send_generation(route, request_id=route, deadline_ms=2_000)
+        response = cluster.send_generation(route, request_id=route, deadline_ms=14_000)
         assert response.is_complete
         assert response.body == b"".join(events)
 
