--- a/src/sesameport/commands/outcomes.py
+++ b/src/sesameport/commands/outcomes.py
@@ -17,7 +17,7 @@
 """Number of rows of one table; the reasons of failures contain free text."""
 
 REASON_LENGTH = 48
-"""Length to which a reason is cut, so that equal causes share a row."""
+"""Length to which a reason is truncated, which groups causes with different details."""
 
 
 @attrs.define
--- a/src/sesameport/entry/event_buffer.py
+++ b/src/sesameport/entry/event_buffer.py
@@ -9,7 +9,7 @@
 __all__ = ["EventBuffer", "EventLengthLimit"]
 
 MAX_EVENT_BYTES = 65_536
-"""Largest event. A server in trouble may send bytes without ever ending an event."""
+"""Largest event, bytes. A faulty server may send an event without an end."""
 
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
 
--- a/src/sesameport/entry/host_addresses.py
+++ b/src/sesameport/entry/host_addresses.py
@@ -83,7 +83,7 @@
         return {*self.by_name.values(), *seeds}
 
     def expired(self, now: float) -> tuple[str, ...]:
-        """Return the hosts that have not reported for so long that they are gone."""
+        """Return the hosts whose registrations should be deleted."""
         return tuple(
             name
             for name, at in self._reported_at.items()
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -35,8 +35,7 @@
 """Interval of ZeroMQ heartbeats, which detect silent connections, and the longest wait
 for the response. Together they are 3 s, the time after a disturbance from which the
 users expect a host to work normally. Only the receiving side of a connection sends
-heartbeats. Each host of 195 has 388 connections, and heartbeats of both sides once a
-second took most of its processor time."""
+heartbeats, because every host has two connections to every other one."""
 
 HEARTBEAT_LIFETIME_MS = 3_000
 """Silence after which the sending side ends a connection."""
@@ -53,9 +52,10 @@
 
 RECEIVE_INTERVAL_PER_HOST_S = 0.00005
 """Time between two reads of reports per sending host, seconds. Reports that arrive in
-between are handled together, which saves a small host most of its processor time."""
+between are handled together with one message to the actor and one placement."""
 
 MAX_REPORTS_AT_ONCE = 1_000
+"""Number of reports handled together; further ones are read after other messages."""
 
 _REPORT = b"r"
 _PARTIAL_REPORT = b"p"
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -29,7 +29,7 @@
 
 
 MAX_BUFFERED_BYTES = 16_384
-"""Largest response that is read completely before it is sent to the caller. An
+"""Largest response that is read completely before it is sent to the caller, bytes. An
 incomplete response can then be replaced by that of another server. The limit keeps
 memory bounded while servers send bodies without end to many requests."""
 
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -49,21 +49,20 @@
 """
 
 READ_SIZE_BYTES = 8_192
-"""Largest part of a body that is read at once."""
+"""Largest part of a body that is read at once, bytes."""
 
 MAX_HEAD_BYTES = 65_536
-"""Largest status line with headers, interim responses included."""
+"""Largest status line and headers, including interim responses, bytes."""
 
 MAX_FRAMING_BYTES = 65_536
 """Bytes that may arrive before the next part of a body: chunk sizes, trailers and what
 is read ahead."""
 
 MAX_PREFILL_RESPONSE_BYTES = 65_536
-"""Largest response of a prefill, which names a handle."""
+"""Largest response of a prefill, which contains a handle, bytes."""
 
 MAX_BODY_BYTES = 67_108_864
-"""Largest body of a response. It ends a body that a server in trouble sends without
-end."""
+"""Largest body of a response, bytes. A faulty server may send a body without an end."""
 
 _HTTP_ERRORS = (
     urllib3.exceptions.HTTPError,
--- a/src/sesameport/platform/tests/test_endless_bytes.py
+++ b/src/sesameport/platform/tests/test_endless_bytes.py
@@ -12,7 +12,7 @@
 from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST, wait_until
 
 REQUESTS = 8
-"""Number of requests at once to the server in trouble."""
+"""Number of concurrent requests to the faulty server."""
 
 MAX_GROWTH_BYTES = 1_000_000
 DEADLINE_MS = 1_500
