Log crashes of servers with the request that they had just begun

Cause: 'attempt failed' reads the same for a crash and for a connection that a running server closed, and no line names the parts of a prompt.

Change: a request that ends before its stream has run for 0.3 s makes the host connect to the server once. If the connection is refused, the server has crashed: a log line names the server, its start time, the prefill server, the age of the run and the shared parts, and a metric counts it. 'attempt failed' names events and parts.

Tests of entry/, platform/ and names pass.

--- a/src/sesameport/adapters/sockets.py
+++ b/src/sesameport/adapters/sockets.py
@@ -7,7 +7,12 @@
 import time
 from collections.abc import Iterable
 
-__all__ = ["KEEPALIVE_OPTIONS", "SERVER_KEEPALIVE_OPTIONS", "find_reachable"]
+__all__ = [
+    "KEEPALIVE_OPTIONS",
+    "SERVER_KEEPALIVE_OPTIONS",
+    "find_reachable",
+    "refuses_connections",
+]
 
 KEEPALIVE_OPTIONS = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -60,3 +65,19 @@
                 if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0:
                     reachable.add(address)
     return reachable
+
+
+def refuses_connections(address: str, timeout_s: float) -> bool:
+    """Return whether a connection to ``IP:port`` is refused within ``timeout_s``.
+
+    Only a machine that runs, and on which no process listens at the port, refuses a
+    connection. One that is cut off or down does not answer.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout_s).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/src/sesameport/entry/crash_detector.py
@@ -0,0 +1,66 @@
+"""Detect crashes of backend servers from the requests that were in flight there."""
+
+import time
+
+from sesameport.entry.requests import CallFailure, FailureKind, ServerClient
+from sesameport.entry.servers import EntryServer
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["CrashDetector"]
+
+log = get_logger("requests")
+
+
+class CrashDetector:
+    """Tell a crash from a connection that a running server closed.
+
+    A server that has crashed refuses connections until it has restarted. Of the
+    requests in flight there, only one that it had just begun to answer may have caused
+    the crash.
+
+    Parameters
+    ----------
+    calls : ServerClient
+        Client of the backend servers.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(self, calls: ServerClient, metrics):
+        self._calls = calls
+        self._metrics = metrics
+
+    def record_failure(
+        self,
+        progress,
+        server: EntryServer,
+        failure: CallFailure,
+        call: str,
+    ) -> bool:
+        """Return whether the server crashed as it began to answer a request.
+
+        ``progress`` is the ``RequestProgress`` of the request.
+        """
+        if failure.kind != FailureKind.BROKEN:
+            return False
+        if call != "prefill" and progress.has_settled():
+            return False
+        if not self._calls.refuses_connections(server.address):
+            return False
+        self._metrics.count("sesameport_entry_server_crashes_total", call=call)
+        log.warning(
+            "server crashed on a request",
+            extra={
+                "request_id": progress.req.request_id,
+                "server": server.name,
+                "service": server.service,
+                "started_at_ms": server.started_at_ms,
+                "call": call,
+                "prefill": progress.prefill_server,
+                "run_s": round(time.monotonic() - progress.run_began_at, 3),
+                "events": progress.run_events,
+                "parts": ",".join(progress.req.prompt_parts),
+                "workspace": progress.req.workspace,
+            },
+        )
+        return True
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -8,6 +8,7 @@
 
 from sesameport.admission import RouteTable
 from sesameport.entry.configuration import RequestKind, key_digest
+from sesameport.entry.crash_detector import CrashDetector
 from sesameport.entry.generation_handler import GenerationHandler
 from sesameport.entry.outcomes import OutcomeReporter, RequestProgress, ResponseWriter
 from sesameport.entry.plain_handler import PlainHandler
@@ -47,7 +48,8 @@
 
     def __init__(self, actor, routes, calls: ServerClient, data_centre: str, metrics):
         self._routes = routes
-        self._outcomes = OutcomeReporter(actor, metrics)
+        crashes = CrashDetector(calls, metrics)
+        self._outcomes = OutcomeReporter(actor, metrics, crashes)
         self._plain = PlainHandler(actor, calls, self._outcomes)
         self._generations = GenerationHandler(actor, calls, self._outcomes, data_centre)
 
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -7,17 +7,17 @@
 import pykka
 from result import Err, Ok
 
-from sesameport.admission import GenerationRequest, Placement, expected_output_tokens
+from sesameport.admission import GenerationRequest, expected_output_tokens
 from sesameport.entry import messages as m
 from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
 from sesameport.entry.local_prefill import LocalPrefill
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
+from sesameport.entry.prefill_handler import PrefillHandler
 from sesameport.entry.requests import (
     CallerDisconnected,
     CallFailure,
     FailureKind,
     IncompleteResponse,
-    KvSource,
     ServerClient,
     read_response,
 )
@@ -34,24 +34,11 @@
 a refusal. First attempts state 0.85 of the timeout or more, and a refusal costs two
 seconds of it."""
 
-HANDLE_USE_SHARE = 0.7
-"""Share of a handle's lifetime in which it is offered to another decode server. The
-remaining time allows the call to reach that server."""
-
 CALLER_PATIENCE_TARGETS = 4.0
 MIN_CALLER_PATIENCE_S = 2.0
 """A caller without an event disconnects after this multiple of its latency target, or
 after the minimum in seconds if that is longer, as the users specify."""
 
-PREFILL_MARGIN_S = 0.35
-PREFILL_FACTOR = 2.0
-MAX_PREFILL_TIMEOUT_S = 1.0
-"""The timeout of a prefill is its expected time multiplied by the factor plus the
-margin, up to the maximum, seconds. It detects a lost response early enough to still
-meet the target. Some engines take 1.3 times as long as others."""
-
-LOST_RESPONSE_KINDS = frozenset({FailureKind.BROKEN, FailureKind.TIMEOUT})
-
 log = get_logger("requests")
 
 
@@ -77,6 +64,7 @@
         self._calls = calls
         self._outcomes = outcomes
         self._data_centre = data_centre
+        self._prefills = PrefillHandler(actor, calls, outcomes)
         self._keys = itertools.count(1)
 
     def handle(self, progress, service, priority, charge, writer, caller) -> None:
@@ -184,7 +172,7 @@
             self._actor.tell(m.RunEnded(admitted.placement))
 
     def _run_attempt(self, progress, placement, events, has_started, writer, caller):
-        failure = self._prefill(progress, placement, caller)
+        failure = self._prefills.run(progress, placement, caller)
         if failure is not None:
             return failure, has_started
         local_prefill = LocalPrefill(self._actor, placement)
@@ -205,13 +193,14 @@
         self, progress, decode, local_prefill, events, has_started, writer, caller
     ):
         source = progress.source
-        progress.servers.append(decode.name)
+        progress.prefill_server = source.server if source is not None else ""
+        progress.begin_run(decode)
         result = self._calls.run(
             decode.address, decode.name, progress.req, caller, source
         )
         match result:
             case Err(failure):
-                self._outcomes.record_failure(progress, decode.name, failure, "decode")
+                self._outcomes.record_failure(progress, decode, failure, "decode")
                 progress.excluded.add(decode.name)
                 if failure.kind == FailureKind.REFUSED and source is not None:
                     self._record_source_failure(progress)
@@ -227,7 +216,7 @@
         try:
             return self._stream_response(
                 progress,
-                decode.name,
+                decode,
                 response,
                 local_prefill,
                 events,
@@ -248,62 +237,6 @@
         progress.excluded.add(server)
         self._actor.tell(m.CallOutcome(server, failed=True))
 
-    def _prefill(self, progress, placement: Placement, caller) -> CallFailure | None:
-        """Run the prefill if the placement has one; return its failure or None."""
-        server = placement.prefill
-        if server is None:
-            return None
-        progress.source = None  # an earlier handle has expired
-        began_at = time.monotonic()
-        result = self._call_prefill(progress, placement, caller)
-        now = time.monotonic()
-        self._actor.tell(
-            m.PrefillEnded(placement, now - began_at, isinstance(result, Ok))
-        )
-        match result:
-            case Ok(prefilled):
-                progress.servers.append(server.name)
-                progress.source = KvSource(
-                    prefilled.address, prefilled.handle, server.name
-                )
-                progress.source_expires_at = now + HANDLE_USE_SHARE * placement.handle_s
-                return None
-            case Err(failure):
-                progress.excluded.add(server.name)
-                if failure.kind in LOST_RESPONSE_KINDS:
-                    # A lost prefill has produced no output, so a retry is safe.
-                    failure = attrs.evolve(failure, kind=FailureKind.REFUSED)
-                return failure
-
-    def _call_prefill(self, progress, placement: Placement, caller):
-        """Call the prefill server and retry once if its response was lost.
-
-        The server still holds the KV cache, so the retry needs no second prefill.
-        Another server would have to run the prefill again.
-        """
-        server = placement.prefill
-        attempt_timeout_s = (
-            PREFILL_MARGIN_S + PREFILL_FACTOR * placement.expected_prefill_s
-        )
-        attempt_timeout_s = min(MAX_PREFILL_TIMEOUT_S, attempt_timeout_s)
-        retries = 1
-        while True:
-            result = self._calls.prefill(
-                server.address, server.name, progress.req, caller, attempt_timeout_s
-            )
-            if result.is_ok():
-                return result
-            failure = result.unwrap_err()
-            will_retry = failure.kind in LOST_RESPONSE_KINDS and retries > 0
-            if will_retry:
-                will_retry = self._actor.ask(m.ConsumeRetry(server.service))
-            self._outcomes.record_failure(
-                progress, server.name, failure, "prefill", will_retry
-            )
-            if not will_retry:
-                return result
-            retries -= 1
-
     def _stream_response(
         self, progress, server, response, local_prefill, events, has_started, writer
     ):
@@ -353,7 +286,7 @@
                 self._outcomes.record_failure(progress, server, failure)
                 return failure
             case Ok((status, headers, body)):
-                self._actor.tell(m.CallOutcome(server, failed=status >= 500))
+                self._actor.tell(m.CallOutcome(server.name, failed=status >= 500))
                 self._outcomes.send_response(
                     progress, writer, status, headers, body, chunks
                 )
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -8,6 +8,7 @@
 
 from sesameport.entry import messages as m
 from sesameport.entry.configuration import EntryRoute
+from sesameport.entry.crash_detector import CrashDetector
 from sesameport.entry.requests import (
     MAX_BUFFERED_BYTES,
     EntryRequest,
@@ -15,6 +16,7 @@
     KvSource,
     forward_rest,
 )
+from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["MAX_SENDS", "OutcomeReporter", "RequestProgress", "ResponseWriter"]
@@ -23,6 +25,10 @@
 """Number of servers to which one request is sent, whether or not they run it. It bounds
 the time spent on servers that refuse."""
 
+SETTLING_S = 0.3
+"""Time after the first event of a run from which no crash of its server is attributed
+to it, seconds. The last events before a crash may arrive after the first one."""
+
 log = get_logger("requests")
 
 
@@ -76,6 +82,14 @@
         Servers that get no further attempt.
     source : KvSource or None
         KV cache of the prompt at a prefill server, valid until ``source_expires_at``.
+    server : EntryServer or None
+        Server of the present run.
+    prefill_server : str
+        Name of the server whose KV cache the present run uses, if any.
+    run_events : int
+        Number of reads with events that the present run has returned.
+    run_began_at : float
+        Monotonic time at which the present run was sent to its server, seconds.
     """
 
     req: EntryRequest
@@ -85,20 +99,45 @@
     runs: int = 0
     excluded: set[str] = attrs.field(factory=set)
     servers: list[str] = attrs.field(factory=list)
+    server: EntryServer | None = None
     waited_s: float = 0.0
     first_s: float | None = None
     longest_pause_s: float = 0.0
     _last_event_at: float | None = None
+    run_events: int = 0
+    run_began_at: float = 0.0
+    _run_first_event_at: float | None = None
     status: int = 0
     outcome: str = ""
     reason: str = ""
     has_run: bool = False
     source: KvSource | None = None
     source_expires_at: float = 0.0
+    prefill_server: str = ""
+
+    def begin_run(self, server: EntryServer) -> None:
+        """Record that the request is sent to a server that will run it."""
+        self.servers.append(server.name)
+        self.server = server
+        self.run_events = 0
+        self.run_began_at = time.monotonic()
+        self._run_first_event_at = None
+
+    def has_settled(self) -> bool:
+        """Return whether the present run has sent events for some time.
+
+        A server that crashes on a request does so when it begins to answer it.
+        """
+        if self._run_first_event_at is None:
+            return False
+        return time.monotonic() - self._run_first_event_at >= SETTLING_S
 
     def record_event(self) -> None:
         """Record the time of an event that is forwarded, and the pause before it."""
         now = time.monotonic()
+        self.run_events += 1
+        if self._run_first_event_at is None:
+            self._run_first_event_at = now
         if self._last_event_at is None:
             self.first_s = now - self.req.received_at
         else:
@@ -128,11 +167,14 @@
         The entry actor, which tracks server health.
     metrics : Metrics
         Counters and histograms.
+    crashes : CrashDetector
+        Attributes crashes of servers to requests.
     """
 
-    def __init__(self, actor, metrics):
+    def __init__(self, actor, metrics, crashes: CrashDetector):
         self._actor = actor
         self._metrics = metrics
+        self._crashes = crashes
 
     def send_response(
         self, progress, writer, status, headers, body, rest: Iterator[bytes] = iter(())
@@ -152,7 +194,7 @@
         if failure is None:
             writer.finish()
             return
-        self.record_failure(progress, progress.servers[-1], failure)
+        self.record_failure(progress, progress.server, failure)
         progress.set_outcome("broken-off", failure.detail)
         writer.abort()
 
@@ -200,7 +242,7 @@
     def record_failure(
         self,
         progress,
-        server: str,
+        server: EntryServer,
         failure,
         call: str = "run",
         will_retry: bool = False,
@@ -222,7 +264,7 @@
         is_decode = call == "decode"
         self._actor.tell(
             m.CallOutcome(
-                server,
+                server.name,
                 failed,
                 unreachable,
                 refused and not is_decode,
@@ -235,14 +277,17 @@
             "attempt failed",
             extra={
                 "request_id": progress.req.request_id,
-                "server": server,
+                "server": server.name,
                 "call": call,
                 "failure": str(failure.kind),
                 "detail": failure.detail,
                 "send": progress.sends,
                 "age_s": round(time.monotonic() - progress.req.received_at, 3),
+                "events": progress.run_events,
+                "parts": ",".join(progress.req.prompt_parts),
             },
         )
+        self._crashes.record_failure(progress, server, failure, call)
 
     def record_end(self, progress) -> None:
         """Record the end of a request in the metrics and the log."""
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -61,7 +61,7 @@
                 return
             server = reply.plain
             progress.sends += 1
-            progress.servers.append(server.name)
+            progress.begin_run(server)
             progress.excluded.add(server.name)
             started = time.monotonic()
             try:
@@ -102,7 +102,7 @@
         )
         match result:
             case Err(failure):
-                self._outcomes.record_failure(progress, server.name, failure)
+                self._outcomes.record_failure(progress, server, failure)
                 if not failure.kind.has_not_run():
                     progress.has_run = True
                     progress.runs += 1
@@ -114,7 +114,7 @@
         chunks = response.chunks()
         match read_response(response, chunks):
             case Err(failure):
-                self._outcomes.record_failure(progress, server.name, failure)
+                self._outcomes.record_failure(progress, server, failure)
                 return Err(failure)
             case Ok((status, headers, body)):
                 self._actor.tell(m.CallOutcome(server.name, failed=status >= 500))
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -72,6 +72,8 @@
         Time that the caller is willing to wait, as stated in the request, seconds.
     tokens : TokenCounts or None
         Size of a generation.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may have too, in order.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
     """
@@ -88,6 +90,7 @@
     resume_after: str = ""
     workspace: str = ""
     route: EntryRoute | None = None
+    prompt_parts: tuple[str, ...] = ()
 
 
 class FailureKind(enum.StrEnum):
@@ -225,6 +228,10 @@
         """Release the KV cache of a prefill that is not used."""
         ...
 
+    def refuses_connections(self, address: str) -> bool:
+        """Return whether no process listens at the address of a server."""
+        ...
+
 
 def read_body(response: OpenResponse, max_bytes: int) -> Result[bytes, CallFailure]:
     """Return the body of a response and close the response.
--- a/src/sesameport/entry/tests/test_generation_handler.py
+++ b/src/sesameport/entry/tests/test_generation_handler.py
@@ -49,7 +49,7 @@
     ]
     placement = Placement(*engines, kv_tokens=4_000, prompt_tokens=3_000)
     actor = PlacingActor(placement)
-    handler = GenerationHandler(actor, None, OutcomeReporter(actor, None), "a")
+    handler = GenerationHandler(actor, None, OutcomeReporter(actor, None, None), "a")
     req = EntryRequest(
         "r1", "POST", "/r/x", (), b"", 0.0, 14.0, 14.0, TokenCounts(3_000, 700)
     )
--- a/src/sesameport/platform/callers.py
+++ b/src/sesameport/platform/callers.py
@@ -74,6 +74,7 @@
             deadline=now + wait_s,
             caller_wait_s=wait_s,
             tokens=tokens,
+            prompt_parts=_parse_prompt_parts(value_by_name),
             resume_after=value_by_name.get(header_names.LAST_EVENT_ID, ""),
         )
     )
@@ -88,6 +89,13 @@
         return default
 
 
+def _parse_prompt_parts(value_by_name: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which is not shared."""
+    text = value_by_name.get(header_names.PROMPT_PREFIX, "")
+    names = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    return tuple(name for name in names[:-1] if name)
+
+
 def _parse_token_counts(value_by_name: Mapping[str, str]) -> TokenCounts | None:
     text = value_by_name.get(header_names.TOKEN_COUNT)
     if text is None:
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -18,7 +18,10 @@
     CancellableSocket,
     ReadLimitExceeded,
 )
-from sesameport.adapters.sockets import SERVER_KEEPALIVE_OPTIONS
+from sesameport.adapters.sockets import (
+    SERVER_KEEPALIVE_OPTIONS,
+    refuses_connections,
+)
 from sesameport.entry.requests import (
     CallerConnection,
     CallerDisconnected,
@@ -48,6 +51,12 @@
 The handle expires soon in any case.
 """
 
+LISTEN_CHECK_TIMEOUT_S = 0.2
+"""Timeout of the check whether a replica still listens, seconds.
+
+A machine whose process has ended answers in a round trip.
+"""
+
 READ_SIZE_BYTES = 8_192
 """Largest part of a body that is read at once, bytes."""
 
@@ -206,6 +215,10 @@
             conn.close()
         return Ok(None)
 
+    def refuses_connections(self, address: str) -> bool:
+        """Return whether no process listens at the address of a replica."""
+        return refuses_connections(address, LISTEN_CHECK_TIMEOUT_S)
+
     def _open_response(
         self, address, server, req, caller, extra_headers, attempt_timeout_s
     ) -> Result[OpenResponse, CallFailure]:
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -10,6 +10,7 @@
     "LAST_EVENT_ID",
     "LENGTH_HINT",
     "NOT_EXECUTED",
+    "PROMPT_PREFIX",
     "REQUEST_ID",
     "RESPONSE_SEAL",
     "ROUTER_HEADERS",
@@ -24,6 +25,7 @@
 TENANT = "x-tenant"
 TOKEN_COUNT = "x-token-count"
 LENGTH_HINT = "x-length-hint"
+PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
 STAGE = "x-stage"
 KV_SOURCE = "x-kv-source"
--- a/src/sesameport/platform/tests/fakes.py
+++ b/src/sesameport/platform/tests/fakes.py
@@ -1,7 +1,9 @@
 """Provide a fake object store and fake replicas that serve HTTP on loopback."""
 
+import contextlib
 import http.server
 import json
+import socket
 import threading
 import time
 
@@ -12,6 +14,18 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.open_connections = set()
+
+    def process_request(self, request, client_address):
+        self.open_connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.open_connections.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         """Ignore errors of callers that closed their connection."""
 
@@ -64,6 +78,15 @@
             self._server.shutdown()
             self._server.server_close()
 
+    def crash(self):
+        """Stop listening and end all connections, like a process that dies."""
+        self._stopped = True
+        self._server.socket.close()
+        for sock in list(self._server.open_connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
+
 
 class FakeStore(_FakeServer):
     """Serve objects with revisions, lists and watches.
@@ -217,10 +240,14 @@
 
     The next ``unanswered_prefills`` prefills get no response until the caller
     disconnects. For the next ``dropped_prefills`` the connection is closed at once.
+
+    The replica crashes when it begins to run a request that ``crashes_on`` is true for;
+    the function gets the headers, with names in lower case, and the body.
     """
 
-    def __init__(self, name, stage="", event_count=6, pause_s=0.0):
+    def __init__(self, name, stage="", event_count=6, pause_s=0.0, crashes_on=None):
         super().__init__()
+        self.crashes_on = crashes_on
         self.name = name
         self.stage = stage
         self.event_count = event_count
@@ -296,6 +323,9 @@
                 threading.Thread(target=self.stop, daemon=True).start()
             return
         self.executed_ids.append(headers["x-request-id"])
+        if self.crashes_on is not None and self.crashes_on(headers, body):
+            self.crash()
+            return
         self._execute(handler, headers, fault)
 
     def _execute(self, handler, headers, fault):
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -117,6 +117,7 @@
         "kind",
     ),
     _counter("platform_calls", "Calls to the platform.", "operation", "result"),
+    _counter("entry_server_crashes", "Crashes with a request in flight.", "call"),
     _counter("role_orders", "Orders to change a role.", "result"),
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
     _gauge("entry_version", "Version of the configuration in force."),
