Let a fake server that crashes stop listening at once

Cause: the test of the crash log failed once in the whole suite. The fake closed its listening socket while another thread polled it; the kernel then keeps accepting until the poll ends, so the host saw a server that still listens.

Change: the fake shuts the listening socket down first.

--- a/src/sesameport/platform/tests/fakes.py
+++ b/src/sesameport/platform/tests/fakes.py
@@ -81,7 +81,8 @@
     def crash(self):
         """Stop listening and end all connections, like a process that dies."""
         self._stopped = True
-        self._server.socket.close()
+        # Closing a socket that another thread polls has no effect until the poll ends.
+        self._server.socket.shutdown(socket.SHUT_RDWR)
         for sock in list(self._server.open_connections):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
