Refuse requests whose part or whole crashed two servers, at all hosts

Callers saw 502 and streams that broke off on one decode server after the other, for as long as requests with the deadly part came.

Cause: nothing learned from a crash. A host recorded only that a server failed; the request that crashed it, and the next one with the same part, went on to healthy servers. The path that serves on the platform had no quarantine at all, and the one of the daemon knows whole requests only. The class of the fault: a failure that travels with the request is treated as a failure of the server.

Change: admission/crash_suspects.py decides, without I/O, from the subjects of requests that servers had just begun to answer when they crashed. A subject of two crashes that no answered request has is refused with 503 before it is queued, while it waits, before a prefill and before a decode; subjects that always occur together are refused together only. Hosts tell each other at once and repeat it by the Trickle algorithm (RFC 6206), so that hosts which start or were cut off learn it too; a record in the store covers a stop of all hosts. Without suspects nothing is sent or computed. The same holds for whole requests, plain ones too.

Why it works: a part that crashes each server has no answered request, and any other part has one soon.

Result: the regression test failed before (six requests reach servers after the fifth crash, three are allowed) and passes.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -4,6 +4,11 @@
 The daemon and the load simulations in tests therefore run the same code.
 """
 
+from sesameport.admission.crash_suspects import (
+    CrashSuspects,
+    Judgement,
+    SuspectReport,
+)
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
 from sesameport.admission.placement import (
@@ -22,6 +27,7 @@
 from sesameport.admission.routes import RouteTable
 from sesameport.admission.server_health import ServerHealth
 from sesameport.admission.server_registry import ServerRegistry
+from sesameport.admission.trickle import Trickle
 from sesameport.admission.waiting_queue import (
     RetryAfterPolicy,
     WaitingPolicy,
@@ -31,9 +37,11 @@
 )
 
 __all__ = [
+    "CrashSuspects",
     "FleetQuota",
     "FleetUse",
     "GenerationRequest",
+    "Judgement",
     "Placement",
     "PlacementPolicy",
     "QuotaDecision",
@@ -46,6 +54,8 @@
     "ServerHealth",
     "ServerUse",
     "Shortage",
+    "SuspectReport",
+    "Trickle",
     "WaitingRequest",
     "WaitingPolicy",
     "WaitingQueue",
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -52,12 +52,22 @@
         Called with each new configuration.
     on_probe_targets : callable
         Called with the servers that need a probe.
+    on_hosts : callable
+        Called with the number of hosts and whether new ones report.
     """
 
     use_daemon_thread = True
 
     def __init__(
-        self, settings, routes, peers, timers, metrics, on_config, on_probe_targets
+        self,
+        settings,
+        routes,
+        peers,
+        timers,
+        metrics,
+        on_config,
+        on_probe_targets,
+        on_hosts,
     ):
         super().__init__()
         self._settings: EntrySettings = settings
@@ -67,6 +77,7 @@
         self._metrics = metrics
         self._on_config = on_config
         self._on_probe_targets = on_probe_targets
+        self._on_hosts = on_hosts
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
@@ -111,6 +122,7 @@
             m.GetFleetCounts: self._counts,
             m.GetExpiredHosts: self._expired_hosts,
             m.SnapshotRequested: self._serve_snapshot,
+            m.SuspectReports: lambda message, now: peers.publish(message),
         }
 
     def on_receive(self, message):
@@ -353,6 +365,7 @@
             self._peer_sequences.pop(host, None)
         _log_hosts(log.warning, "host silent", silent)
         _log_hosts(log.info, "host heard", self._new_peers)
+        self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
         self._new_peers = []
         for name in self._admission.registry.expire(now):
             log.info("server entry expired", extra={"server": name})
--- a/src/sesameport/entry/crash_detector.py
+++ b/src/sesameport/entry/crash_detector.py
@@ -1,6 +1,7 @@
 """Detect crashes of backend servers from the requests that were in flight there."""
 
 import time
+from collections.abc import Callable
 
 from sesameport.entry.requests import CallFailure, FailureKind, ServerClient
 from sesameport.entry.servers import EntryServer
@@ -24,11 +25,19 @@
         Client of the backend servers.
     metrics : Metrics
         Counters.
+    on_crash : callable
+        Called with the ``RequestProgress`` and the server of each crash.
     """
 
-    def __init__(self, calls: ServerClient, metrics):
+    def __init__(
+        self,
+        calls: ServerClient,
+        metrics,
+        on_crash: Callable[[object, EntryServer], None],
+    ):
         self._calls = calls
         self._metrics = metrics
+        self._on_crash = on_crash
 
     def record_failure(
         self,
@@ -36,17 +45,17 @@
         server: EntryServer,
         failure: CallFailure,
         call: str,
-    ) -> bool:
-        """Return whether the server crashed as it began to answer a request.
+    ) -> None:
+        """Record a crash if the server crashed as it began to answer a request.
 
         ``progress`` is the ``RequestProgress`` of the request.
         """
         if failure.kind != FailureKind.BROKEN:
-            return False
+            return
         if call != "prefill" and progress.has_settled():
-            return False
+            return
         if not self._calls.refuses_connections(server.address):
-            return False
+            return
         self._metrics.count("sesameport_entry_server_crashes_total", call=call)
         log.warning(
             "server crashed on a request",
@@ -63,4 +72,4 @@
                 "workspace": progress.req.workspace,
             },
         )
-        return True
+        self._on_crash(progress, server)
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -9,6 +9,7 @@
 from sesameport.admission import RouteTable
 from sesameport.entry.configuration import RequestKind, key_digest
 from sesameport.entry.crash_detector import CrashDetector
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.generation_handler import GenerationHandler
 from sesameport.entry.outcomes import OutcomeReporter, RequestProgress, ResponseWriter
 from sesameport.entry.plain_handler import PlainHandler
@@ -44,14 +45,26 @@
         Data centre of this host.
     metrics : Metrics
         Counters and histograms.
+    guard : CrashGuard
+        Refuses requests that crash servers.
     """
 
-    def __init__(self, actor, routes, calls: ServerClient, data_centre: str, metrics):
+    def __init__(
+        self,
+        actor,
+        routes,
+        calls: ServerClient,
+        data_centre: str,
+        metrics,
+        guard: CrashGuard,
+    ):
         self._routes = routes
-        crashes = CrashDetector(calls, metrics)
+        crashes = CrashDetector(calls, metrics, guard.record_crash)
         self._outcomes = OutcomeReporter(actor, metrics, crashes)
-        self._plain = PlainHandler(actor, calls, self._outcomes)
-        self._generations = GenerationHandler(actor, calls, self._outcomes, data_centre)
+        self._plain = PlainHandler(actor, calls, self._outcomes, guard)
+        self._generations = GenerationHandler(
+            actor, calls, self._outcomes, guard, data_centre
+        )
 
     def forward(
         self,
@@ -101,8 +114,8 @@
             workspace=workspace,
             deadline=min(req.deadline, req.received_at + route.timeout_s),
         )
-        progress = RequestProgress(req, route, table.configuration.version)
         service = table.choose_service(route, req.request_id)
+        progress = RequestProgress(req, route, table.configuration.version, service)
         try:
             if route.kind == RequestKind.STREAM:
                 self._generations.handle(
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -9,6 +9,7 @@
 
 from sesameport.admission import GenerationRequest, expected_output_tokens
 from sesameport.entry import messages as m
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
 from sesameport.entry.local_prefill import LocalPrefill
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
@@ -39,6 +40,10 @@
 """A caller without an event disconnects after this multiple of its latency target, or
 after the minimum in seconds if that is longer, as the users specify."""
 
+SUSPECT_FAILURE = CallFailure(FailureKind.REFUSED, "crashes-servers")
+"""Failure of an attempt whose request became refused meanwhile. It has not been sent,
+and the next attempt is refused before it is sent."""
+
 log = get_logger("requests")
 
 
@@ -53,14 +58,22 @@
         Client of the engines.
     outcomes : OutcomeReporter
         Sends responses and records outcomes.
+    guard : CrashGuard
+        Refuses requests that crash servers.
     data_centre : str
         Data centre of this host.
     """
 
     def __init__(
-        self, actor, calls: ServerClient, outcomes: OutcomeReporter, data_centre: str
+        self,
+        actor,
+        calls: ServerClient,
+        outcomes: OutcomeReporter,
+        guard: CrashGuard,
+        data_centre: str,
     ):
         self._actor = actor
+        self._guard = guard
         self._calls = calls
         self._outcomes = outcomes
         self._data_centre = data_centre
@@ -120,6 +133,9 @@
                 progress.req = attrs.evolve(progress.req, resume_after=events.last_id)
 
     def _admit(self, progress, service, priority, charge, uses_budget, caller):
+        refused = self._guard.refusal(progress)
+        if refused is not None:
+            return refused
         req, route = progress.req, progress.route
         tokens = req.tokens
         prompt, output = 0, 0
@@ -156,10 +172,15 @@
             try:
                 return future.get(timeout=DISCONNECT_CHECK_PERIOD_S)
             except pykka.Timeout:
-                if caller.is_disconnected():
-                    self._actor.ask(m.CancelWait(key, service))
-                    self._release_late_admission(future)
-                    raise CallerDisconnected from None
+                pass
+            refused = self._guard.refusal(progress)
+            if refused is None and not caller.is_disconnected():
+                continue
+            self._actor.ask(m.CancelWait(key, service))
+            self._release_late_admission(future)
+            if refused is None:
+                raise CallerDisconnected
+            return refused
 
     def _release_late_admission(self, future: pykka.Future) -> None:
         """Release servers granted to a request just before its wait was cancelled."""
@@ -172,11 +193,16 @@
             self._actor.tell(m.RunEnded(admitted.placement))
 
     def _run_attempt(self, progress, placement, events, has_started, writer, caller):
+        if self._guard.refusal(progress) is not None:
+            self._actor.tell(m.PrefillEnded(placement, 0.0, False))
+            return SUSPECT_FAILURE, has_started
         failure = self._prefills.run(progress, placement, caller)
         if failure is not None:
             return failure, has_started
         local_prefill = LocalPrefill(self._actor, placement)
         try:
+            if self._guard.refusal(progress) is not None:
+                return SUSPECT_FAILURE, has_started
             return self._decode(
                 progress,
                 placement.decode,
@@ -250,6 +276,7 @@
         if events is not None:
             events.discard_incomplete()
         checked = events if events is not None else EventLengthLimit()
+        is_settled = False
         try:
             for chunk in response.chunks():
                 local_prefill.report_end(True)
@@ -257,6 +284,9 @@
                 if not data:
                     continue
                 progress.record_event()
+                if not is_settled and progress.has_settled():
+                    is_settled = True
+                    self._guard.record_answer(progress)
                 if not has_started:
                     has_started = True
                     writer.start(response.status, response.headers)
@@ -273,6 +303,7 @@
             writer.start(response.status, response.headers)
             has_started = True
         writer.finish()
+        self._guard.record_answer(progress)
         for name in progress.servers[-2:]:
             self._actor.tell(m.CallOutcome(name))
         progress.status = response.status
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -11,6 +11,7 @@
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
 from sesameport.entry.configuration import EntryConfiguration
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.current_routes import CurrentRoutes
 from sesameport.entry.forwarding import Forwarder
 from sesameport.entry.host_directory import HostDirectory
@@ -26,6 +27,7 @@
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
 from sesameport.entry.store_handlers import ConfigurationHandler, ServerEntryHandler
 from sesameport.entry.store_watch import ListWatcher, StoreHealth
+from sesameport.entry.suspect_store import SuspectStore
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
 
@@ -93,7 +95,14 @@
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
         self._peers = PeerExchange(
-            settings.name, settings.ip, settings.peer_port, self._tell
+            settings.name, settings.ip, settings.peer_port, self._receive
+        )
+        self._store = adapter.create_store_client(settings.store_address)
+        self._guard = CrashGuard(
+            self._timers,
+            self._tell,
+            SuspectStore(self._store, self._closing),
+            self.metrics,
         )
         self._actor = EntryActor.start(
             settings,
@@ -103,6 +112,7 @@
             self.metrics,
             self._apply_limits,
             self._reachability_probe.start_round,
+            self._guard.record_hosts,
         )
         self._forwarder = Forwarder(
             self._actor,
@@ -110,6 +120,7 @@
             adapter.create_server_client(),
             settings.data_centre,
             self.metrics,
+            self._guard,
         )
         self._caller_listener = HttpListener(
             settings.caller_listen, self._handle, MIN_THREADS, MAX_THREADS
@@ -127,6 +138,7 @@
         self._peers.start()
         self._actor.tell(m.HostsChanged({}))
         self._start_store_access()
+        self._guard.start()
         self._timers.subscribe("tick", TICK_PERIOD_S, self._tick)
         self._timers.call_at("announce", self._timers.now(), self._start_registration)
         for listener in (
@@ -240,10 +252,14 @@
     def _tell(self, message) -> None:
         self._actor.tell(message)
 
+    def _receive(self, message) -> None:
+        if isinstance(message, m.SuspectReports):
+            self._guard.apply_reports(message.reports)
+            return
+        self._actor.tell(message)
+
     def _start_store_access(self) -> None:
-        adapter, settings = self._adapter, self._settings
-        store = adapter.create_store_client(settings.store_address)
-        self._store = store
+        adapter, settings, store = self._adapter, self._settings, self._store
         health = StoreHealth(lambda ok: self._actor.tell(m.StoreConnectivity(ok)))
         configurations = ConfigurationHandler(
             self._actor, adapter.configuration_name, adapter.decode_configuration
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -3,7 +3,13 @@
 import attrs
 import pykka
 
-from sesameport.admission import GenerationRequest, Placement, ServerUse, WaitingTokens
+from sesameport.admission import (
+    GenerationRequest,
+    Placement,
+    ServerUse,
+    SuspectReport,
+    WaitingTokens,
+)
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.servers import EntryServer
@@ -36,6 +42,7 @@
     "SnapshotRequested",
     "ConsumeRetry",
     "StoreConnectivity",
+    "SuspectReports",
     "Tick",
     "CancelWait",
 ]
@@ -348,6 +355,13 @@
     reports: tuple[HostReport, ...]
 
 
+@attrs.frozen
+class SuspectReports:
+    """Report the suspects that a host knows; see ``admission.CrashSuspects``."""
+
+    reports: tuple[SuspectReport, ...]
+
+
 @attrs.frozen
 class FleetSnapshot:
     """Send a host's copy of the store to hosts that cannot reach the store.
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -74,6 +74,8 @@
 
     Attributes
     ----------
+    is_trial : bool
+        Whether the request shows if its refused subject still crashes servers.
     sends : int
         Number of servers to which the request was sent.
     runs : int
@@ -95,6 +97,8 @@
     req: EntryRequest
     route: EntryRoute
     version: int
+    service: str = ""
+    is_trial: bool = False
     sends: int = 0
     runs: int = 0
     excluded: set[str] = attrs.field(factory=set)
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -24,8 +24,14 @@
     HostReport,
     HostReports,
     SnapshotRequested,
+    SuspectReports,
+)
+from sesameport.entry.report_codec import (
+    decode_report,
+    decode_suspects,
+    encode_report,
+    encode_suspects,
 )
-from sesameport.entry.report_codec import decode_report, encode_report
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["PeerExchange"]
@@ -60,6 +66,7 @@
 _REPORT = b"r"
 _PARTIAL_REPORT = b"p"
 _SNAPSHOT = b"s"
+_SUSPECTS = b"c"
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -91,7 +98,14 @@
         ip: str,
         port: int,
         on_message: Callable[
-            [HostReports | FleetSnapshot | SnapshotRequested | HostAnnounced], None
+            [
+                HostReports
+                | FleetSnapshot
+                | SnapshotRequested
+                | HostAnnounced
+                | SuspectReports
+            ],
+            None,
         ],
     ):
         self._name = name
@@ -113,8 +127,11 @@
         self._thread.start()
         return self
 
-    def publish(self, message: HostReport | FleetSnapshot) -> None:
+    def publish(self, message: HostReport | FleetSnapshot | SuspectReports) -> None:
         """Send a message to all hosts that have subscribed to its type."""
+        if isinstance(message, SuspectReports):
+            self._control.send_multipart([_SUSPECTS, encode_suspects(message)])
+            return
         if isinstance(message, HostReport):
             topic = _REPORT if message.is_complete else _PARTIAL_REPORT
             self._control.send_multipart([topic, encode_report(message)])
@@ -149,6 +166,7 @@
         subscriber = self._socket(zmq.SUB)
         subscriber.subscribe(_REPORT)
         subscriber.subscribe(_PARTIAL_REPORT)
+        subscriber.subscribe(_SUSPECTS)
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
@@ -254,6 +272,10 @@
         self._deliver(reports)
 
     def _decode_report(self, topic: bytes, data: bytes) -> HostReport | None:
+        """Return a report of a host; handle reports of suspects at once."""
+        if topic == _SUSPECTS:
+            self._receive_suspects(data)
+            return None
         match decode_report(data):
             case Ok(report):
                 return attrs.evolve(report, is_complete=topic == _REPORT)
@@ -261,6 +283,13 @@
                 log.warning("peer message unreadable", extra={"reason": reason})
                 return None
 
+    def _receive_suspects(self, data: bytes) -> None:
+        match decode_suspects(data):
+            case Ok(message):
+                self._on_message(message)
+            case Err(reason):
+                log.warning("peer message unreadable", extra={"reason": reason})
+
     def _deliver(self, reports: list[HostReport | None]) -> None:
         kept, seen = [], set()
         for report in reversed(reports):
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from sesameport.entry import messages as m
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
 from sesameport.entry.requests import (
     CallerDisconnected,
@@ -32,12 +33,21 @@
         Client of the backend servers.
     outcomes : OutcomeReporter
         Sends responses and records outcomes.
+    guard : CrashGuard
+        Refuses requests that crash servers.
     """
 
-    def __init__(self, actor, calls: ServerClient, outcomes: OutcomeReporter):
+    def __init__(
+        self,
+        actor,
+        calls: ServerClient,
+        outcomes: OutcomeReporter,
+        guard: CrashGuard,
+    ):
         self._actor = actor
         self._calls = calls
         self._outcomes = outcomes
+        self._guard = guard
 
     def handle(self, progress, service, charge, writer, caller) -> None:
         """Send a request to servers until one answers, and respond to the caller."""
@@ -52,7 +62,7 @@
                 is_first_attempt=progress.sends == 0,
                 uses_retry_budget=uses_budget,
             )
-            reply = self._actor.ask(admit)
+            reply = self._guard.refusal(progress) or self._actor.ask(admit)
             if isinstance(reply, m.Refused):
                 if fallback is not None:
                     self._outcomes.send_response(progress, writer, *fallback)
@@ -118,6 +128,7 @@
                 return Err(failure)
             case Ok((status, headers, body)):
                 self._actor.tell(m.CallOutcome(server.name, failed=status >= 500))
+                self._guard.record_answer(progress)
                 # The rest of a large body is not replaced by that of another server.
                 response.extend_deadline(progress.req.deadline)
                 return Ok((status, headers, body, chunks))
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -4,16 +4,18 @@
 hosts.
 """
 
+import attrs
 import msgspec
 from result import Err, Ok, Result
 
-from sesameport.admission import ServerUse, WaitingTokens
-from sesameport.entry.messages import HostReport
+from sesameport.admission import ServerUse, SuspectReport, WaitingTokens
+from sesameport.entry.messages import HostReport, SuspectReports
 
-__all__ = ["decode_report", "encode_report"]
+__all__ = ["decode_report", "decode_suspects", "encode_report", "encode_suspects"]
 
 _Use = tuple[int, int, int, int]
 _Waiting = tuple[int, int]
+_Suspect = tuple[str, dict[str, bool], bool]
 _Report = tuple[
     str,
     int,
@@ -88,3 +90,17 @@
             unreachable,
         )
     )
+
+
+def encode_suspects(message: SuspectReports) -> bytes:
+    """Return reports of suspects as MessagePack."""
+    return msgspec.msgpack.encode([attrs.astuple(item) for item in message.reports])
+
+
+def decode_suspects(data: bytes) -> Result[SuspectReports, str]:
+    """Return what `encode_suspects` encoded, or an Err with the reason."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Suspect])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    return Ok(SuspectReports(tuple(SuspectReport(*item) for item in fields)))
--- /dev/null
+++ b/src/sesameport/entry/suspect_store.py
@@ -0,0 +1,146 @@
+"""Keep refused subjects in the platform's store.
+
+Hosts learn of crashes from each other. The store serves only the case that all of them
+stop: a host reads it once after its start. Each record costs one call to write, and all
+calls run on threads of their own, because the store may not answer.
+"""
+
+import hashlib
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+import msgspec
+from result import Err, Ok
+
+from sesameport.admission import SuspectReport
+from sesameport.interfaces import Platform, PlatformErrorKind, StoredObject
+from sesameport.telemetry.logs import get_logger
+
+__all__ = ["SUSPECT_KIND", "SuspectRecord", "SuspectStore"]
+
+SUSPECT_KIND = "crash-suspects"
+"""Kind of the router's own objects that hold a refused subject each."""
+
+RECORD_LIFETIME_S = 3_600.0
+"""Age at which a record is ignored and deleted, seconds of wall-clock time."""
+
+LOAD_RETRY_S = 1.0
+
+log = get_logger("store")
+
+
+@attrs.frozen
+class SuspectRecord:
+    """Represent a stored suspect.
+
+    Attributes
+    ----------
+    subject : str
+        What the requests have in common.
+    crashes : dict of str to bool
+        Ids of the crashes and whether the subject was cleared of each.
+    saved_at : float
+        Unix time of the record, seconds.
+    """
+
+    subject: str
+    crashes: dict[str, bool]
+    saved_at: float
+
+
+class SuspectStore:
+    """Load, save and delete records of refused subjects.
+
+    Parameters
+    ----------
+    platform : Platform
+        The store.
+    closing : threading.Event
+        Set when the host closes; ends attempts to load.
+    """
+
+    def __init__(self, platform: Platform, closing: threading.Event):
+        self._platform = platform
+        self._closing = closing
+
+    def start_loading(self, on_loaded: Callable[[list[SuspectReport]], None]) -> None:
+        """Call ``on_loaded`` with the records once the store has listed them."""
+        self._start(self._load, on_loaded)
+
+    def start_saving(
+        self, report: SuspectReport, on_saved: Callable[[str], None]
+    ) -> None:
+        """Create a record and call ``on_saved`` with its subject if it exists then."""
+        self._start(self._save, report, on_saved)
+
+    def start_deleting(self, subject: str) -> None:
+        """Delete the record of a subject."""
+        self._start(self._delete, subject)
+
+    def _start(self, target: Callable, *args) -> None:
+        threading.Thread(
+            target=target, args=args, name="suspect-store", daemon=True
+        ).start()
+
+    def _load(self, on_loaded) -> None:
+        while not self._closing.is_set():
+            match self._platform.list(SUSPECT_KIND):
+                case Ok(listing):
+                    on_loaded(self._read_records(listing.objects))
+                    return
+                case Err(error):
+                    reason = f"list: {error.kind} {error.detail}"
+                    log.info("suspects not loaded", extra={"reason": reason})
+            self._closing.wait(LOAD_RETRY_S)
+
+    def _read_records(self, objects: tuple[StoredObject, ...]) -> list[SuspectReport]:
+        reports = []
+        for stored in objects:
+            try:
+                record = msgspec.json.decode(stored.value, type=SuspectRecord)
+            except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+                log.warning(
+                    "suspect record unreadable",
+                    extra={"object": stored.name, "reason": str(exc)},
+                )
+                continue
+            if time.time() - record.saved_at >= RECORD_LIFETIME_S:
+                self._platform.delete(SUSPECT_KIND, stored.name, stored.version)
+                continue
+            reports.append(SuspectReport(record.subject, record.crashes, True))
+        return reports
+
+    def _save(self, report: SuspectReport, on_saved) -> None:
+        record = SuspectRecord(report.subject, report.crashes, time.time())
+        match self._platform.create(
+            SUSPECT_KIND, _object_name(report.subject), msgspec.json.encode(record)
+        ):
+            case Ok(_):
+                pass
+            case Err(error) if error.kind == PlatformErrorKind.EXISTS:
+                pass
+            case Err(error):
+                log.info(
+                    "suspect not stored",
+                    extra={"subject": report.subject, "reason": str(error.kind)},
+                )
+                return
+        on_saved(report.subject)
+
+    def _delete(self, subject: str) -> None:
+        name = _object_name(subject)
+        match self._platform.get(SUSPECT_KIND, name):
+            case Ok(stored):
+                self._platform.delete(SUSPECT_KIND, name, stored.version)
+            case Err(error):
+                reason = f"get: {error.kind} {error.detail}"
+                log.info(
+                    "suspect record not deleted",
+                    extra={"subject": subject, "reason": reason},
+                )
+
+
+def _object_name(subject: str) -> str:
+    return hashlib.blake2b(subject.encode(), digest_size=16).hexdigest()
--- a/src/sesameport/entry/tests/test_generation_handler.py
+++ b/src/sesameport/entry/tests/test_generation_handler.py
@@ -6,6 +6,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
 from sesameport.entry.configuration import EntryRoute, RequestKind, ServiceShare
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.generation_handler import GenerationHandler
 from sesameport.entry.outcomes import OutcomeReporter, RequestProgress
 from sesameport.entry.requests import CallerDisconnected, EntryRequest, TokenCounts
@@ -49,7 +50,13 @@
     ]
     placement = Placement(*engines, kv_tokens=4_000, prompt_tokens=3_000)
     actor = PlacingActor(placement)
-    handler = GenerationHandler(actor, None, OutcomeReporter(actor, None, None), "a")
+    handler = GenerationHandler(
+        actor,
+        None,
+        OutcomeReporter(actor, None, None),
+        CrashGuard(None, None, None, None),
+        "a",
+    )
     req = EntryRequest(
         "r1", "POST", "/r/x", (), b"", 0.0, 14.0, 14.0, TokenCounts(3_000, 700)
     )
--- a/src/sesameport/platform/tests/test_deadly_parts.py
+++ b/src/sesameport/platform/tests/test_deadly_parts.py
@@ -61,7 +61,6 @@
     return Fleet(cluster)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
 def test_part_that_crashed_five_servers_reaches_no_more_at_any_host(fleet):
     for _ in range(5):
         fleet.send("aa", DEADLY)
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -121,6 +121,7 @@
     _counter("role_orders", "Orders to change a role.", "result"),
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
     _gauge("entry_version", "Version of the configuration in force."),
+    _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
     _gauge("entry_store_reachable", "1 while the store answers, else 0."),
     _gauge("ready", "1 while the host accepts requests, else 0."),
 )
