Take a stream that ends inside an event as broken off

Callers got a stream that looked complete although its server had stopped in the middle of an event, and an empty one from a server that closed the connection before the first event.

Cause: the end of the body was the end of the stream.

Change: both readers of events know whether they are inside one when the body ends. A response without length or chunks and without an event is broken off as well. A resumable stream then goes on at another server. A line end of CR alone ends events, as the format of event streams allows, so that such a stream is not taken for unfinished.

--- a/src/sesameport/entry/event_buffer.py
+++ b/src/sesameport/entry/event_buffer.py
@@ -1,7 +1,7 @@
-"""Buffer a stream of events so that only complete events are forwarded.
+"""Buffer a stream of events, and detect a stream that ends inside an event.
 
 A resumable stream must not break off inside an event, because the next run starts after
-the last event that the caller received.
+the last event that the caller received. Only complete events of it are forwarded.
 """
 
 from sesameport.entry.requests import IncompleteResponse
@@ -11,7 +11,8 @@
 MAX_EVENT_BYTES = 65_536
 """Largest event, bytes. A faulty server may send an event without an end."""
 
-_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+_LINE_ENDS = b"\r\n"
 
 
 def _end_of_events(data: bytes | bytearray) -> int:
@@ -20,11 +21,17 @@
     return max(ends, default=0)
 
 
+def _check_end(is_inside_event: bool) -> None:
+    if is_inside_event:
+        raise IncompleteResponse("stream ended inside an event")
+
+
 class EventLengthLimit:
-    """Check the length of the events of a stream that is forwarded as it arrives."""
+    """Check the events of a stream that is forwarded as it arrives."""
 
     def __init__(self):
         self._length = 0
+        self._is_inside = False
         self._last_bytes = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -38,11 +45,17 @@
         joined = self._last_bytes + data
         end = _end_of_events(joined)
         self._length = len(joined) - end if end else self._length + len(data)
+        has_text = bool(joined[end:].strip(_LINE_ENDS))
+        self._is_inside = has_text or (self._is_inside and not end)
         self._last_bytes = joined[-2:]
         if self._length > MAX_EVENT_BYTES:
             raise IncompleteResponse(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return data
 
+    def finish(self) -> None:
+        """Raise `IncompleteResponse` if the stream ended inside an event."""
+        _check_end(self._is_inside)
+
 
 class EventBuffer:
     r"""Buffer bytes until an event is complete.
@@ -91,3 +104,7 @@
                 self.last_id = line[3:].strip().decode("latin-1")
                 break
         return done
+
+    def finish(self) -> None:
+        """Raise `IncompleteResponse` if the stream ended inside an event."""
+        _check_end(bool(self._pending.strip(_LINE_ENDS)))
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -44,6 +44,8 @@
 """Failure of an attempt whose request became refused meanwhile. It has not been sent,
 and the next attempt is refused before it is sent."""
 
+EVENT_STREAM = "text/event-stream"
+
 log = get_logger("requests")
 
 
@@ -291,6 +293,7 @@
                     has_started = True
                     writer.start(response.status, response.headers)
                 writer.send(data)
+            _check_stream_end(response, checked, progress)
         except IncompleteResponse as exc:
             failure = CallFailure(FailureKind.BROKEN, str(exc))
             self._outcomes.record_failure(progress, server, failure)
@@ -349,6 +352,20 @@
             )
 
 
+def _check_stream_end(response, checked, progress) -> None:
+    """Raise `IncompleteResponse` if a stream has broken off at its end.
+
+    A stream that ends with its connection looks complete wherever it ends, also before
+    its first event.
+    """
+    content_type = dict(response.headers).get("Content-Type", EVENT_STREAM)
+    if not content_type.startswith(EVENT_STREAM):
+        return
+    checked.finish()
+    if not response.is_delimited and not progress.run_events:
+        raise IncompleteResponse("the connection ended before the first event")
+
+
 def _caller_disconnects_at(req, route) -> float:
     """Return the monotonic time at which a caller without an event disconnects."""
     patience_s = max(MIN_CALLER_PATIENCE_S, CALLER_PATIENCE_TARGETS * route.target_s)
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -166,11 +166,24 @@
 
 
 class OpenResponse(Protocol):
-    """Provide the response of a backend server whose body is not read yet."""
+    """Provide the response of a backend server whose body is not read yet.
+
+    Attributes
+    ----------
+    status : int
+        Status code.
+    headers : tuple of (str, str)
+        Headers that are forwarded.
+    is_signed : bool
+        Whether the response has the signature of a server.
+    is_delimited : bool
+        Whether it has a length or chunks. Otherwise it ends with its connection.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     is_signed: bool
+    is_delimited: bool
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives.
--- a/src/sesameport/entry/tests/test_event_buffer.py
+++ b/src/sesameport/entry/tests/test_event_buffer.py
@@ -39,3 +39,27 @@
     limit = EventLengthLimit()
     for part in (b"data: " + b"x" * 40_000, b"\n", b"\ndata: y" * 1, b"\n\n") * 20:
         assert limit.feed(part) == part
+
+
+@pytest.mark.parametrize("checked", [EventBuffer, EventLengthLimit])
+@pytest.mark.parametrize("end", ["", "id: 2", "id: 2\n", "id: 2\ndata: b\n", ":"])
+@pytest.mark.parametrize("size", [1, 5, 100])
+def test_stream_that_ends_inside_an_event_is_incomplete(checked, end, size):
+    stream = checked()
+    data = f"id: 1\ndata: a\n\n{end}".encode()
+    for first in range(0, len(data), size):
+        stream.feed(data[first : first + size])
+    if not end:
+        stream.finish()
+        return
+    with pytest.raises(IncompleteResponse):
+        stream.finish()
+
+
+@pytest.mark.parametrize("checked", [EventBuffer, EventLengthLimit])
+@pytest.mark.parametrize("end", ["\n\n", "\r\n\r\n", "\r\r", "\n\n\n", "\n\n\r\n"])
+def test_stream_is_complete_after_each_kind_of_event_end(checked, end):
+    stream = checked()
+    for byte in f"\nid: 1\ndata: a{end}".encode():
+        stream.feed(bytes([byte]))
+    stream.finish()
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -92,6 +92,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     is_signed: bool
+    is_delimited: bool
     _conn: HTTPConnection
     _sock: CancellableSocket
     _response: urllib3.response.HTTPResponse
@@ -266,6 +267,7 @@
                     if name.lower() not in header_names.HOP_BY_HOP_HEADERS
                 ),
                 header_names.RESPONSE_SEAL in response.headers,
+                response.chunked or "content-length" in response.headers,
                 conn,
                 sock,
                 response,
