--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -150,6 +150,11 @@
                 self._trickle.reset(now)
                 self._schedule(now)
 
+    def refused_subjects(self) -> list[str]:
+        """Return the refused subjects."""
+        with self._lock:
+            return sorted(self._suspects.refused())
+
     def _wake(self, now: float) -> None:
         with self._lock:
             if now < self._wakes_at:
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -245,6 +245,10 @@
         """Return the number of backend servers that are registered."""
         return self._actor.ask(m.GetFleetCounts()).servers
 
+    def refused_subjects(self) -> list[str]:
+        """Return what is refused for crashing servers; see `CrashSuspects`."""
+        return self._guard.refused_subjects()
+
     def peer_count(self) -> int:
         """Return the number of other hosts that report."""
         return self._actor.ask(m.GetFleetCounts()).hosts
--- a/src/sesameport/platform/tests/fakes.py
+++ b/src/sesameport/platform/tests/fakes.py
@@ -122,6 +122,10 @@
         stored = self._objects.get((kind, name))
         return stored["spec"] if stored else None
 
+    def names(self, kind):
+        """Return the names of the stored objects of a kind."""
+        return [name for object_kind, name in self._objects if object_kind == kind]
+
     def compact_history(self):
         """Remove all events; a watch from an older revision then gets 410."""
         with self._changed:
