Look for suspects of an answered request before all refused ones are listed

Cause: while any suspect is known, each answered request made the list of refused subjects, which takes time in proportion to their number.

Change: a request without a suspect subject returns first.

By hand on this machine, with 100 suspects: 2 us to judge a sound request, 161 us a deadly one, 0.4 ms to merge a report of all; with 1,000: 2 us, 1.7 ms, 4.4 ms.

--- a/src/sesameport/admission/crash_suspects.py
+++ b/src/sesameport/admission/crash_suspects.py
@@ -158,17 +158,22 @@
             self._add(subject, {crash: False}, now)
         self._evict()
 
-    def record_answer(self, subjects: Iterable[str], now: float) -> bool:
-        """Clear the subjects of an answered request; return whether any was suspect."""
-        has_changed = False
+    def is_suspect(self, subjects: Iterable[str]) -> bool:
+        """Return whether any crash counts against one of the subjects."""
+        for subject in subjects:
+            suspect = self._suspects.get(subject)
+            if suspect is not None and suspect.uncleared():
+                return True
+        return False
+
+    def record_answer(self, subjects: Iterable[str], now: float) -> None:
+        """Clear the subjects of a request that was answered."""
         for subject in subjects:
             suspect = self._suspects.get(subject)
             if suspect is None or not suspect.uncleared():
                 continue
             suspect.crashes = dict.fromkeys(suspect.crashes, True)
             suspect.changed_at = now
-            has_changed = True
-        return has_changed
 
     def judge(self, subjects: Iterable[str], now: float) -> Judgement:
         """Return whether a request with these subjects may be sent to a server.
--- a/src/sesameport/admission/tests/test_crash_suspects.py
+++ b/src/sesameport/admission/tests/test_crash_suspects.py
@@ -58,7 +58,9 @@
 def test_part_that_is_answered_between_crashes_is_not_refused(suspects):
     for number in range(9):
         suspects.record_crash(f"c{number}", ["popular", f"r{number}"], float(number))
-        assert suspects.record_answer(["popular"], number + 0.5)
+        assert suspects.is_suspect(["popular"])
+        suspects.record_answer(["popular"], number + 0.5)
+        assert not suspects.is_suspect(["popular"])
         assert not is_refused(suspects, ["popular", "new"], number + 0.6)
 
 
@@ -161,7 +163,8 @@
             crashes += 1
             suspects.record_crash(f"c{now}", subjects, now)
             due.append((now + 0.3, suspects.reports(now)))
-        elif suspects.record_answer(subjects, now):
+        elif suspects.is_suspect(subjects):
+            suspects.record_answer(subjects, now)
             due.append((now + 0.3, suspects.reports(now)))
     # At most those that arrive until the second crash is known, and one trial.
     assert crashes <= 5
--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -120,9 +120,10 @@
         subjects = request_subjects(progress.req, progress.service)
         now = time.monotonic()
         with self._lock:
-            before = self._suspects.refused()
-            if not self._suspects.record_answer(subjects, now):
+            if not self._suspects.is_suspect(subjects):
                 return
+            before = self._suspects.refused()
+            self._suspects.record_answer(subjects, now)
             if self._handle_changes(before, now):
                 self._send(now)
             for subject in before - self._suspects.refused():
