Log each request that is refused as a suspect; describe the refusal for operators

Cause: 'request ended' gave the reason 'crashes-servers' without the subject, so that an operator could not tell which part of a prompt to ask about.

--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from sesameport.admission import CrashSuspects, SuspectReport, Trickle
+from sesameport.admission import CrashSuspects, Judgement, SuspectReport, Trickle
 from sesameport.entry import messages as m
 from sesameport.entry.outcomes import RequestProgress
 from sesameport.entry.requests import EntryRequest
@@ -82,16 +82,18 @@
         subjects = request_subjects(progress.req, progress.service)
         with self._lock:
             judgement = self._suspects.judge(subjects, time.monotonic())
+        if judgement == Judgement():
+            return None
+        progress.is_trial = judgement.is_trial
+        log.info(
+            "refused subject tried" if judgement.is_trial else "request would crash",
+            extra={
+                "request_id": progress.req.request_id,
+                "subjects": ",".join(subjects),
+                "retry_after_s": round(judgement.refused_s, 1),
+            },
+        )
         if judgement.is_trial:
-            progress.is_trial = True
-            log.info(
-                "refused subject tried",
-                extra={
-                    "request_id": progress.req.request_id,
-                    "subjects": ",".join(subjects),
-                },
-            )
-        if not judgement.refused_s:
             return None
         return m.Refused("crashes-servers", judgement.refused_s)
 
