Let the load of deadly requests be played with any seed

Cause: a soak by hand needs many seeds of the load that the decision answers.

Change: the load is a function of the number of hosts, the rate and the seed; the test keeps its bounds.

--- a/src/sesameport/admission/tests/test_crash_suspects.py
+++ b/src/sesameport/admission/tests/test_crash_suspects.py
@@ -132,15 +132,14 @@
     assert not suspects.refused()
 
 
-@pytest.mark.parametrize("hosts", [9, 61, 195])
-@pytest.mark.parametrize("deadly_per_s", [0.5, 4.0])
-def test_load_of_deadly_requests_beside_sound_ones(hosts, deadly_per_s):
-    """Play 40 s of requests that reach random hosts; reports take 0.3 s.
+def play_load(hosts, deadly_per_s, seed):
+    """Return the crashes, and the sound requests that are served and refused, of 40 s.
 
-    Sound requests share the first part. A crash breaks off what a server streams.
+    Requests reach random hosts and reports take 0.3 s. All requests share the first
+    part, and the sound ones come four times a second.
     """
-    rng = random.Random(hosts)
-    fleet = [CrashSuspects(random.Random(number)) for number in range(hosts)]
+    rng = random.Random(seed)
+    fleet = [CrashSuspects(random.Random(rng.random())) for _ in range(hosts)]
     for suspects in fleet:
         suspects.hosts = hosts
     due, crashes, sound, refused_sound = [], 0, 0, 0
@@ -166,6 +165,13 @@
         elif suspects.is_suspect(subjects):
             suspects.record_answer(subjects, now)
             due.append((now + 0.3, suspects.reports(now)))
+    return crashes, sound, refused_sound
+
+
+@pytest.mark.parametrize("hosts", [9, 61, 195])
+@pytest.mark.parametrize("deadly_per_s", [0.5, 4.0])
+def test_deadly_requests_beside_sound_ones_that_share_a_part(hosts, deadly_per_s):
+    crashes, sound, refused_sound = play_load(hosts, deadly_per_s, seed=hosts)
     # At most those that arrive until the second crash is known, and one trial.
     assert crashes <= 5
     assert refused_sound <= 0.02 * sound
