Read the type of a streamed response whatever the case of its header's name

Cause: the check of a stream's end looked for 'Content-Type' in this spelling only, so a response of another type with a header in lower case was taken for a stream of events.

Change: names are compared without case, and parameters of the type are ignored. A variable and two comments of the crash suspects get plainer names.

Result: a test with both spellings, and those of admission/, entry/ and the crash tests pass.

--- a/src/sesameport/admission/crash_suspects.py
+++ b/src/sesameport/admission/crash_suspects.py
@@ -199,13 +199,13 @@
         return Judgement(is_trial=True)
 
     def merge(self, reports: Iterable[SuspectReport], now: float) -> bool:
-        """Apply reports of another host; return whether they tell all that is known."""
-        told: dict[str, SuspectReport] = {}
+        """Apply reports of a host; return whether it knows all that is known here."""
+        received: dict[str, SuspectReport] = {}
         for report in reports:
-            told[report.subject] = report
+            received[report.subject] = report
             self._add(report.subject, report.crashes, now, report.stored)
         self._evict()
-        return all(told.get(own.subject) == own for own in self.reports(now))
+        return all(received.get(own.subject) == own for own in self.reports(now))
 
     def reports(self, now: float) -> list[SuspectReport]:
         """Return the refused suspects and those that changed lately."""
@@ -296,9 +296,9 @@
     def _is_blamed(self, crashes: frozenset[str], subjects: frozenset[str]) -> bool:
         """Return whether a request must be refused for a suspect of these crashes."""
         for name, other in self._suspects.items():
-            others = other.uncleared()
-            if others > crashes:
+            other_crashes = other.uncleared()
+            if other_crashes > crashes:
                 return False
-            if others == crashes and name not in subjects:
+            if other_crashes == crashes and name not in subjects:
                 return False
         return True
--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -24,9 +24,9 @@
 
 STORE_DELAY_S = 1.0
 STORE_DELAY_PER_HOST_S = 0.05
-"""A host that another one told of a refused subject stores it after the delay and a
-random time up to the product with the number of hosts, seconds, unless it hears
-meanwhile that the subject is stored."""
+"""The host that sees a crash stores it at once. The others do so after the delay and a
+random time up to the product with the number of hosts, seconds, unless a report says
+that it is stored by then."""
 
 STORE_RETRY_S = 10.0
 """Longest time until a record that was not stored is sent again, seconds."""
@@ -239,7 +239,7 @@
     whole.update(req.body)
     parts = [
         part if len(part) <= MAX_PART_CHARS else _digest(part)
-        for part in (req.prompt_parts)
+        for part in req.prompt_parts
     ]
     return (
         f"{service}/request/{whole.hexdigest()}",
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -358,14 +358,18 @@
     A stream that ends with its connection looks complete wherever it ends, also before
     its first event.
     """
-    content_type = dict(response.headers).get("Content-Type", EVENT_STREAM)
-    if not content_type.startswith(EVENT_STREAM):
-        return
+    for name, value in response.headers:
+        if name.lower() == "content-type" and not _is_event_stream(value):
+            return
     checked.finish()
     if not response.is_delimited and not progress.run_events:
         raise IncompleteResponse("the connection ended before the first event")
 
 
+def _is_event_stream(content_type: str) -> bool:
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
 def _caller_disconnects_at(req, route) -> float:
     """Return the monotonic time at which a caller without an event disconnects."""
     patience_s = max(MIN_CALLER_PATIENCE_S, CALLER_PATIENCE_TARGETS * route.target_s)
--- a/src/sesameport/entry/suspect_store.py
+++ b/src/sesameport/entry/suspect_store.py
@@ -119,8 +119,8 @@
     def _save(self, report: SuspectReport, on_saved) -> None:
         record = SuspectRecord(report.subject, report.crashes, time.time())
         count = len(report.crashes)
-        # Two hosts that save the same crashes write the same object, and one with more
-        # crashes replaces none: a reader merges them.
+        # The count in the name makes a call without a condition enough: hosts that know
+        # the same crashes create the same object, and readers merge all of a subject.
         name = f"{_object_prefix(report.subject)}{count}"
         match self._platform.create(SUSPECT_KIND, name, msgspec.json.encode(record)):
             case Ok(_):
--- a/src/sesameport/platform/tests/test_response_ends.py
+++ b/src/sesameport/platform/tests/test_response_ends.py
@@ -88,6 +88,18 @@
     assert not cluster.send_generation(route).is_complete
 
 
+@pytest.mark.parametrize("name", [b"Content-Type", b"content-type"])
+def test_response_of_another_type_on_a_streaming_route_has_no_events(
+    cluster, scripted, name
+):
+    body = b'{"text": "whole"}'
+    head = SIGNED + name + b": application/json\r\n\r\n"
+    scripted("d1", "llm", lambda _, conn: conn.sendall(head + body), stage="decode")
+    response = cluster.send_generation("draft")
+    assert (response.status, response.body) == (200, body)
+    assert response.is_complete
+
+
 def test_stream_that_ends_inside_an_event_is_resumed_after_the_last_whole_one(
     cluster, scripted
 ):
