--- a/review/1/run.py
+++ b/review/1/run.py
@@ -3,11 +3,10 @@
 import concurrent.futures
 import itertools
 import pathlib
-import sys
 import threading
 import time
 
-from review.common.fleet import Fleet, Record, is_troubled
+from review.common.fleet import Fleet, Record, is_troubled, run_case
 from review.common.platform import (
     HOST,
     Replica,
@@ -42,7 +41,9 @@
 
     def body_for(self, request_id: str) -> bytes:
         """Return the whole body of the answer to a request."""
-        return f"{self.name} placed order {request_id}\n".encode().ljust(BODY_BYTES, b".")
+        return f"{self.name} placed order {request_id}\n".encode().ljust(
+            BODY_BYTES, b"."
+        )
 
     def _execute(self, handler, headers, fault):
         time.sleep(WORK_S)
@@ -65,6 +66,7 @@
 
 
 def main() -> int:
+    """Run the case and return its exit code."""
     record = Record(pathlib.Path(__file__).parent)
     store = Store()
     zones = ("svealand-a", "svealand-b", "svealand-c")
@@ -118,4 +120,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -15,10 +15,12 @@
 import tempfile
 import threading
 import time
+import traceback
+from collections.abc import Callable
 
 import attrs
 
-__all__ = ["Answer", "EntryProcess", "Fleet", "Record", "is_troubled"]
+__all__ = ["Answer", "EntryProcess", "Fleet", "Record", "is_troubled", "run_case"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, PEERS, METRICS = 8360, 8365, 8367, 7500, 9464
@@ -78,6 +80,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def run_case(main: Callable[[], int]) -> None:
+    """Exit with what the case returns, and with 2 if it fails by an error."""
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    raise SystemExit(code)
+
+
 class Record:
     """Write what was sent, answered and run, with the time since the start."""
 
@@ -116,7 +128,9 @@
 
     def start(self) -> None:
         """Start the program of the deploy file."""
-        env = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        env = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["SESAMEPORT_CONFIG"] = str(self._settings)
         self.process = subprocess.Popen(
