Move the checks of header lines and the scripted server into own modules

Cause: responses need the checks that requests get in strict_http, and the tests of the adapters need the server that answers byte by byte.

Change: adapters/http_framing.py has the checks of header lines and chunk sizes, adapters/tests/scripted_server.py the server.

--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -9,10 +9,15 @@
 
 from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
 
+from sesameport.adapters.http_framing import (
+    FieldReader,
+    find_field_error,
+    group_fields,
+    is_chunk_size,
+)
+
 __all__ = ["FramingError", "StrictConnection", "StrictRequest", "find_framing_error"]
 
-_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
-_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(;[^\r\n]*)?\r\n\Z")
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 
 
@@ -20,23 +25,6 @@
     """Report a request body with malformed framing."""
 
 
-class _RecordingReader:
-    """Record every header line that cheroot reads.
-
-    cheroot's own mapping keeps one entry per header name, which hides duplicates.
-    """
-
-    def __init__(self, rfile):
-        self.inner = rfile
-        self.lines: list[bytes] = []
-
-    def readline(self, *args) -> bytes:
-        """Read and record a line."""
-        line = self.inner.readline(*args)
-        self.lines.append(line)
-        return line
-
-
 class _ChunkSizeReader:
     """Validate chunk sizes, because cheroot's parser accepts invalid ones."""
 
@@ -52,7 +40,7 @@
             If the size is not a hexadecimal number.
         """
         line = self._inner.readline(*args)
-        if not _CHUNK_SIZE.match(line):
+        if not is_chunk_size(line):
             raise FramingError("chunk size is no hexadecimal number")
         return line
 
@@ -69,33 +57,14 @@
     >>> find_framing_error([b"Host: a\r\n", b"Host: b\r\n"], True)
     'more than one Host'
     """
-    values: dict[bytes, list[bytes]] = {}
-    for line in lines:
-        if line in (b"\r\n", b""):
-            continue
-        if line[:1] in (b" ", b"\t"):
-            return "a folded header line"
-        name, separator, value = line.partition(b":")
-        if not separator or not _TOKEN.match(name):
-            return "a header name that is no token"
-        if b"\x00" in value or b"\r" in value[:-2]:
-            return "a control character in a header"
-        values.setdefault(name.lower(), []).append(value.strip())
-    hosts = values.get(b"host", [])
+    problem = find_field_error(lines, is_http_11)
+    if problem:
+        return problem
+    hosts = group_fields(lines).get(b"host", [])
     if len(hosts) > 1:
         return "more than one Host"
     if is_http_11 and not hosts:
         return "no Host"
-    lengths = values.get(b"content-length", [])
-    codings = values.get(b"transfer-encoding", [])
-    if lengths and codings:
-        return "both Content-Length and Transfer-Encoding"
-    if len(lengths) > 1 or any(not length.isdigit() for length in lengths):
-        return "an ambiguous Content-Length"
-    if codings and (
-        not is_http_11 or [coding.lower() for coding in codings] != [b"chunked"]
-    ):
-        return "an unknown Transfer-Encoding"
     return ""
 
 
@@ -112,7 +81,7 @@
 
     def read_request_headers(self) -> bool:
         """Return whether the headers are valid; if not, answer 400 and close."""
-        recorder = _RecordingReader(self.rfile)
+        recorder = FieldReader(self.rfile)
         self.rfile = recorder
         try:
             success = super().read_request_headers()
--- a/src/sesameport/platform/tests/test_late_bytes.py
+++ b/src/sesameport/platform/tests/test_late_bytes.py
@@ -1,70 +1,28 @@
 """Test servers that send a response twice, too slowly or without progress."""
 
-import re
-import socket
-import threading
 import time
 
 import pytest
 
+from sesameport.adapters.tests.scripted_server import (
+    ScriptedServer,
+    read_request,
+    request_id_of,
+)
 from sesameport.platform.tests.conftest import make_configuration, wait_until
 
 SIGNED = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
 
 
-class ScriptedServer:
-    """Answer each connection by a function of the request's id and the socket."""
-
-    def __init__(self, answer):
-        self._answer = answer
-        self.connections = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                conn, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
-
-    def _serve(self, conn):
-        with conn:
-            try:
-                lines = self._read_head(conn).lower().splitlines()
-                ids = [line for line in lines if line.startswith("x-request-id:")]
-                self._answer(ids[0].partition(":")[2].strip(), conn)
-            except OSError:
-                pass
-
-    def _read_head(self, conn):
-        """Return the head of a request after its body was read as well.
-
-        Closing a connection with unread bytes would reset it.
-        """
-        data = b""
-        while b"\r\n\r\n" not in data:
-            data += conn.recv(65_536)
-        head, _, body = data.partition(b"\r\n\r\n")
-        text = head.decode("latin-1")
-        length = re.search(r"content-length: *(\d+)", text, re.IGNORECASE)
-        while length and len(body) < int(length[1]):
-            body += conn.recv(65_536)
-        return text
-
-    def stop(self):
-        self._listener.close()
-
-
 @pytest.fixture
 def scripted(cluster):
     servers = []
 
     def start(name, service, answer, **fields):
-        server = ScriptedServer(answer)
+        def serve(conn):
+            answer(request_id_of(read_request(conn)), conn)
+
+        server = ScriptedServer(serve)
         servers.append(server)
         registration = cluster.replicas[name].registration(service, **fields)
         registration["address"] = server.address
