Refuse answers whose chunks are cut off in a size or have another length

Cause: http.client and urllib3 take any line that int(..., 16) accepts as a size, also one that the connection ends in, and don't look at the two bytes.

Change: the strict reader validates sizes and line ends while http.client and urllib3 parse the chunks, so both parsers are covered. The line after the last chunk may still be missing: the body is whole then.

--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -1,10 +1,10 @@
 r"""Read HTTP responses strictly, for all connections of urllib3.
 
-http.client ends a head at the end of the connection as well as at an empty line, and
-drops all headers after a malformed line. A response that a server broke off can then
-look complete. The classes here raise `ResponseFramingError` for it; urllib3 reports
-that as its own `ProtocolError` where it reports other errors of http.client in this
-way.
+http.client ends a head at the end of the connection as well as at an empty line, drops
+all headers after a malformed line, and reads a chunk size that was cut off as a smaller
+one. A response that a server broke off can then look complete. The classes here raise
+`ResponseFramingError` for it; urllib3 reports that as its own `ProtocolError` where it
+reports other errors of http.client in this way.
 
 Examples
 --------
@@ -20,6 +20,7 @@
 from sesameport.adapters.http_framing import (
     FieldReader,
     find_field_error,
+    is_chunk_size,
 )
 
 __all__ = [
@@ -38,7 +39,7 @@
 
 
 class ResponseFramingError(http.client.HTTPException):
-    """Raised for a response whose head is malformed or cut off."""
+    """Raised for a response whose head or chunks are malformed or cut off."""
 
 
 class _HeadReader(FieldReader):
@@ -67,8 +68,60 @@
         self.inner.close()
 
 
+class _ChunkReader:
+    """Validate the framing of chunks that another parser reads.
+
+    The parsers of http.client and urllib3 read each size as a line, then the data in
+    parts that don't exceed it, and then two bytes that they don't look at.
+    """
+
+    def __init__(self, rfile):
+        self._inner = rfile
+        self._left = 0
+        self._is_last = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a chunk size, or a line after the last chunk."""
+        line = self._inner.readline(limit)
+        if self._is_last:
+            return line
+        if not is_chunk_size(line):
+            raise ResponseFramingError(f"invalid chunk size {line[:20]!r}")
+        self._left = int(line.partition(b";")[0], 16)
+        self._is_last = self._left == 0
+        return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Read data of a chunk, or the end of its line."""
+        return self._check(self._inner.read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read data of a chunk with at most one call to the socket."""
+        return self._check(self._inner.read1(size))
+
+    def readinto(self, buffer) -> int:
+        """Read data of a chunk into a buffer."""
+        count = self._inner.readinto(buffer)
+        self._check(bytes(buffer[:count]))
+        return count
+
+    def _check(self, data: bytes) -> bytes:
+        if self._left:
+            self._left -= len(data)
+        elif not b"\r\n".startswith(data):
+            raise ResponseFramingError(f"chunk is followed by {data!r}")
+        return data
+
+    def flush(self) -> None:
+        """Do nothing, as the file is only read."""
+
+    def close(self) -> None:
+        """Close the file."""
+        self._inner.close()
+
+
 class StrictResponse(http.client.HTTPResponse):
-    """Read a response whose head must be whole."""
+    """Read a response whose head and chunks must be whole."""
 
     def begin(self) -> None:
         """Read the head.
@@ -90,6 +143,8 @@
         problem = _find_head_error(reader.lines)
         if problem:
             raise ResponseFramingError(problem)
+        if self.chunked:
+            self.fp = _ChunkReader(self.fp)
 
 
 def _find_head_error(lines: list[bytes]) -> str:
--- a/src/sesameport/platform/tests/test_cut_answers.py
+++ b/src/sesameport/platform/tests/test_cut_answers.py
@@ -149,3 +149,40 @@
     assert exchange.prefill(whole).unwrap().handle == "h1"
     for end in range(len(whole)):
         assert exchange.prefill(whole[:end]).is_err(), whole[:end]
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_answer_that_is_cut_off_in_its_body_is_not_whole(exchange, framing):
+    whole = make_answer(framing)
+    # The last chunk, of size 0, ends the body; the line after it may be missing.
+    ends_at = whole.rindex(b"0\r\n\r\n") + 3 if framing == "chunked" else len(whole)
+    for end in range(whole.index(b"\r\n\r\n") + 4, ends_at):
+        assert exchange.run(whole[:end]) is None, whole[:end]
+    assert exchange.run(whole[:ends_at]) == BODY
+
+
+# A chunk size that was cut off after its first zeros was read as the end of the body.
+def test_answer_that_is_cut_off_in_a_chunk_size_is_not_whole(exchange):
+    head = make_head() + b"Transfer-Encoding: chunked\r\n\r\n"
+    whole = head + b"5\r\nhello\r\n" + b"0000000a\r\n and more.\r\n0\r\n\r\n"
+    assert exchange.run(whole) == b"hello and more."
+    for end in range(len(head), whole.rindex(b"0\r\n\r\n") + 3):
+        assert exchange.run(whole[:end]) is None, whole[:end]
+
+
+# The two bytes after a chunk were dropped unseen, whatever they were.
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        b"5\r\nhello!!\r\n0\r\n\r\n",
+        b"5\r\nhello!!0\r\n\r\n",
+        b"5\r\nhello\n\n0\r\n\r\n",
+        b"5\nhello\r\n0\r\n\r\n",
+        b"0x5\r\nhello\r\n0\r\n\r\n",
+        b"+5\r\nhello\r\n0\r\n\r\n",
+        b"5\r\nhello\r\n\r\n\r\n",
+    ],
+)
+def test_answer_with_a_chunk_of_another_length_is_not_whole(exchange, chunks):
+    head = make_head() + b"Transfer-Encoding: chunked\r\n\r\n"
+    assert exchange.run(head + chunks) is None
