Read answers of the store and to orders strictly

A write whose answer was cut off in its head counted as done, with version 0; a cut 404, 409, 429 or 503 counted as that refusal; a limit of 25 that an engine names with its state could be exchanged as one of 2.

Change: both use StrictConnectionPool. A write whose answer is cut off has an unknown outcome, a read is unavailable.

--- a/src/sesameport/platform/orders.py
+++ b/src/sesameport/platform/orders.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.sockets import SERVER_KEEPALIVE_OPTIONS
+from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.entry.role_controller import EngineState, RoleChange
 from sesameport.entry.server_notices import OnNotice
 from sesameport.entry.servers import EntryServer
@@ -87,7 +88,7 @@
 
     def _request(self, method, server, path, headers, body=None):
         host, _, port = server.address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(
+        pool = StrictConnectionPool(
             host, int(port), retries=False, socket_options=_SOCKET_OPTIONS
         )
         try:
--- a/src/sesameport/platform/store.py
+++ b/src/sesameport/platform/store.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
+from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.interfaces import (
     HostList,
     ObjectList,
@@ -46,7 +47,7 @@
     def __init__(self, address: str, timeout_s: float = 1.0):
         host, _, port = address.rpartition(":")
         self._timeout_s = timeout_s
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             host, int(port), maxsize=4, retries=False, socket_options=_SOCKET_OPTIONS
         )
 
