Read answers on the project's own interface strictly

Change: the clients of plain services, engines, the platform and host statuses use the strict reader.

--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
+from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.interfaces import (
     CacheEvent,
     CacheEvents,
@@ -139,7 +140,7 @@
         self._idle_timeout_s = idle_timeout_s
         self._prefill_timeout_s = prefill_timeout_s
         host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             host, int(port), maxsize=32, block=False, retries=False
         )
 
--- a/src/sesameport/adapters/plain.py
+++ b/src/sesameport/adapters/plain.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
+from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.domain import PlainRequest
 from sesameport.interfaces import EngineError, EngineErrorKind, PlainResponse
 
@@ -27,9 +28,7 @@
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, self._port, maxsize=16, retries=False
-        )
+        self._pool = StrictConnectionPool(host, self._port, maxsize=16, retries=False)
 
     def call(
         self, req: PlainRequest, attempt_id: str, timeout_s: float
@@ -37,7 +36,7 @@
         """Send a call and read the whole response."""
         pool = self._pool
         if not req.repeatable:
-            pool = urllib3.HTTPConnectionPool(self._host, self._port, retries=False)
+            pool = StrictConnectionPool(self._host, self._port, retries=False)
         headers = {**dict(req.headers), "X-Request-Id": attempt_id}
         try:
             response = pool.urlopen(
--- a/src/sesameport/adapters/platform.py
+++ b/src/sesameport/adapters/platform.py
@@ -8,6 +8,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from sesameport.adapters.strict_responses import StrictPoolManager
 from sesameport.interfaces import (
     HostList,
     ObjectList,
@@ -39,7 +40,7 @@
     def __init__(self, url: str, timeout_s: float = 2.0, connections: int = 8):
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
-        self._http = urllib3.PoolManager(maxsize=connections, block=False)
+        self._http = StrictPoolManager(maxsize=connections, block=False)
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
--- a/src/sesameport/commands/fetch.py
+++ b/src/sesameport/commands/fetch.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters import HttpPlatform
+from sesameport.adapters.strict_responses import StrictPoolManager
 from sesameport.interfaces import Platform
 
 __all__ = ["HostResponse", "fetch_all", "find_addresses", "open_platform"]
@@ -66,7 +67,7 @@
     addresses: Sequence[str], path: str, timeout_s: float = FETCH_TIMEOUT_S
 ) -> list[HostResponse]:
     """Fetch a path from all addresses and return the responses in the same order."""
-    http = urllib3.PoolManager(num_pools=MAX_CONCURRENT_FETCHES, retries=False)
+    http = StrictPoolManager(num_pools=MAX_CONCURRENT_FETCHES, retries=False)
     with concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_FETCHES) as pool:
         results = pool.map(
             lambda address: _fetch(http, address, path, timeout_s), addresses
