Give each call to a backend server a connection of its own

Cause: HttpPlainService and HttpEngine kept connections in pools. urllib3 notices bytes on an idle connection, not those that arrive after the next request was sent.

Change: SingleUsePool closes each connection after its response.

--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
-from sesameport.adapters.strict_responses import StrictConnectionPool
+from sesameport.adapters.strict_responses import SingleUsePool
 from sesameport.interfaces import (
     CacheEvent,
     CacheEvents,
@@ -47,11 +47,11 @@
         self._attempt_id = attempt_id
         self._idle_timeout_s = idle_timeout_s
         self._has_first_event = False
-        self._is_released = False
+        self._is_closed = False
 
     def close(self) -> None:
         """Close the connection, which tells the engine to stop generating."""
-        self._is_released = True
+        self._is_closed = True
         self._response.close()
 
     def __iter__(self) -> Iterator[Result[TokenEvent, EngineError]]:
@@ -64,7 +64,7 @@
                 self._start_idle_timeout()
                 yield Ok(event)
                 if event.finish_reason:
-                    self._release_connection()
+                    self._finish()
                     return
             yield Err(EngineError(EngineErrorKind.BROKEN, "stream without end mark"))
         except urllib3.exceptions.ReadTimeoutError as exc:
@@ -76,7 +76,7 @@
             # response, so a concurrent read raises AttributeError.
             yield Err(EngineError(EngineErrorKind.BROKEN, f"closed: {exc}"))
         finally:
-            if not self._is_released:
+            if not self._is_closed:
                 self.close()
 
     def _start_idle_timeout(self) -> None:
@@ -86,14 +86,13 @@
             conn.sock.settimeout(self._idle_timeout_s)
         self._has_first_event = True
 
-    def _release_connection(self) -> None:
-        """Read the rest of the response so that the connection can be reused."""
+    def _finish(self) -> None:
+        """Read the rest of the response, so that the engine sees no disconnect."""
         conn = self._response.connection
         if conn is not None and conn.sock is not None:
             conn.sock.settimeout(_DRAIN_TIMEOUT_S)
         self._response.drain_conn()
-        self._response.release_conn()
-        self._is_released = True
+        self.close()
 
 
 def _split_lines(response) -> Iterator[bytes]:
@@ -140,9 +139,7 @@
         self._idle_timeout_s = idle_timeout_s
         self._prefill_timeout_s = prefill_timeout_s
         host, _, port = address.rpartition(":")
-        self._pool = StrictConnectionPool(
-            host, int(port), maxsize=32, block=False, retries=False
-        )
+        self._pool = SingleUsePool(host, int(port), retries=False)
 
     def prefill(self, call: PrefillCall) -> Result[KvHandle, EngineError]:
         """Compute the KV cache of a prompt and keep it for a decode server."""
--- a/src/sesameport/adapters/plain.py
+++ b/src/sesameport/adapters/plain.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
-from sesameport.adapters.strict_responses import StrictConnectionPool
+from sesameport.adapters.strict_responses import SingleUsePool
 from sesameport.domain import PlainRequest
 from sesameport.interfaces import EngineError, EngineErrorKind, PlainResponse
 
@@ -17,29 +17,19 @@
 
 
 class HttpPlainService:
-    """Call one server of a plain service; satisfies ``interfaces.PlainService``.
-
-    A call that must not be repeated uses a new connection. A pooled connection can be
-    dead without having been closed, and the call would then fail without proof that
-    it did not run.
-    """
+    """Call one server of a plain service; satisfies ``interfaces.PlainService``."""
 
     def __init__(self, address: str):
         host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
-        self._pool = StrictConnectionPool(host, self._port, maxsize=16, retries=False)
+        self._pool = SingleUsePool(host, int(port), retries=False)
 
     def call(
         self, req: PlainRequest, attempt_id: str, timeout_s: float
     ) -> Result[PlainResponse, EngineError]:
         """Send a call and read the whole response."""
-        pool = self._pool
-        if not req.repeatable:
-            pool = StrictConnectionPool(self._host, self._port, retries=False)
         headers = {**dict(req.headers), "X-Request-Id": attempt_id}
         try:
-            response = pool.urlopen(
+            response = self._pool.urlopen(
                 req.method,
                 req.path,
                 body=req.body or None,
@@ -50,9 +40,6 @@
             )
         except HTTP_ERRORS as exc:
             return Err(to_engine_error(exc))
-        finally:
-            if pool is not self._pool:
-                pool.close()
         if response.status == 503:
             return Err(EngineError(EngineErrorKind.BUSY, "status 503"))
         forwarded_headers = tuple(
--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -26,6 +26,7 @@
 __all__ = [
     "MAX_HEAD_BYTES",
     "ResponseFramingError",
+    "SingleUsePool",
     "StrictClientConnection",
     "StrictConnectionPool",
     "StrictPoolManager",
@@ -176,6 +177,19 @@
     ConnectionCls = StrictClientConnection
 
 
+class SingleUsePool(StrictConnectionPool):
+    """Open a connection to one server for each request, and close it afterwards.
+
+    A backend server may send an answer twice, the second time late. On a connection in
+    use again the second copy would be read as the answer to the next request. Such a
+    connection can also be dead without having been closed.
+    """
+
+    def _put_conn(self, conn) -> None:
+        if conn is not None:
+            conn.close()
+
+
 class _StrictTlsPool(urllib3.HTTPSConnectionPool):
     ConnectionCls = _StrictTlsConnection
 
--- a/src/sesameport/adapters/tests/test_cut_answers.py
+++ b/src/sesameport/adapters/tests/test_cut_answers.py
@@ -9,6 +9,7 @@
 from sesameport.adapters.tests.scripted_server import (
     ScriptedServer,
     read_request,
+    request_id_of,
 )
 from sesameport.commands.fetch import fetch_all
 from sesameport.domain import PlainRequest, Urgency
@@ -153,3 +154,47 @@
         events = decode(HttpEngine("e1", serve(send_once(whole[:end]))))
         assert events[-1].unwrap_err().kind == EngineErrorKind.BROKEN, whole[:end]
     assert decode(HttpEngine("e1", serve(send_once(whole))))[-1].is_ok()
+
+
+def stutter(make):
+    """Return a function that sends each answer again before the next one.
+
+    The second copy arrives after the next request was sent, so that the client cannot
+    see it when it takes a connection from a pool.
+    """
+
+    def serve(conn):
+        copy = b""
+        while True:
+            answer = make(request_id_of(read_request(conn)))
+            conn.sendall(copy + answer)
+            copy = answer
+
+    return serve
+
+
+# Operators of a similar system saw the late copy of an answer delivered to the next
+# caller on a connection in use again.
+def test_second_copy_of_a_plain_answer_reaches_no_other_call(serve):
+    service = HttpPlainService(serve(stutter(lambda name: make_answer(name.encode()))))
+    for number in range(5):
+        result = service.call(make_plain_request(), f"a{number}", 2.0)
+        assert result.unwrap().body == f"a{number}".encode()
+
+
+def test_second_copy_of_an_engine_answer_reaches_no_other_call(serve):
+    def make(attempt_id):
+        handle = {**HANDLE, "remote_handle": attempt_id}
+        return make_json({"kv_transfer_params": handle})
+
+    engine = HttpEngine("e1", serve(stutter(make)))
+    for number in range(5):
+        handle = engine.prefill(PrefillCall(f"a{number}", "m", "", "prompt")).unwrap()
+        assert handle.handle == f"a{number}"
+
+
+def test_second_copy_of_a_stream_reaches_no_other_call(serve):
+    engine = HttpEngine("e1", serve(stutter(make_stream)))
+    for number in range(5):
+        event = decode(engine, f"a{number}")[-1].unwrap()
+        assert event.attempt_id == f"a{number}"
