Log how many bytes of a server's body a caller got

Cause: an answer that was cut off and passed on as whole looked in the log like any other that was served; nothing told its length.

--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -292,6 +292,7 @@
                 if not has_started:
                     has_started = True
                     writer.start(response.status, response.headers)
+                progress.body_bytes += len(data)
                 writer.send(data)
             _check_stream_end(response, checked, progress)
         except IncompleteResponse as exc:
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -92,6 +92,8 @@
         Number of reads with events that the present run has returned.
     run_began_at : float
         Monotonic time at which the present run was sent to its server, seconds.
+    body_bytes : int
+        Bytes of servers' bodies that were sent to the caller.
     """
 
     req: EntryRequest
@@ -112,6 +114,7 @@
     run_began_at: float = 0.0
     _run_first_event_at: float | None = None
     status: int = 0
+    body_bytes: int = 0
     outcome: str = ""
     reason: str = ""
     has_run: bool = False
@@ -188,13 +191,19 @@
         If the body exceeds ``MAX_BUFFERED_BYTES``, ``rest`` yields what follows it.
         """
         progress.status = status
+        progress.body_bytes = len(body)
         progress.outcome = "served" if status < 400 else "server-failed"
         if len(body) <= MAX_BUFFERED_BYTES:
             writer.send_complete(status, headers, body)
             return
         writer.start(status, headers)
         writer.send(body)
-        failure = forward_rest(rest, writer.send)
+
+        def send(data: bytes) -> None:
+            progress.body_bytes += len(data)
+            writer.send(data)
+
+        failure = forward_rest(rest, send)
         if failure is None:
             writer.finish()
             return
@@ -324,6 +333,7 @@
                 "outcome": progress.outcome or "failed",
                 "reason": progress.reason,
                 "status": progress.status,
+                "body_bytes": progress.body_bytes,
                 "servers": ",".join(progress.servers),
                 "sends": progress.sends,
                 "waited_s": round(progress.waited_s, 3),
--- a/src/sesameport/platform/tests/test_cut_answers.py
+++ b/src/sesameport/platform/tests/test_cut_answers.py
@@ -13,6 +13,7 @@
 )
 from sesameport.entry.requests import EntryRequest, KvSource, read_body
 from sesameport.platform.engines import ReplicaClient
+from sesameport.platform.tests.conftest import wait_until
 from sesameport.platform.tests.test_late_bytes import scripted as scripted
 
 REQUEST_ID = "9c41d07be2a35f68"
@@ -246,3 +247,25 @@
     for end in range(1, len(whole)):
         result = exchange.prefill(whole[:end], other)
         assert result.is_err(), whole[:end]
+
+
+@pytest.mark.parametrize(
+    "route, body", [("book", b"order"), ("book", b"x" * 40_000), ("draft", EVENTS)]
+)
+def test_log_says_how_many_bytes_of_a_body_were_sent(
+    cluster, scripted, log_lines, route, body
+):
+    name, service, stage = ("s1", "desk", {})
+    if route == "draft":
+        name, service, stage = ("d1", "llm", {"stage": "decode"})
+    whole = make_answer("length", body, "r1")
+    scripted(name, service, lambda _, conn: conn.sendall(whole), **stage)
+    send = cluster.send_generation if stage else cluster.send_request
+    assert send(route if stage else f"/{route}/x").body == body
+
+    def ended():
+        lines = [json.loads(line) for line in log_lines.getvalue().splitlines()]
+        return [line for line in lines if line["event"] == "request ended"]
+
+    wait_until(ended)
+    assert [line["body_bytes"] for line in ended()] == [len(body)]
