Check the header lines of an answer in one pass

Cause: the strict reader took 40 us more for a head of 7 lines than http.client's 66 us.

Change: one pass over the lines, one search for a second status line.

--- a/src/sesameport/adapters/http_framing.py
+++ b/src/sesameport/adapters/http_framing.py
@@ -6,7 +6,7 @@
 
 import re
 
-__all__ = ["FieldReader", "find_field_error", "group_fields", "is_chunk_size"]
+__all__ = ["FieldReader", "field_values", "find_field_error", "is_chunk_size"]
 
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _LENGTH = re.compile(rb"[0-9]{1,18}\Z")
@@ -44,15 +44,10 @@
     return _CHUNK_SIZE.match(line) is not None
 
 
-def group_fields(lines: list[bytes]) -> dict[bytes, list[bytes]]:
-    """Return the values of header lines by their names in lower case."""
-    values: dict[bytes, list[bytes]] = {}
-    for line in lines:
-        name, separator, value = line.partition(b":")
-        if not separator:
-            continue
-        values.setdefault(name.lower(), []).append(value.strip())
-    return values
+def field_values(lines: list[bytes], name: bytes) -> list[bytes]:
+    """Return the values of the header lines with a name, given in lower case."""
+    parts = [line.partition(b":") for line in lines]
+    return [value.strip() for found, _, value in parts if found.lower() == name]
 
 
 def find_field_error(lines: list[bytes], is_http_11: bool) -> str:
@@ -63,6 +58,7 @@
     >>> find_field_error([b"Content-Length: 5\r\n", b"Content-Length: 6\r\n"], True)
     'an ambiguous Content-Length'
     """
+    lengths, codings = [], []
     for line in lines:
         if line in (b"\r\n", b""):
             continue
@@ -73,15 +69,15 @@
             return "a header name that is no token"
         if b"\x00" in value or b"\r" in value[:-2]:
             return "a control character in a header"
-    values = group_fields(lines)
-    lengths = values.get(b"content-length", [])
-    codings = values.get(b"transfer-encoding", [])
+        match name.lower():
+            case b"content-length":
+                lengths.append(value.strip())
+            case b"transfer-encoding":
+                codings.append(value.strip().lower())
     if lengths and codings:
         return "both Content-Length and Transfer-Encoding"
     if len(lengths) > 1 or any(not _LENGTH.match(length) for length in lengths):
         return "an ambiguous Content-Length"
-    if codings and (
-        not is_http_11 or [coding.lower() for coding in codings] != [b"chunked"]
-    ):
+    if codings and (not is_http_11 or codings != [b"chunked"]):
         return "an unknown Transfer-Encoding"
     return ""
--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -11,8 +11,8 @@
 
 from sesameport.adapters.http_framing import (
     FieldReader,
+    field_values,
     find_field_error,
-    group_fields,
     is_chunk_size,
 )
 
@@ -60,7 +60,7 @@
     problem = find_field_error(lines, is_http_11)
     if problem:
         return problem
-    hosts = group_fields(lines).get(b"host", [])
+    hosts = field_values(lines, b"host")
     if len(hosts) > 1:
         return "more than one Host"
     if is_http_11 and not hosts:
--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -156,7 +156,7 @@
         return "a malformed status line"
     # A server that breaks off inside a head may send another response behind it. The
     # line that was cut off then continues with the second status line.
-    if any(_ANY_STATUS_LINE.search(line, 1) for line in lines):
+    if _ANY_STATUS_LINE.search(b"".join(lines), 1):
         return "a status line inside the head"
     return find_field_error(lines[1:-1], is_http_11=status[1] == b"1")
 
