Reset the connection of a caller without chunks when a stream breaks off

A caller of HTTP/1.0 got a part of a stream, or of a large body, as complete.

Cause: the listener closes the connection without the last chunk. Without chunks that is how a complete answer ends, too.

Change: such a connection ends with a reset.

--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -6,6 +6,8 @@
 """
 
 import re
+import socket
+import struct
 
 from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
 
@@ -18,6 +20,7 @@
 
 __all__ = ["FramingError", "StrictConnection", "StrictRequest", "find_framing_error"]
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 
 
@@ -154,3 +157,17 @@
     """Parse the requests of a connection with ``StrictRequest``."""
 
     RequestHandlerClass = StrictRequest
+    resets_on_close = False
+
+    def close(self) -> None:
+        """Close the connection, with a reset if ``resets_on_close`` is set.
+
+        A response with neither a length nor chunks ends with its connection. If it is
+        incomplete, only a reset shows that.
+        """
+        if not self.resets_on_close:
+            super().close()
+            return
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.rfile.close()
+        self.socket.close()
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -111,6 +111,9 @@
 
     def abort(self) -> None:
         """Close the connection without the end of the stream."""
+        req = self._req
+        # A caller of HTTP/1.0 gets no chunks.
+        req.conn.resets_on_close = req.sent_headers and not req.chunked_write
         self._req.chunked_write = False
         self._req.close_connection = True
         self._req.sent_headers = True
--- a/src/sesameport/platform/tests/test_response_ends.py
+++ b/src/sesameport/platform/tests/test_response_ends.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST
 from sesameport.platform.tests.test_late_bytes import SIGNED
 from sesameport.platform.tests.test_late_bytes import scripted as scripted
 
@@ -121,3 +122,43 @@
             if "last-event-id" in headers
         ]
     assert "3" in resumed
+
+
+# A caller of HTTP/1.0 gets no chunks, so a stream that had broken off looked complete.
+@pytest.mark.parametrize("route", ["draft", "grade", "book"])
+@pytest.mark.parametrize("breaks_off", [True, False])
+def test_caller_without_chunks_gets_a_reset_for_what_broke_off(
+    cluster, scripted, route, breaks_off
+):
+    body, content_type = b"x" * 40_000, b"text/plain"
+    if route != "book":
+        body, content_type = b"".join(EVENTS), b"text/event-stream"
+    sizes = b"Content-Type: %b\r\nContent-Length: %d\r\n\r\n" % (
+        content_type,
+        len(body) + (100 if breaks_off else 0),
+    )
+    for name, service, stage in (
+        ("s1", "desk", {}),
+        ("d1", "llm", {"stage": "decode"}),
+    ):
+        scripted(
+            name, service, lambda _, conn: conn.sendall(SIGNED + sizes + body), **stage
+        )
+    request = (
+        f"POST /{route}/x HTTP/1.0\r\nHost: {ROUTE_HOST}\r\nX-Request-Id: r1\r\n"
+        f"X-Deadline-Ms: 2000\r\nX-Key: {API_KEY}\r\nX-Token-Count: 1000,400\r\n"
+        "Content-Length: 6\r\n\r\nprompt"
+    )
+    host, _, port = cluster.hosts[-1].caller_address.rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), 5.0) as sock:
+        sock.sendall(request.encode())
+        try:
+            while data := sock.recv(65_536):
+                received += data
+            is_reset = False
+        except ConnectionResetError:
+            is_reset = True
+    assert is_reset == breaks_off
+    if not breaks_off:
+        assert received.endswith(b"\r\n\r\n" + body)
