Compile the pattern of a second answer once

Cause: the pattern had the id of the request in it and was compiled for each answer, 257 us of processor time each.

Change: one pattern; ids are compared in code.

--- a/src/sesameport/platform/second_answers.py
+++ b/src/sesameport/platform/second_answers.py
@@ -15,8 +15,13 @@
 MAX_HEAD_PART_BYTES = 1_024
 """Longest status line and headers up to the one that identifies an answer, bytes."""
 
-_STATUS_LINE = rb"HTTP/1\.[01] [1-9][0-9]{2}[^\r\n]*\r\n"
-_OTHER_HEADERS = rb"(?:[^\r\n]+\r\n){0,16}?"
+_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-9][0-9]{2}[^\r\n]*\r\n((?:[^\r\n]+\r\n){0,16}[^\r\n]*)"
+)
+"""A status line and its headers, the last of which may be incomplete."""
+
+_REQUEST_ID = header_names.REQUEST_ID.lower().encode()
+_SIGNATURE = header_names.RESPONSE_SEAL.lower().encode()
 
 
 class SecondAnswerCheck:
@@ -39,10 +44,7 @@
     """
 
     def __init__(self, request_id: str):
-        echo = f"{header_names.REQUEST_ID}:[ \t]*{re.escape(request_id)}[ \t]*\r\n"
-        signature = f"{header_names.RESPONSE_SEAL}:"
-        either = f"(?:{echo}|{signature})".encode("latin-1")
-        self._head = re.compile(_STATUS_LINE + _OTHER_HEADERS + either, re.IGNORECASE)
+        self._request_id = request_id.encode("latin-1")
         self._last_bytes = b""
 
     def feed(self, data: bytes) -> None:
@@ -54,6 +56,16 @@
             If a second answer begins in it or in the parts before.
         """
         joined = self._last_bytes + data
-        if b"HTTP/1." in joined and self._head.search(joined):
-            raise IncompleteResponse("a second answer inside the body")
+        if b"HTTP/1." in joined:
+            for fields in _HEAD.findall(joined):
+                self._check_fields(fields)
         self._last_bytes = joined[-MAX_HEAD_PART_BYTES:]
+
+    def _check_fields(self, fields: bytes) -> None:
+        for line in fields.split(b"\r\n"):
+            name, colon, value = line.partition(b":")
+            if not colon:
+                continue
+            name, is_echo = name.lower(), value.strip() == self._request_id
+            if name == _SIGNATURE or (name == _REQUEST_ID and is_echo):
+                raise IncompleteResponse("a second answer inside the body")
