--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -114,9 +114,9 @@
         req = self._req
         # A caller of HTTP/1.0 gets no chunks.
         req.conn.resets_on_close = req.sent_headers and not req.chunked_write
-        self._req.chunked_write = False
-        self._req.close_connection = True
-        self._req.sent_headers = True
+        req.chunked_write = False
+        req.close_connection = True
+        req.sent_headers = True
 
     def _send_head(self, status: int, headers) -> None:
         req = self._req
