--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -87,7 +87,7 @@
         self._has_first_event = True
 
     def _finish(self) -> None:
-        """Read the rest of the response, so that the engine sees no disconnect."""
+        """Read the rest of the response, since an engine may act on a disconnect."""
         conn = self._response.connection
         if conn is not None and conn.sock is not None:
             conn.sock.settimeout(_DRAIN_TIMEOUT_S)
--- a/src/sesameport/adapters/tests/test_cut_answers.py
+++ b/src/sesameport/adapters/tests/test_cut_answers.py
@@ -159,8 +159,8 @@
 def stutter(make):
     """Return a function that sends each answer again before the next one.
 
-    The second copy arrives after the next request was sent, so that the client cannot
-    see it when it takes a connection from a pool.
+    The second copy arrives after the next request was sent. The client cannot see it
+    when it takes a connection from a pool.
     """
 
     def serve(conn):
--- a/src/sesameport/platform/tests/test_cut_answers.py
+++ b/src/sesameport/platform/tests/test_cut_answers.py
@@ -210,8 +210,8 @@
             assert exchange.run(whole[:end], second) is None, whole[:end]
 
 
-# A server broke off inside a body and then sent its answer again, so that bytes of the
-# second head filled up the length of the first body.
+# A server broke off inside a body and then sent its answer again. Bytes of the second
+# head filled up the length of the first body.
 @pytest.mark.parametrize("framing", ["length", "chunked"])
 def test_second_answer_inside_a_body_is_not_taken_for_the_rest(exchange, framing):
     body = BODY * 5
