--- a/src/sesameport/platform/tests/test_cut_answers.py
+++ b/src/sesameport/platform/tests/test_cut_answers.py
@@ -216,7 +216,7 @@
 def test_second_answer_inside_a_body_is_not_taken_for_the_rest(exchange, framing):
     body = BODY * 5
     whole = make_answer(framing, body)
-    # A second head that doesn't get as far as its signature can't be told from text.
+    # Without its signature or the echoed id, a second head is ordinary text.
     identified_at = make_head().index(b"X-Response-Seal:") + len(b"X-Response-Seal:")
     for end in range(whole.index(b"\r\n\r\n") + 4, len(whole) - identified_at):
         for second in (whole, OTHER_ANSWER):
