Lease decode memory before a prompt is prefilled

Cause: hosts place by reports that are up to a second old. In a burst several hosts placed requests in the same free memory; the engine refused all but one of them after their prompts had been prefilled, and the KV handles expired.

Change: where an engine's memory is scarce and the configuration allows leases, a host leases the memory before the prefill starts. A refused lease sends the request back to placement, and the engine gets no request of that size for 0.2 s.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -11,6 +11,7 @@
 )
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
+from sesameport.admission.memory_leases import LeasePolicy, RefusedMemory, plan_lease
 from sesameport.admission.permits import (
     Grant,
     PermitIssuer,
@@ -50,12 +51,14 @@
     "GenerationRequest",
     "Grant",
     "Judgement",
+    "LeasePolicy",
     "NoticeReport",
     "PermitIssuer",
     "PermitStock",
     "Placement",
     "PlacementPolicy",
     "QuotaDecision",
+    "RefusedMemory",
     "RetryAfterPolicy",
     "WindowedRetryBudget",
     "RolePlan",
@@ -74,6 +77,7 @@
     "WaitingTokens",
     "WorkloadMix",
     "place_generation",
+    "plan_lease",
     "choose_issuer",
     "choose_plain_server",
     "expected_output_tokens",
--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -115,7 +115,8 @@
     ``prefill`` is None if the decode server runs the prefill or if it is already done.
     ``handle_s`` is the time for which a prefill server retains the KV cache, and
     ``expected_prefill_s`` is the expected time until the prefill completes. Both
-    are in seconds.
+    are in seconds. ``lease_tokens`` of decode memory are leased for ``lease_s`` seconds
+    before the prefill; 0 means no lease.
     """
 
     decode: EntryServer
@@ -125,6 +126,8 @@
     handle_s: float = 0.5
     is_prefilled: bool = False
     expected_prefill_s: float = 0.0
+    lease_tokens: int = 0
+    lease_s: float = 0.0
 
     @property
     def prefill_server(self) -> EntryServer | None:
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -117,6 +117,7 @@
             m.PrefillEnded: admission.handle_prefill_ended,
             m.RunEnded: admission.handle_run_ended,
             m.CancelWait: admission.cancel_wait,
+            m.MemoryRefused: admission.record_refused_memory,
             m.ConsumeRetry: admission.consume_retry,
             m.CallOutcome: admission.monitor.record_outcome,
             m.ServerNoticed: self._record_notice,
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -32,6 +32,7 @@
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
+from sesameport.entry.memory_leases import LeasePlanner
 from sesameport.entry.permit_exchange import PermitExchange
 from sesameport.entry.placement_log import (
     log_over_quota,
@@ -116,6 +117,7 @@
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
         self._policy = PlacementPolicy()
+        self._leases = LeasePlanner(self.use, self.permits)
         self._retry_after_policy = RetryAfterPolicy()
         self._queues: dict[str, WaitingQueue] = {}
         self._waiting: dict[int, _QueuedRequest] = {}
@@ -223,6 +225,7 @@
                 self.use.add_local(name, change)
             for name in placement.called_servers():
                 self.permits.take(name, now)
+            placement = self._leases.plan(placement, self._engine(service))
             queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
             log_placement(queued.req.request_id, placement, self.use, now)
             placed = True
@@ -237,10 +240,11 @@
         engine = self._engine(service)
         if engine is None:
             return Err(Shortage.MEMORY)
+        servers = self.permits.usable(self.monitor.usable_servers(service, now), now)
         return place_generation(
             req.generation,
             engine,
-            self.permits.usable(self.monitor.usable_servers(service, now), now),
+            self._leases.usable(servers, req.generation, now),
             self.use,
             self.health.cost_factor,
             self._policy,
@@ -388,6 +392,10 @@
         """Release the decode server or plain server of a request."""
         self._place_released(release_run(message, self.use, self._measurements), now)
 
+    def record_refused_memory(self, message: m.MemoryRefused, now: float) -> None:
+        """Place fewer tokens for a moment on an engine that refused a lease."""
+        self._wake_at(self._leases.record_refusal(message, now))
+
     def _place_released(self, service: str | None, now: float) -> None:
         if service is not None:
             self._place_from_queue(service, now)
--- a/src/sesameport/entry/configuration.py
+++ b/src/sesameport/entry/configuration.py
@@ -101,12 +101,16 @@
         Duration of a change between prefill and decode, seconds.
     handle_s : float
         Time for which a prefill engine keeps a KV cache that is not fetched, seconds.
+    max_lease_s : float
+        Longest time for which an engine leases KV cache in advance, seconds; 0 if it
+        grants no leases.
     """
 
     slots: int
     kv_tokens: int
     role_change_s: float = 6.0
     handle_s: float = 0.5
+    max_lease_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -12,6 +12,7 @@
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
 from sesameport.entry.local_prefill import LocalPrefill
+from sesameport.entry.memory_leases import MAX_LEASE_REFUSALS, MemoryLeaseHandler
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
 from sesameport.entry.prefill_handler import PrefillHandler
 from sesameport.entry.requests import (
@@ -80,6 +81,7 @@
         self._outcomes = outcomes
         self._data_centre = data_centre
         self._prefills = PrefillHandler(actor, calls, outcomes)
+        self._leases = MemoryLeaseHandler(actor, calls, outcomes.metrics)
         self._keys = itertools.count(1)
 
     def handle(self, progress, service, priority, charge, writer, caller) -> None:
@@ -113,6 +115,7 @@
                 )
                 succeeded = failure is None
             finally:
+                self._leases.release(progress)
                 ended = m.RunEnded(
                     placement=admitted.placement,
                     seconds=time.monotonic() - began_at,
@@ -198,6 +201,10 @@
         if self._guard.refusal(progress) is not None:
             self._actor.tell(m.PrefillEnded(placement, 0.0, False))
             return SUSPECT_FAILURE, has_started
+        failure = self._leases.take(progress, placement)
+        if failure is not None:
+            self._actor.tell(m.PrefillEnded(placement, 0.0, False))
+            return failure, has_started
         failure = self._prefills.run(progress, placement, caller)
         if failure is not None:
             return failure, has_started
@@ -223,8 +230,9 @@
         source = progress.source
         progress.prefill_server = source.server if source is not None else ""
         progress.begin_run(decode)
+        lease, progress.lease = progress.lease, None
         result = self._calls.run(
-            decode.address, decode.name, progress.req, caller, source
+            decode.address, decode.name, progress.req, caller, source, lease=lease
         )
         match result:
             case Err(failure):
@@ -328,7 +336,10 @@
                 return None
 
     def _may_retry(self, progress, failure) -> bool:
-        if progress.sends >= MAX_SENDS or progress.time_left_s() <= 0:
+        sends = progress.sends - progress.lease_refusals
+        if sends >= MAX_SENDS or progress.lease_refusals > MAX_LEASE_REFUSALS:
+            return False
+        if progress.time_left_s() <= 0:
             return False
         if failure.kind.has_not_run():
             return True
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -33,6 +33,7 @@
     "FleetSnapshot",
     "HostAnnounced",
     "HostsChanged",
+    "MemoryRefused",
     "NoticeReports",
     "PermitReply",
     "PermitRequest",
@@ -213,6 +214,14 @@
     unresponsive: bool = False
 
 
+@attrs.frozen
+class MemoryRefused:
+    """Report that an engine refused a lease of KV cache, in tokens."""
+
+    server: str
+    kv_tokens: int
+
+
 @attrs.frozen
 class ServerNoticed:
     """Report what a server said of itself in an answer."""
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -14,6 +14,7 @@
     EntryRequest,
     FailureKind,
     KvSource,
+    MemoryLease,
     forward_rest,
 )
 from sesameport.entry.servers import EntryServer
@@ -86,6 +87,10 @@
         KV cache of the prompt at a prefill server, valid until ``source_expires_at``.
     server : EntryServer or None
         Server of the present run.
+    lease : MemoryLease or None
+        Decode memory that is leased for the present attempt and not used yet.
+    lease_refusals : int
+        Number of leases that engines refused to the request.
     prefill_server : str
         Name of the server whose KV cache the present run uses, if any.
     run_events : int
@@ -121,6 +126,8 @@
     source: KvSource | None = None
     source_expires_at: float = 0.0
     prefill_server: str = ""
+    lease: MemoryLease | None = None
+    lease_refusals: int = 0
 
     def begin_run(self, server: EntryServer) -> None:
         """Record that the request is sent to a server that will run it."""
@@ -180,7 +187,7 @@
 
     def __init__(self, actor, metrics, crashes: CrashDetector):
         self._actor = actor
-        self._metrics = metrics
+        self.metrics = self._metrics = metrics
         self._crashes = crashes
 
     def send_response(
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -17,6 +17,7 @@
     "EntryRequest",
     "FailureKind",
     "KvSource",
+    "MemoryLease",
     "OpenResponse",
     "PrefillResult",
     "ServerClient",
@@ -172,6 +173,15 @@
     server: str = ""
 
 
+@attrs.frozen
+class MemoryLease:
+    """Identify memory that an engine holds for one request, by its address and id."""
+
+    address: str
+    server: str
+    lease_id: str
+
+
 class OpenResponse(Protocol):
     """Provide the response of a backend server whose body is not read yet.
 
@@ -237,13 +247,25 @@
         caller: CallerConnection,
         source: KvSource | None = None,
         attempt_timeout_s: float | None = None,
+        lease: MemoryLease | None = None,
     ) -> Result[OpenResponse, CallFailure]:
         """Run a request and return its response once the status is known.
 
         The timeout is ``attempt_timeout_s``, or the deadline of the request without it.
+        ``lease`` is memory that the server holds for the request.
         """
         ...
 
+    def lease_memory(
+        self, address: str, server: str, tokens: int, seconds: float
+    ) -> Result[MemoryLease, CallFailure]:
+        """Lease KV cache and a slot; the failure is ``REFUSED`` if there is no room."""
+        ...
+
+    def release_memory(self, lease: MemoryLease) -> None:
+        """Release a lease that is not used."""
+        ...
+
     def free(self, source: KvSource) -> Result[None, str]:
         """Release the KV cache of a prefill that is not used."""
         ...
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -63,12 +63,37 @@
         self._count(server, "prefill")
         return self._calls.prefill(address, server, req, caller, attempt_timeout_s)
 
-    def run(self, address, server, req, caller, source=None, attempt_timeout_s=None):
+    def run(
+        self,
+        address,
+        server,
+        req,
+        caller,
+        source=None,
+        attempt_timeout_s=None,
+        lease=None,
+    ):
         """Run a request; see ``ServerClient``."""
         if self._is_paused(server):
             return Err(PAUSED)
         self._count(server, "resume" if req.resume_after else "run")
-        return self._calls.run(address, server, req, caller, source, attempt_timeout_s)
+        return self._calls.run(
+            address, server, req, caller, source, attempt_timeout_s, lease
+        )
+
+    def lease_memory(self, address, server, tokens, seconds):
+        """Lease memory of an engine; see ``ServerClient``."""
+        if self._is_paused(server):
+            return Err(PAUSED)
+        return self._calls.lease_memory(address, server, tokens, seconds)
+
+    def release_memory(self, lease):
+        """Release a lease; see ``ServerClient``.
+
+        A server that wants nothing releases it at its expiry.
+        """
+        if not self._is_paused(lease.server):
+            self._calls.release_memory(lease)
 
     def free(self, source: KvSource):
         """Release the KV cache of a prefill; see ``ServerClient``.
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -84,6 +84,7 @@
             kv_tokens=int(engine["kvCapacityTokens"]),
             role_change_s=float(engine.get("switchS") or 6.0),
             handle_s=float(engine.get("kvRetentionS") or 0.5),
+            max_lease_s=float(engine.get("holdMs") or 0.0) / 1000.0,
         )
     return EntryService(service["name"], profile)
 
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -33,12 +33,14 @@
     FailureKind,
     IncompleteResponse,
     KvSource,
+    MemoryLease,
     OpenResponse,
     PrefillResult,
     read_body,
 )
 from sesameport.entry.server_notices import OnNotice
 from sesameport.platform import header_names
+from sesameport.platform.memory_leases import lease_memory, release_memory
 from sesameport.platform.notices import report_notice
 from sesameport.platform.second_answers import SecondAnswerCheck
 
@@ -200,9 +202,12 @@
         caller: CallerConnection,
         source: KvSource | None = None,
         attempt_timeout_s: float | None = None,
+        lease: MemoryLease | None = None,
     ) -> Result[OpenResponse, CallFailure]:
         """Send a request and return the response once its headers have arrived."""
         extra_headers = []
+        if lease is not None:
+            extra_headers.append((header_names.KV_LEASE, lease.lease_id))
         if source is not None:
             extra_headers.append(
                 (header_names.KV_SOURCE, f"{source.address}/{source.handle}")
@@ -211,6 +216,16 @@
             address, server, req, caller, extra_headers, attempt_timeout_s
         )
 
+    def lease_memory(
+        self, address: str, server: str, tokens: int, seconds: float
+    ) -> Result[MemoryLease, CallFailure]:
+        """Lease memory and a slot of a replica for a request that is sent later."""
+        return lease_memory(address, server, tokens, seconds, _SOCKET_OPTIONS)
+
+    def release_memory(self, lease: MemoryLease) -> None:
+        """Release a lease; if the call fails, it ends at its expiry."""
+        release_memory(lease, _SOCKET_OPTIONS)
+
     def free(self, source: KvSource) -> Result[None, str]:
         """Free the KV cache of a prefill.
 
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -6,6 +6,7 @@
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
     "HOP_BY_HOP_HEADERS",
+    "KV_LEASE",
     "KV_SOURCE",
     "LAST_EVENT_ID",
     "LENGTH_HINT",
@@ -31,6 +32,7 @@
 PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
 STAGE = "x-stage"
+KV_LEASE = "x-kv-hold"
 KV_SOURCE = "x-kv-source"
 EXPECT_INSTANCE = "x-expect-instance"
 EXPECT_VERSION = "x-expect-version"
@@ -46,13 +48,13 @@
         DEADLINE_MS,
         EXPECT_INSTANCE,
         EXPECT_VERSION,
+        KV_LEASE,
         KV_SOURCE,
         LAST_EVENT_ID,
         STAGE,
         TENANT,
         "kv-fetch",
         "x-kv-backup",
-        "x-kv-hold",
         "x-pin-ms",
         "x-request-priority",
     }
--- a/src/sesameport/platform/tests/fake_replica.py
+++ b/src/sesameport/platform/tests/fake_replica.py
@@ -21,6 +21,9 @@
     The next ``unanswered_prefills`` prefills get no response until the caller
     disconnects. For the next ``dropped_prefills`` the connection is closed at once.
 
+    Leases are granted up to ``lease_room`` tokens, or unknown if it is None; ``leases``
+    has the granted ones.
+
     All responses have the headers in ``says``.
 
     The replica crashes when it begins to run a request that ``crashes_on`` is true for;
@@ -43,6 +46,9 @@
         self.executed_ids = []
         self.orders = []
         self.freed_handles = []
+        self.lease_room = 1_000_000
+        self.leases = {}
+        self.released_leases = []
         self.caller_disconnected = threading.Event()
         self.release = threading.Event()
 
@@ -72,6 +78,9 @@
             self.orders.append(json.loads(body))
             handler.send_reply(202, {})
             return
+        if handler.path.startswith("/v1/hold-"):
+            self._handle_lease(handler, body)
+            return
         if handler.command == "DELETE":
             self.freed_handles.append(handler.path.rpartition("/")[2])
             handler.send_reply(200, {})
@@ -112,6 +121,23 @@
             return
         self._execute(handler, headers, fault)
 
+    def _handle_lease(self, handler, body):
+        if handler.command == "DELETE":
+            self.released_leases.append(handler.path.rpartition("/")[2])
+            handler.send_reply(200, {})
+            return
+        wanted = json.loads(body)
+        if self.lease_room is None:
+            handler.send_reply(404, {})
+            return
+        if wanted["tokens"] > self.lease_room:
+            handler.send_reply(503, {})
+            return
+        self.lease_room -= wanted["tokens"]
+        lease = f"l{len(self.leases)}"
+        self.leases[lease] = wanted
+        handler.send_reply(200, {"hold": lease})
+
     def _execute(self, handler, headers, fault):
         if fault == "hang":
             self._wait_for_disconnect(handler)
