--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -4,6 +4,11 @@
 The daemon and the load simulations in tests therefore run the same code.
 """
 
+from sesameport.admission.cold_servers import (
+    ColdBounds,
+    ColdReport,
+    ColdServers,
+)
 from sesameport.admission.crash_suspects import (
     CrashSuspects,
     Judgement,
@@ -12,6 +17,7 @@
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
 from sesameport.admission.permits import (
+    COLD_PACING,
     Grant,
     PermitIssuer,
     PermitStock,
@@ -28,6 +34,7 @@
     reserved_kv_tokens,
 )
 from sesameport.admission.quota import FleetQuota, QuotaDecision
+from sesameport.admission.request_limits import RequestLimits
 from sesameport.admission.retry_budget import WindowedRetryBudget
 from sesameport.admission.roles import RolePlan, RolePlanner, WorkloadMix
 from sesameport.admission.routes import RouteTable
@@ -44,6 +51,10 @@
 )
 
 __all__ = [
+    "COLD_PACING",
+    "ColdBounds",
+    "ColdReport",
+    "ColdServers",
     "CrashSuspects",
     "FleetQuota",
     "FleetUse",
@@ -56,6 +67,7 @@
     "Placement",
     "PlacementPolicy",
     "QuotaDecision",
+    "RequestLimits",
     "RetryAfterPolicy",
     "WindowedRetryBudget",
     "RolePlan",
--- a/src/sesameport/admission/server_notices.py
+++ b/src/sesameport/admission/server_notices.py
@@ -84,8 +84,9 @@
     ) -> bool:
         """Record the notice of an answer; return whether other hosts must know.
 
-        A pause concerns this host only.
+        A pause concerns this host only. `ColdServers` keeps the cold time.
         """
+        notice = attrs.evolve(notice, cold_remaining_s=0.0)
         if notice.pause_s > 0:
             until = now + min(MAX_PAUSE_S, notice.pause_s)
             until = max(until, self.paused_until(server))
--- a/src/sesameport/entry/configuration.py
+++ b/src/sesameport/entry/configuration.py
@@ -111,10 +111,21 @@
 
 @attrs.frozen
 class EntryService:
-    """Represent one service; ``engine`` is None for a plain service."""
+    """Represent one service; ``engine`` is None for a plain service.
+
+    Attributes
+    ----------
+    cold_start_s : float
+        Time for which a server is cold after its start, seconds.
+    cold_per_s : float
+        Requests per second that a cold server takes from all hosts together; 0 if
+        servers of the service are never cold.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/server_notices.py
+++ b/src/sesameport/entry/server_notices.py
@@ -21,11 +21,14 @@
     pause_s : float
         Time for which the server wants no request from the host that got the answer,
         seconds.
+    cold_remaining_s : float
+        Time for which the server stays cold, 0 if the answer states none, seconds.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float = 0.0
+    cold_remaining_s: float = 0.0
 
 
 NO_NOTICE = ServerNotice()
--- a/src/sesameport/entry/servers.py
+++ b/src/sesameport/entry/servers.py
@@ -29,6 +29,9 @@
         Number of requests that it runs concurrently.
     started_at_ms : int
         Start time of this incarnation, Unix milliseconds; 0 if unknown.
+    cold_remaining_s : float
+        Time for which it stated to stay cold when it wrote the entry, seconds. It is
+        not compared, because a countdown is no change of the entry.
     """
 
     name: str
@@ -39,6 +42,7 @@
     state: ServerState = ServerState.LIVE
     slots: int = 1
     started_at_ms: int = 0
+    cold_remaining_s: float = attrs.field(default=0.0, eq=False)
 
     def can_decode(self) -> bool:
         """Return whether the server can decode."""
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -20,6 +20,9 @@
         window.
     quota_window_s : float
         Window over which the rate and burst of a workspace hold, seconds.
+    cold_overshoot, cold_slack : float or None
+        In one second a cold server gets at most ``overshoot * rate + slack`` requests.
+        Without the overshoot no server counts as cold.
     """
 
     grace_s: float = 8.0
@@ -28,6 +31,8 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     quota_window_s: float = 8.0
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 @attrs.frozen
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decode the configuration that the operator keeps in the users' store."""
 
+import math
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -85,7 +87,20 @@
             role_change_s=float(engine.get("switchS") or 6.0),
             handle_s=float(engine.get("kvRetentionS") or 0.5),
         )
-    return EntryService(service["name"], profile)
+    return EntryService(
+        service["name"],
+        profile,
+        cold_start_s=_decode_amount(service, "coldStartS"),
+        cold_per_s=_decode_amount(service, "coldPerS"),
+    )
+
+
+def _decode_amount(data: dict, field: str) -> float:
+    """Return a number of 0 or more, 0 if it is absent."""
+    amount = float(data.get(field) or 0.0)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"{field} is {amount}")
+    return amount
 
 
 def _decode_workspace(tenant: dict) -> EntryWorkspace:
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "API_KEY",
+    "COLD_REMAINING_MS",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
@@ -39,6 +40,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+COLD_REMAINING_MS = "x-cold-remaining-ms"
 
 ROUTER_HEADERS = frozenset(
     {
--- a/src/sesameport/platform/notices.py
+++ b/src/sesameport/platform/notices.py
@@ -32,6 +32,8 @@
     2.5
     >>> decode_notice(503, {"retry-after": "0.5"}).pause_s
     0.5
+    >>> decode_notice(200, {"x-cold-remaining-ms": "1500"}).cold_remaining_s
+    1.5
     """
     pause_s = 0.0
     if status == 503:
@@ -40,6 +42,7 @@
         _decode_number(headers.get(header_names.SERVER_LIMIT)),
         headers.get(header_names.SERVER_LEAVING, "").strip() == "1",
         pause_s,
+        (_decode_number(headers.get(header_names.COLD_REMAINING_MS)) or 0.0) / 1000.0,
     )
 
 
--- a/src/sesameport/platform/servers.py
+++ b/src/sesameport/platform/servers.py
@@ -1,5 +1,7 @@
 """Decode the registrations of backend servers in the users' store."""
 
+import math
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -63,5 +65,13 @@
             # Start time in Unix milliseconds. A new value means that the replica has
             # restarted and lost its state.
             started_at_ms=started_at_ms if isinstance(started_at_ms, int) else 0,
+            cold_remaining_s=_decode_cold_s(data.get("coldRemainingMs")),
         )
     )
+
+
+def _decode_cold_s(remaining_ms: object) -> float:
+    """Return a remaining cold time in seconds, 0 if it is absent or no number."""
+    if isinstance(remaining_ms, bool) or not isinstance(remaining_ms, int | float):
+        return 0.0
+    return remaining_ms / 1000.0 if 0.0 < remaining_ms < math.inf else 0.0
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -25,6 +25,8 @@
     "retry_window_s": "retryWindowS",
     "retry_slack": "retrySlack",
     "quota_window_s": "quotaWindowS",
+    "cold_overshoot": "coldOvershoot",
+    "cold_slack": "coldSlack",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from sesameport.domain import ServerRole, ServerState
 from sesameport.entry.configuration import RequestKind, key_digest
 from sesameport.platform import callers, servers
@@ -162,3 +164,34 @@
         ("node.toml", "bounds.leaseMs"),
         ("node.toml", "zone"),
     }
+
+
+def test_cold_rates_and_times_are_decoded():
+    services = [{"name": "desk", "coldStartS": 12, "coldPerS": 2.5}, {"name": "llm"}]
+    data = json.dumps(make_configuration(services=services)).encode()
+    desk, llm = decode_configuration(data).unwrap().services
+    assert (desk.cold_start_s, desk.cold_per_s) == (12.0, 2.5)
+    assert (llm.cold_start_s, llm.cold_per_s) == (0.0, 0.0)
+    data = json.dumps(make_configuration(services=[{"name": "d", "coldPerS": -1}]))
+    assert decode_configuration(data.encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "stated, seconds",
+    [(2_500, 2.5), (0, 0.0), (None, 0.0), ("soon", 0.0), (True, 0.0), (-1, 0.0)],
+)
+def test_countdown_of_a_cold_server_is_no_change_of_its_entry(stated, seconds):
+    entry = {"service": "desk", "address": "10.0.0.1:80", "zone": "a", "state": "ready"}
+    without = servers.decode_server("s1", json.dumps(entry).encode()).unwrap()
+    entry["coldRemainingMs"] = stated
+    server = servers.decode_server("s1", json.dumps(entry).encode()).unwrap()
+    assert server.cold_remaining_s == seconds
+    assert server == without
+
+
+def test_cold_bounds_are_off_unless_the_settings_name_them():
+    bounds = load_platform_settings(SETTINGS, "x.toml")[0].bounds
+    assert (bounds.cold_overshoot, bounds.cold_slack) == (None, None)
+    text = SETTINGS.replace("graceS = 8", "coldOvershoot = 1.5\ncoldSlack = 5")
+    bounds = load_platform_settings(text, "x.toml")[0].bounds
+    assert (bounds.cold_overshoot, bounds.cold_slack) == (1.5, 5.0)
