Send nothing to evacuated data centres

An operator could not keep requests away from the servers of a data centre without draining each of them. An object of kind "evacuations", named after the data centre, does so where the settings name evacuateMs; other deployments do not follow the kind.

Placement leaves out the servers, the client of the servers checks again before each call, role decisions do not count the engines there and send them no orders. Requests that nothing else can run are refused with data-centre-evacuated. The hook for the end of an evacuation is EntryActor._handle_evacuation_ended.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -9,6 +9,7 @@
     Judgement,
     SuspectReport,
 )
+from sesameport.admission.evacuations import Evacuations
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
 from sesameport.admission.permits import (
@@ -45,6 +46,7 @@
 
 __all__ = [
     "CrashSuspects",
+    "Evacuations",
     "FleetQuota",
     "FleetUse",
     "GenerationRequest",
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -2,14 +2,15 @@
 
 import math
 import time
-from collections.abc import Callable
 
 import pykka
 
-from sesameport.admission import RouteTable, ServerNotices
+from sesameport.admission import Evacuations, RouteTable, ServerNotices
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
-from sesameport.entry.host_addresses import HostAddresses
+from sesameport.entry.evacuation_controller import EvacuationController
+from sesameport.entry.fleet_queries import FleetQueries
+from sesameport.entry.host_addresses import HostAddresses, log_hosts
 from sesameport.entry.notice_exchange import NoticeExchange
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
@@ -29,9 +30,6 @@
 SNAPSHOT_REQUEST_LIFETIME_S = 5.0
 """Time after a request for which changes are published as snapshots, seconds."""
 
-LOGGED_HOSTS = 8
-"""Number of host names in one log line. All hosts of a fleet may start at once."""
-
 log = get_logger("entry")
 
 
@@ -58,6 +56,8 @@
         Called with the number of hosts and whether new ones report.
     notices : ServerNotices
         What servers say of themselves; changed by this actor only.
+    evacuations : Evacuations
+        Data centres whose servers get nothing; changed by this actor only.
     """
 
     use_daemon_thread = True
@@ -73,6 +73,7 @@
         on_probe_targets,
         on_hosts,
         notices: ServerNotices,
+        evacuations: Evacuations,
     ):
         super().__init__()
         self._settings: EntrySettings = settings
@@ -93,13 +94,25 @@
             notices=notices,
             publish=peers.publish,
             started_at=time.monotonic(),
+            evacuations=evacuations,
         )
         self._notices = NoticeExchange(
             self._admission.registry, notices, peers.publish, metrics
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
         self._entries = ServerEntries(
-            self._admission.registry, self._admission.health, notices, self._selector
+            self._admission.registry,
+            self._admission.health,
+            notices,
+            self._selector,
+            evacuations,
+        )
+        self._evacuations = EvacuationController(
+            evacuations,
+            self._admission.registry,
+            self._admission.use,
+            metrics,
+            self._handle_evacuation_ended,
         )
         self._addresses = HostAddresses(settings.name)
         self._new_peers: list[str] = []
@@ -111,6 +124,7 @@
         self._store_reachable = False
         self._had_store_contact = False
         admission = self._admission
+        queries = FleetQueries(settings.name, admission, self._addresses)
         self._handlers = {
             m.AdmitGeneration: admission.admit_generation,
             m.AdmitPlain: admission.admit_plain,
@@ -133,13 +147,15 @@
             m.ApplySettings: self._apply_settings,
             m.ServersListed: self._apply_servers,
             m.ServersChanged: self._apply_servers,
+            m.EvacuationsListed: self._apply_evacuations,
+            m.EvacuationsChanged: self._apply_evacuations,
             m.HostsChanged: self._apply_hosts,
             m.HostAnnounced: self._add_host,
             m.FleetSnapshot: self._apply_snapshot,
             m.StoreConnectivity: self._apply_connectivity,
-            m.GetFleetCounts: self._counts,
-            m.GetUsableServers: self._usable_servers,
-            m.GetExpiredHosts: self._expired_hosts,
+            m.GetFleetCounts: queries.counts,
+            m.GetUsableServers: queries.usable_servers,
+            m.GetExpiredHosts: queries.expired_hosts,
             m.SnapshotRequested: self._serve_snapshot,
             m.SuspectReports: lambda message, now: peers.publish(message),
         }
@@ -185,27 +201,6 @@
         actor_ref = self.actor_ref
         self._timers.call_at("waiting", when, lambda at: actor_ref.tell(m.Tick(at)))
 
-    def _counts(self, message: m.GetFleetCounts, now: float) -> m.FleetCounts:
-        admission = self._admission
-        return m.FleetCounts(len(admission.registry.all()), len(admission.use.hosts()))
-
-    def _usable_servers(self, message: m.GetUsableServers, now: float) -> tuple:
-        services = {server.service for server in self._admission.registry.all()}
-        return tuple(
-            server.name
-            for service in services
-            for server in self._admission.monitor.usable_servers(service, now)
-        )
-
-    def _expired_hosts(self, message: m.GetExpiredHosts, now: float) -> tuple[str, ...]:
-        """Return the hosts to delete, if this host is the first by name."""
-        if (
-            min([self._settings.name, *self._admission.use.hosts()])
-            != self._settings.name
-        ):
-            return ()
-        return self._addresses.expired(now)
-
     def _call_for_report(self, when: float) -> None:
         actor_ref = self.actor_ref
         self._timers.call_at("report", when, lambda _: actor_ref.tell(m.ReportDue()))
@@ -242,6 +237,8 @@
     def _publish_snapshot(self, now: float) -> None:
         if not self._snapshot_due or self._admission.configuration is None:
             return
+        if not self._admission.evacuations.is_known:
+            return
         if now - self._snapshot_at < MIN_SNAPSHOT_INTERVAL_S:
             return
         self._snapshot_due = False
@@ -253,6 +250,7 @@
                 self._admission.configuration,
                 tuple(self._admission.registry.all()),
                 dict(self._addresses.by_name),
+                *self._evacuations.snapshot_fields(now),
             )
         )
 
@@ -265,6 +263,8 @@
     def _apply_snapshot(self, snapshot: m.FleetSnapshot, now: float) -> None:
         if self._store_reachable:
             return
+        if self._evacuations.apply_snapshot(snapshot, now):
+            self._publish_change(now)
         if snapshot.configuration is not None:
             source = f"host {snapshot.host}"
             self._configure(m.ApplyConfiguration(snapshot.configuration, source), now)
@@ -312,6 +312,14 @@
         self._publish_change(now)
         self._admission.place_waiting(now)
 
+    def _apply_evacuations(self, message, now: float) -> None:
+        if self._evacuations.apply(message, now):
+            self._publish_change(now)
+        self._admission.place_waiting(now)
+
+    def _handle_evacuation_ended(self, data_centre: str, now: float) -> None:
+        self._selector.record_return(data_centre, now)
+
     def _add_host(self, message: m.HostAnnounced, now: float) -> None:
         """Connect to a host that has connected to this one."""
         if self._addresses.announce(message.name, message.address, now):
@@ -361,13 +369,14 @@
         silent = self._admission.use.expire(now, self._reports.scheduler.expiry_s())
         for host in silent:
             self._peer_sequences.pop(host, None)
-        _log_hosts(log.warning, "host silent", silent)
-        _log_hosts(log.info, "host heard", self._new_peers)
+        log_hosts(log.warning, "host silent", silent)
+        log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
         self._notices.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
         self._admission.permits.expire()
         self._new_peers = []
         self._entries.expire(now)
+        self._evacuations.check_progress(now)
         self._admission.place_waiting(now)
         self._request_snapshots(now)
         self._publish_snapshot(now)
@@ -382,10 +391,3 @@
         targets = self._admission.monitor.probe_targets(now)
         if targets:
             self._on_probe_targets(targets)
-
-
-def _log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
-    """Log an event of several hosts in one line, with the first of their names."""
-    if hosts:
-        names = ",".join(hosts[:LOGGED_HOSTS])
-        write(event, extra={"peer": names, "hosts": len(hosts)})
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from sesameport.admission import (
+    Evacuations,
     FleetQuota,
     FleetUse,
     Placement,
@@ -40,7 +41,7 @@
 )
 from sesameport.entry.plain_admission import PlainAdmission
 from sesameport.entry.reservations import release_prefill, release_run
-from sesameport.entry.server_monitor import ServerMonitor
+from sesameport.entry.server_monitor import EVACUATED, ServerMonitor
 from sesameport.entry.settings import EntrySettings
 from sesameport.entry.wait_forecast import WaitForecast
 
@@ -73,6 +74,8 @@
         Sends messages about permits to other hosts.
     started_at : float
         Monotonic time at which the host started, seconds.
+    evacuations : Evacuations
+        Data centres whose servers get nothing.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         notices: ServerNotices | None = None,
         publish: Callable[[m.PermitRequest | m.PermitReply], None] = lambda _: None,
         started_at: float = -math.inf,
+        evacuations: Evacuations | None = None,
     ):
         bounds = settings.bounds
         self._on_change = on_change
@@ -94,8 +98,9 @@
         self.use = FleetUse()
         self.health = ServerHealth()
         self.notices = ServerNotices() if notices is None else notices
+        self.evacuations = Evacuations() if evacuations is None else evacuations
         self.monitor = ServerMonitor(
-            self.registry, self.health, self.notices, on_change, rng
+            self.registry, self.health, self.notices, on_change, rng, self.evacuations
         )
         self.permits = PermitExchange(
             settings.name, self.notices, self.use, publish, wake_at, rng, started_at
@@ -136,7 +141,7 @@
 
     def admit_generation(self, req: m.AdmitGeneration, now: float) -> None:
         """Place a generation, queue it or refuse it."""
-        service = req.generation.service
+        generation, service = req.generation, req.generation.service
         if req.is_first_attempt:
             refused = self._charge(req, service, now)
             if refused is not None:
@@ -145,7 +150,6 @@
         elif req.uses_retry_budget and not self.budget.spend(service, now):
             req.future.set(m.Refused("no-retry-budget", self.retry_delay_s()))
             return
-        generation = req.generation
         waiting_request = WaitingRequest(
             req.key,
             now,
@@ -157,7 +161,7 @@
         )
         queue = self._queues.setdefault(service, WaitingQueue())
         if not self.monitor.decode_servers(service, now):
-            self._refuse(req, "no-decode-server", now)
+            self._refuse(req, self.monitor.no_decode_server_reason(service), now)
             return
         if not queue.try_add(waiting_request):
             self._refuse(req, "waiting-room-full", now)
@@ -261,11 +265,8 @@
 
     def waiting_tokens(self, now: float) -> dict[str, WaitingTokens]:
         """Return the tokens of KV cache for which requests wait, by service."""
-        return {
-            name: queue.tokens(now)
-            for name, queue in self._queues.items()
-            if len(queue)
-        }
+        queues = self._queues.items()
+        return {name: queue.tokens(now) for name, queue in queues if queue}
 
     def report_waiting_tokens(self, now: float) -> dict[str, WaitingTokens]:
         """Return `waiting_tokens` for a report and remember it as reported."""
@@ -287,14 +288,15 @@
     def _refuse_unservable(self, service: str, now: float) -> None:
         """Refuse late requests while no decode server is usable.
 
-        Other requests stay queued, because a server may become usable in time.
+        Others wait for a server unless an evacuation is the cause, which lasts longer.
         """
         queue = self._queues[service]
         if not len(queue) or self.monitor.decode_servers(service, now):
             return
+        reason = self.monitor.no_decode_server_reason(service)
         for waiting_request in queue.in_service_order(now):
-            if queue.is_late(waiting_request, now):
-                self._refuse_waiting(waiting_request, "no-decode-server", now)
+            if reason == EVACUATED or queue.is_late(waiting_request, now):
+                self._refuse_waiting(waiting_request, reason, now)
 
     def _refuse_beyond_limits(self, service: str, now: float) -> None:
         """Refuse requests that get neither a permit nor memory in time.
@@ -355,8 +357,7 @@
         self, req, reason: str, now: float, forecast_s=0.0, min_retry_s=0.0
     ) -> None:
         self.quota.refund(req.workspace, req.charge_tokens)
-        retry_after_s = max(min_retry_s, self.retry_delay_s())
-        refused = m.Refused(reason, retry_after_s)
+        refused = m.Refused(reason, max(min_retry_s, self.retry_delay_s()))
         log_refusal(req, refused, forecast_s, self.use, now)
         req.future.set(refused)
 
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -8,7 +8,7 @@
 
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
-from sesameport.admission import ServerNotices
+from sesameport.admission import Evacuations, ServerNotices
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
 from sesameport.entry.configuration import EntryConfiguration
@@ -25,10 +25,9 @@
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.reachability_probe import ReachabilityProbe
 from sesameport.entry.role_controller import RoleChange, RoleController
-from sesameport.entry.server_calls import NoticedServerClient
+from sesameport.entry.server_calls import EvacuationOrderClient, NoticedServerClient
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
-from sesameport.entry.store_handlers import ConfigurationHandler, ServerEntryHandler
-from sesameport.entry.store_watch import ListWatcher, StoreHealth
+from sesameport.entry.store_follower import StoreFollower
 from sesameport.entry.suspect_store import SuspectStore
 from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
@@ -107,6 +106,8 @@
             self.metrics,
         )
         notices = ServerNotices()
+        # Without the bound, the deployment has no evacuations that must be known first.
+        self._evacuations = Evacuations(settings.bounds.evacuate_s is None)
         self._actor = EntryActor.start(
             settings,
             self._routes,
@@ -117,8 +118,11 @@
             self._reachability_probe.start_round,
             self._guard.record_hosts,
             notices,
+            self._evacuations,
+        )
+        self._calls = calls = NoticedServerClient(
+            notices, self._tell, self.metrics, self._evacuations
         )
-        self._calls = calls = NoticedServerClient(notices, self._tell, self.metrics)
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
@@ -164,6 +168,8 @@
             seed_addresses=changed.seed_addresses,
         )
         self._role_controller.set_lease_time(changed.bounds.lease_s)
+        if changed.bounds.evacuate_s is not None:
+            self._follower.follow_evacuations()
         self._actor.tell(m.ApplySettings(self._settings))
         log.info(
             "settings reloaded",
@@ -239,7 +245,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the host accepts new connections."""
-        return self._routes.table is not None and not self._is_draining()
+        is_configured = self._routes.table is not None and self._evacuations.is_known
+        return is_configured and not self._is_draining()
 
     def configuration_version(self) -> int:
         """Return the version of the configuration in force, 0 without one."""
@@ -273,27 +280,22 @@
 
     def _start_store_access(self) -> None:
         adapter, settings, store = self._adapter, self._settings, self._store
-        health = StoreHealth(lambda ok: self._actor.tell(m.StoreConnectivity(ok)))
-        configurations = ConfigurationHandler(
-            self._actor, adapter.configuration_name, adapter.decode_configuration
-        )
-        servers = ServerEntryHandler(self._actor, adapter.decode_server)
+        self._follower = StoreFollower(
+            store, adapter, self._actor, self.metrics, self._closing
+        ).start()
+        if settings.bounds.evacuate_s is not None:
+            self._follower.follow_evacuations()
         self._directory = HostDirectory(
             store, settings.name, self._peers.address, self._tell
         )
-        for kind, handler in (
-            (adapter.configuration_kind, configurations),
-            (adapter.server_kind, servers),
-        ):
-            ListWatcher(
-                store, kind, handler, health, self.metrics, self._closing
-            ).start()
-
         self._role_controller = RoleController(
             settings.name,
             settings.bounds.lease_s,
             store,
-            adapter.create_order_client(self._calls.record_notice),
+            EvacuationOrderClient(
+                adapter.create_order_client(self._calls.record_notice),
+                self._evacuations,
+            ),
             lambda: self._actor.ask(m.GetNextRoleChange()),
             self._record_order,
             self.metrics,
--- a/src/sesameport/entry/host_addresses.py
+++ b/src/sesameport/entry/host_addresses.py
@@ -4,11 +4,14 @@
 announcement of a host that has just started.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
-__all__ = ["HostAddresses"]
+__all__ = ["HostAddresses", "log_hosts"]
+
+LOGGED_HOSTS = 8
+"""Number of host names in one log line. All hosts of a fleet may start at once."""
 
 ANNOUNCEMENT_LIFETIME_S = 60.0
 """Time for which an announced host is kept although a listing lacks it, seconds. It
@@ -89,3 +92,10 @@
             for name, at in self._reported_at.items()
             if now - at > HOST_EXPIRY_S and name in self.by_name
         )
+
+
+def log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
+    """Log an event of several hosts in one line, with the first of their names."""
+    if hosts:
+        names = ",".join(hosts[:LOGGED_HOSTS])
+        write(event, extra={"peer": names, "hosts": len(hosts)})
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -124,6 +124,13 @@
     """Send a host's copy of the store to hosts that cannot reach the store.
 
     ``is_current`` is true if the sending host can reach the store itself.
+
+    Attributes
+    ----------
+    evacuated : tuple of str or None
+        Evacuated data centres, None if the sending host does not know them.
+    evacuated_age_s : float
+        Time since the store stated or changed them, seconds.
     """
 
     host: str
@@ -131,3 +138,5 @@
     configuration: EntryConfiguration | None
     servers: tuple[EntryServer, ...]
     addresses: dict[str, str]
+    evacuated: tuple[str, ...] | None = None
+    evacuated_age_s: float = 0.0
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -27,6 +27,8 @@
     "GetUsableServers",
     "GetExpiredHosts",
     "ApplyConfiguration",
+    "EvacuationsChanged",
+    "EvacuationsListed",
     "FleetCounts",
     "HostReport",
     "HostReports",
@@ -252,6 +254,21 @@
     removed: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class EvacuationsListed:
+    """Replace all evacuated data centres by a complete listing."""
+
+    names: tuple[str, ...]
+
+
+@attrs.frozen
+class EvacuationsChanged:
+    """Begin and then end evacuations of data centres."""
+
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class HostsChanged:
     """Replace the peer addresses of all registered hosts, by name."""
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -156,7 +156,8 @@
         rank: int,
     ) -> m.Refused | None:
         if not candidates:
-            return m.Refused("no-server", self._retry_delay_s())
+            reason = self._monitor.no_server_reason(waiting.req.service)
+            return m.Refused(reason, self._retry_delay_s())
         wait = self._permits.wait_for(candidates, rank, now)
         ends_at = now if wait is None else now + wait.seconds
         if now < waiting.until and ends_at < waiting.until:
--- a/src/sesameport/entry/platform_adapter.py
+++ b/src/sesameport/entry/platform_adapter.py
@@ -20,6 +20,7 @@
     configuration_kind: str
     configuration_name: str
     server_kind: str
+    evacuation_kind: str
 
     def create_store_client(self, address: str) -> Platform:
         """Return a client of the store."""
@@ -41,6 +42,10 @@
         """Return the entry of a server, or an Err with the reason."""
         ...
 
+    def decode_evacuation(self, name: str, value: bytes) -> Result[str, str]:
+        """Return the evacuated data centre, or an Err with the reason."""
+        ...
+
     def decode_request(
         self, method: str, target: str, headers, body: bytes, now: float
     ) -> Result[EntryRequest, str]:
--- a/src/sesameport/entry/role_change_selector.py
+++ b/src/sesameport/entry/role_change_selector.py
@@ -55,6 +55,12 @@
         """Record that a server of a service has registered."""
         self._joined_at[service] = now
 
+    def record_return(self, data_centre: str, now: float) -> None:
+        """Record that the evacuation of a data centre has ended."""
+        for server in self._admission.registry.all():
+            if server.data_centre == data_centre:
+                self.record_registration(server.service, now)
+
     def next_change(self, now: float) -> RoleChange | None:
         """Return the next worthwhile role change, or None."""
         hosts = [self._host, *self._admission.use.hosts()]
@@ -70,11 +76,12 @@
         return None
 
     def _change_for_service(self, service, now: float) -> RoleChange | None:
-        notices = self._admission.notices
+        notices, evacuations = self._admission.notices, self._admission.evacuations
         servers = [
             server
             for server in self._admission.registry.live_servers(service.name)
             if not notices.is_leaving(server.name)
+            and not evacuations.is_evacuated(server.data_centre)
         ]
         lost_at = self._lost_at.get(service.name, -math.inf)
         joined_at = self._joined_at.get(service.name, -math.inf)
@@ -145,7 +152,8 @@
             if server.service != service or server.role != missing:
                 continue
             is_leaving = self._admission.notices.is_leaving(server.name)
-            if is_leaving or server.state == ServerState.LEAVING:
+            is_evacuated = self._admission.evacuations.is_evacuated(server.data_centre)
+            if is_leaving or is_evacuated or server.state == ServerState.LEAVING:
                 self._announced.add(service)
         return now - self._both_roles_seen_at.setdefault(service, now)
 
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from sesameport.admission import ServerNotices
+from sesameport.admission import Evacuations, ServerNotices
 from sesameport.entry import messages as m
 from sesameport.entry.requests import (
     CallFailure,
@@ -13,10 +13,12 @@
     KvSource,
     ServerClient,
 )
+from sesameport.entry.role_controller import EngineOrderClient
 from sesameport.entry.server_notices import NO_NOTICE, ServerNotice
 
-__all__ = ["NoticedServerClient"]
+__all__ = ["EvacuationOrderClient", "NoticedServerClient"]
 
+EVACUATED = CallFailure(FailureKind.NOT_SENT, "the data centre is evacuated")
 PAUSED = CallFailure(FailureKind.NOT_SENT, "the server wants nothing now")
 
 
@@ -32,7 +34,10 @@
     tell : callable
         Sends `ServerNoticed` to the entry actor.
     metrics : Metrics
-        Counts the calls of servers that name a limit.
+        Counts the calls of servers that name a limit, and those that were not sent to
+        an evacuated data centre.
+    evacuations : Evacuations
+        Data centres whose servers get nothing.
     """
 
     def __init__(
@@ -40,10 +45,12 @@
         notices: ServerNotices,
         tell: Callable[[m.ServerNoticed], None],
         metrics,
+        evacuations: Evacuations,
     ):
         self._notices = notices
         self._tell = tell
         self._metrics = metrics
+        self._evacuations = evacuations
         self._calls: ServerClient | None = None
 
     def wrap(self, calls: ServerClient) -> "NoticedServerClient":
@@ -58,16 +65,19 @@
 
     def prefill(self, address, server, req, caller, attempt_timeout_s):
         """Run a prefill; see ``ServerClient``."""
-        if self._is_paused(server):
-            return Err(PAUSED)
-        self._count(server, "prefill")
+        refusal = self._find_refusal(server, "prefill")
+        if refusal is not None:
+            return Err(refusal)
+        self._record_call(server, "prefill")
         return self._calls.prefill(address, server, req, caller, attempt_timeout_s)
 
     def run(self, address, server, req, caller, source=None, attempt_timeout_s=None):
         """Run a request; see ``ServerClient``."""
-        if self._is_paused(server):
-            return Err(PAUSED)
-        self._count(server, "resume" if req.resume_after else "run")
+        call = "resume" if req.resume_after else "run"
+        refusal = self._find_refusal(server, call)
+        if refusal is not None:
+            return Err(refusal)
+        self._record_call(server, call)
         return self._calls.run(address, server, req, caller, source, attempt_timeout_s)
 
     def free(self, source: KvSource):
@@ -77,18 +87,56 @@
         """
         if self._notices.limit_of(source.server) is not None:
             return Err("the server names a limit of requests")
-        if self._is_paused(source.server):
-            return Err(PAUSED.detail)
+        refusal = self._find_refusal(source.server, "free")
+        if refusal is not None:
+            return Err(refusal.detail)
         return self._calls.free(source)
 
     def refuses_connections(self, address: str) -> bool:
         """Return whether no process listens at the address of a server."""
         return self._calls.refuses_connections(address)
 
-    def _is_paused(self, server: str) -> bool:
-        """Return whether a server has asked for a pause, perhaps after a placement."""
-        return time.monotonic() < self._notices.paused_until(server)
-
-    def _count(self, server: str, call: str) -> None:
+    def _find_refusal(self, server: str, call: str) -> CallFailure | None:
+        """Return why a server gets nothing, perhaps since the placement, or None."""
+        if self._evacuations.forbids(server):
+            self._metrics.count("sesameport_entry_evacuated_calls_total", call=call)
+            return EVACUATED
+        if time.monotonic() < self._notices.paused_until(server):
+            return PAUSED
+        return None
+
+    def _record_call(self, server: str, call: str) -> None:
+        self._evacuations.record_send(server, time.monotonic())
         if self._notices.limit_of(server) is not None:
             self._metrics.count("sesameport_entry_limited_calls_total", call=call)
+
+
+class EvacuationOrderClient:
+    """Send no orders to engines of evacuated data centres.
+
+    This class implements ``EngineOrderClient``. An evacuation may begin after an engine
+    was selected and before it gets its order.
+
+    Parameters
+    ----------
+    orders : EngineOrderClient
+        Client that sends the orders.
+    evacuations : Evacuations
+        Data centres whose servers get nothing.
+    """
+
+    def __init__(self, orders: EngineOrderClient, evacuations: Evacuations):
+        self._orders = orders
+        self._evacuations = evacuations
+
+    def read_state(self, server):
+        """Return the state of an engine; see ``EngineOrderClient``."""
+        if self._evacuations.is_evacuated(server.data_centre):
+            return Err(EVACUATED.detail)
+        return self._orders.read_state(server)
+
+    def change_role(self, change, holder, epoch, orders_taken):
+        """Order a role change; see ``EngineOrderClient``."""
+        if self._evacuations.is_evacuated(change.server.data_centre):
+            return Err(EVACUATED.detail)
+        return self._orders.change_role(change, holder, epoch, orders_taken)
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -3,7 +3,12 @@
 import time
 from collections.abc import Iterable
 
-from sesameport.admission import ServerHealth, ServerNotices, ServerRegistry
+from sesameport.admission import (
+    Evacuations,
+    ServerHealth,
+    ServerNotices,
+    ServerRegistry,
+)
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -26,6 +31,8 @@
         What servers say of themselves.
     selector : RoleChangeSelector
         Learns of lost and new servers.
+    evacuations : Evacuations
+        Learns the data centre of each server.
     """
 
     def __init__(
@@ -34,11 +41,13 @@
         health: ServerHealth,
         notices: ServerNotices,
         selector: RoleChangeSelector,
+        evacuations: Evacuations,
     ):
         self._registry = registry
         self._health = health
         self._notices = notices
         self._selector = selector
+        self._evacuations = evacuations
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
@@ -80,6 +89,7 @@
             known = self._registry.get(server.name)
             if known == server:
                 continue
+            self._evacuations.record_server(server.name, server.data_centre)
             self._notices.begin_incarnation(server.name, server.started_at_ms)
             if known is None:
                 self._selector.record_registration(server.service, time.monotonic())
--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -4,13 +4,20 @@
 import random
 from collections.abc import Callable
 
-from sesameport.admission import ServerHealth, ServerNotices, ServerRegistry
-from sesameport.domain import ServerRole
+from sesameport.admission import (
+    Evacuations,
+    ServerHealth,
+    ServerNotices,
+    ServerRegistry,
+)
 from sesameport.entry import messages as m
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["ServerMonitor"]
+__all__ = ["EVACUATED", "ServerMonitor"]
+
+EVACUATED = "data-centre-evacuated"
+"""Reason of a refusal because all servers that could run a request are evacuated."""
 
 MAX_PROBED_SERVERS = 16
 """Number of servers in one probe. It bounds the cost per host when a whole data centre
@@ -34,6 +41,8 @@
         Called with the current time when a server is paused.
     rng : random.Random
         Samples the servers to probe.
+    evacuations : Evacuations
+        Data centres whose servers get nothing.
     """
 
     def __init__(
@@ -43,21 +52,29 @@
         notices: ServerNotices,
         on_change: Callable[[float], None],
         rng: random.Random,
+        evacuations: Evacuations | None = None,
     ):
         self._registry = registry
         self._health = health
         self._notices = notices
         self._on_change = on_change
         self._rng = rng
+        self._evacuations = Evacuations() if evacuations is None else evacuations
 
     def usable_servers(self, service: str, now: float) -> list[EntryServer]:
         """Return the servers of a service that take new work and are not paused.
 
         Reports of other hosts may exclude at most half of the servers of a role. If
         they name more, the links of the reporting hosts are the likelier fault.
+
+        Nothing is returned until the host knows which data centres are evacuated.
         """
         usable, excluded = [], []
+        if not self._evacuations.is_known:
+            return usable
         for server in self._registry.live_servers(service):
+            if self._evacuations.is_evacuated(server.data_centre):
+                continue
             if self._health.is_paused_here(server.name, now):
                 continue
             if not self._notices.takes_requests(server.name, now):
@@ -87,6 +104,25 @@
             if server.can_decode()
         ]
 
+    def no_server_reason(self, service: str) -> str:
+        """Return why a plain service has no usable server."""
+        is_evacuated = self._has_evacuated(service, EntryServer.is_plain)
+        return EVACUATED if is_evacuated else "no-server"
+
+    def no_decode_server_reason(self, service: str) -> str:
+        """Return why a service has no usable server that can decode."""
+        is_evacuated = self._has_evacuated(service, EntryServer.can_decode)
+        return EVACUATED if is_evacuated else "no-decode-server"
+
+    def _has_evacuated(
+        self, service: str, serves: Callable[[EntryServer], bool]
+    ) -> bool:
+        """Return whether a server of a service would serve but for an evacuation."""
+        return any(
+            self._evacuations.is_evacuated(server.data_centre) and serves(server)
+            for server in self._registry.live_servers(service)
+        )
+
     def record_outcome(self, message: m.CallOutcome, now: float) -> None:
         """Update the health of a server after a call."""
         server = message.server
@@ -122,14 +158,19 @@
 
     def _is_plain(self, name: str) -> bool:
         server = self._registry.get(name)
-        return server is not None and server.role == ServerRole.PLAIN
+        return server is not None and server.is_plain()
 
     def probe_targets(self, now: float) -> list[EntryServer]:
         """Return the servers to probe, a random sample if there are many."""
         candidates = [
             self._registry.get(name) for name in self._health.probe_targets(now)
         ]
-        targets = [server for server in candidates if server is not None]
+        targets = [
+            server
+            for server in candidates
+            if server is not None
+            and not self._evacuations.is_evacuated(server.data_centre)
+        ]
         return self._rng.sample(targets, min(len(targets), MAX_PROBED_SERVERS))
 
     def record_probe_result(self, message: m.ProbeResult, now: float) -> None:
--- a/src/sesameport/entry/servers.py
+++ b/src/sesameport/entry/servers.py
@@ -40,6 +40,10 @@
     slots: int = 1
     started_at_ms: int = 0
 
+    def is_plain(self) -> bool:
+        """Return whether the server belongs to a plain service."""
+        return self.role == ServerRole.PLAIN
+
     def can_decode(self) -> bool:
         """Return whether the server can decode."""
         return self.role in (ServerRole.DECODE, ServerRole.BOTH)
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -20,6 +20,9 @@
         window.
     quota_window_s : float
         Window over which the rate and burst of a workspace hold, seconds.
+    evacuate_s : float or None
+        Time after which no request reaches an evacuated data centre, seconds. None
+        means that the deployment has no evacuations and the store is not asked.
     """
 
     grace_s: float = 8.0
@@ -28,6 +31,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     quota_window_s: float = 8.0
+    evacuate_s: float | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/sesameport/entry/store_follower.py
@@ -0,0 +1,74 @@
+"""Follow the kinds of objects in the platform's store that a host needs."""
+
+import threading
+
+import pykka
+
+from sesameport.entry import messages as m
+from sesameport.entry.platform_adapter import PlatformAdapter
+from sesameport.entry.store_handlers import (
+    ConfigurationHandler,
+    EvacuationHandler,
+    ServerEntryHandler,
+)
+from sesameport.entry.store_watch import ListWatcher, ObjectHandler, StoreHealth
+from sesameport.interfaces import Platform
+
+__all__ = ["StoreFollower"]
+
+
+class StoreFollower:
+    """List and watch the configuration, the servers and, on request, the evacuations.
+
+    Parameters
+    ----------
+    store : Platform
+        The store.
+    adapter : PlatformAdapter
+        Names the kinds and decodes their objects.
+    actor : pykka.ActorRef
+        Gets what the store states, and whether it can be reached.
+    metrics : Metrics
+        Counts calls.
+    closing : threading.Event
+        Stops the threads after their current calls.
+    """
+
+    def __init__(
+        self,
+        store: Platform,
+        adapter: PlatformAdapter,
+        actor: pykka.ActorRef,
+        metrics,
+        closing: threading.Event,
+    ):
+        self._store = store
+        self._adapter = adapter
+        self._actor = actor
+        self._metrics = metrics
+        self._closing = closing
+        self._health = StoreHealth(lambda ok: actor.tell(m.StoreConnectivity(ok)))
+        self._watchers: dict[str, ListWatcher] = {}
+
+    def start(self) -> "StoreFollower":
+        """Follow the configuration and the servers, and return the follower."""
+        adapter = self._adapter
+        configurations = ConfigurationHandler(
+            self._actor, adapter.configuration_name, adapter.decode_configuration
+        )
+        self._follow(adapter.configuration_kind, configurations)
+        servers = ServerEntryHandler(self._actor, adapter.decode_server)
+        self._follow(adapter.server_kind, servers)
+        return self
+
+    def follow_evacuations(self) -> None:
+        """Follow the evacuations of data centres, unless they are followed already."""
+        kind = self._adapter.evacuation_kind
+        if kind not in self._watchers:
+            handler = EvacuationHandler(self._actor, self._adapter.decode_evacuation)
+            self._follow(kind, handler)
+
+    def _follow(self, kind: str, handler: ObjectHandler) -> None:
+        self._watchers[kind] = ListWatcher(
+            self._store, kind, handler, self._health, self._metrics, self._closing
+        ).start()
--- a/src/sesameport/entry/store_handlers.py
+++ b/src/sesameport/entry/store_handlers.py
@@ -11,7 +11,7 @@
 from sesameport.interfaces import StoredObject
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["ConfigurationHandler", "ServerEntryHandler"]
+__all__ = ["ConfigurationHandler", "EvacuationHandler", "ServerEntryHandler"]
 
 log = get_logger("store")
 
@@ -88,3 +88,42 @@
                     },
                 )
         return None
+
+
+class EvacuationHandler:
+    """Send evacuations of data centres to the actor."""
+
+    def __init__(
+        self,
+        actor: pykka.ActorRef,
+        decode: Callable[[str, bytes], Result[str, str]],
+    ):
+        self._actor = actor
+        self._decode = decode
+
+    def handle_listing(self, objects: Iterable[StoredObject]) -> None:
+        """Handle a complete listing."""
+        names = [self._decode_name(stored) for stored in objects]
+        self._actor.tell(m.EvacuationsListed(tuple(name for name in names if name)))
+
+    def handle_changes(self, objects: Iterable[StoredObject]) -> None:
+        """Handle changes one by one, because their order matters."""
+        for stored in objects:
+            name = self._decode_name(stored)
+            if name is None:
+                continue
+            if stored.deleted:
+                self._actor.tell(m.EvacuationsChanged(removed=(name,)))
+            else:
+                self._actor.tell(m.EvacuationsChanged(added=(name,)))
+
+    def _decode_name(self, stored: StoredObject) -> str | None:
+        match self._decode(stored.name, stored.value):
+            case Ok(name):
+                return name
+            case Err(reason):
+                log.warning(
+                    "evacuation ignored",
+                    extra={"object": stored.name, "reason": reason},
+                )
+        return None
--- a/src/sesameport/platform/__init__.py
+++ b/src/sesameport/platform/__init__.py
@@ -10,7 +10,7 @@
 from sesameport.entry.requests import EntryRequest
 from sesameport.entry.server_notices import OnNotice
 from sesameport.entry.servers import EntryServer
-from sesameport.platform import callers, configuration, servers
+from sesameport.platform import callers, configuration, evacuations, servers
 from sesameport.platform.engines import ReplicaClient
 from sesameport.platform.orders import ReplicaOrderClient
 from sesameport.platform.settings import is_platform_settings, load_platform_settings
@@ -31,6 +31,7 @@
     configuration_kind = configuration.CONFIGURATION_KIND
     configuration_name = configuration.CONFIGURATION_NAME
     server_kind = servers.SERVER_KIND
+    evacuation_kind = evacuations.EVACUATION_KIND
 
     def create_store_client(self, address: str) -> ObjectStoreClient:
         """Return a client of the object store at an address."""
@@ -52,6 +53,10 @@
         """Return the server of a registration, or an Err with the reason."""
         return servers.decode_server(name, value)
 
+    def decode_evacuation(self, name: str, value: bytes) -> Result[str, str]:
+        """Return the data centre of an evacuation, or an Err with the reason."""
+        return evacuations.decode_evacuation(name, value)
+
     def decode_request(
         self, method: str, target: str, headers, body: bytes, now: float
     ) -> Result[EntryRequest, str]:
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -25,6 +25,7 @@
     "retry_window_s": "retryWindowS",
     "retry_slack": "retrySlack",
     "quota_window_s": "quotaWindowS",
+    "evacuate_s": "evacuateMs",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -121,6 +121,13 @@
     _counter("entry_limited_calls", "Calls of servers that name a limit.", "call"),
     _counter("role_orders", "Orders to change a role.", "result"),
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
+    _counter(
+        "entry_evacuated_calls", "Calls not sent to an evacuated data centre.", "call"
+    ),
+    _gauge("entry_evacuated_data_centres", "Data centres that are evacuated."),
+    _gauge(
+        "entry_evacuated_requests", "Requests of this host in evacuated data centres."
+    ),
     _gauge("entry_version", "Version of the configuration in force."),
     _gauge("entry_limited_servers", "Servers that name a limit of requests."),
     _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
