--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -14,6 +14,7 @@
     Judgement,
     SuspectReport,
 )
+from sesameport.admission.evacuations import Evacuations
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
 from sesameport.admission.memory_leases import LeasePolicy, RefusedMemory, plan_lease
@@ -57,6 +58,7 @@
     "ColdReport",
     "ColdServers",
     "CrashSuspects",
+    "Evacuations",
     "FleetQuota",
     "FleetUse",
     "GenerationRequest",
--- a/src/sesameport/entry/servers.py
+++ b/src/sesameport/entry/servers.py
@@ -44,6 +44,10 @@
     started_at_ms: int = 0
     cold_remaining_s: float = attrs.field(default=0.0, eq=False)
 
+    def is_plain(self) -> bool:
+        """Return whether the server belongs to a plain service."""
+        return self.role == ServerRole.PLAIN
+
     def can_decode(self) -> bool:
         """Return whether the server can decode."""
         return self.role in (ServerRole.DECODE, ServerRole.BOTH)
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -23,6 +23,9 @@
     cold_overshoot, cold_slack : float or None
         In one second a cold server gets at most ``overshoot * rate + slack`` requests.
         Without the overshoot no server counts as cold.
+    evacuate_s : float or None
+        Time after which no request reaches an evacuated data centre, seconds. None
+        means that the deployment has no evacuations and the store is not asked.
     """
 
     grace_s: float = 8.0
@@ -33,6 +36,7 @@
     quota_window_s: float = 8.0
     cold_overshoot: float | None = None
     cold_slack: float | None = None
+    evacuate_s: float | None = None
 
 
 @attrs.frozen
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -27,6 +27,7 @@
     "quota_window_s": "quotaWindowS",
     "cold_overshoot": "coldOvershoot",
     "cold_slack": "coldSlack",
+    "evacuate_s": "evacuateMs",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
