Lease the memory of the prompt only

A lease of the whole answer is refused while other streams still have to end before the answer needs the memory; the engine admits a request as soon as its prompt fits.

--- a/src/sesameport/admission/memory_leases.py
+++ b/src/sesameport/admission/memory_leases.py
@@ -29,6 +29,10 @@
     prefill_factor, margin_s : float
         A lease lasts for the expected time of the prefill multiplied by the factor,
         plus the margin in seconds.
+    first_tokens : int
+        Memory that is leased beyond the prompt, tokens. The engine admits a request as
+        soon as its prompt fits. A lease for the whole answer would be refused while
+        other streams still have to end before the answer grows.
     refusal_s : float
         Time after a refusal for which an engine is taken to have no more memory than
         it refused, seconds. An engine with six streams of 3 s ends one in 0.5 s.
@@ -37,6 +41,7 @@
     min_reserved_share: float = 0.6
     prefill_factor: float = 2.0
     margin_s: float = 0.6
+    first_tokens: int = 64
     refusal_s: float = 0.2
 
 
@@ -58,7 +63,7 @@
     lease_s = policy.prefill_factor * placement.expected_prefill_s + policy.margin_s
     return attrs.evolve(
         placement,
-        lease_tokens=placement.kv_tokens,
+        lease_tokens=placement.prompt_tokens + policy.first_tokens,
         lease_s=min(engine.max_lease_s, lease_s),
     )
 
--- a/src/sesameport/entry/memory_leases/planner.py
+++ b/src/sesameport/entry/memory_leases/planner.py
@@ -7,7 +7,6 @@
     Placement,
     RefusedMemory,
     plan_lease,
-    reserved_kv_tokens,
 )
 from sesameport.entry import messages as m
 from sesameport.entry.configuration import EngineProfile
@@ -54,7 +53,7 @@
         """Return the servers that did not refuse as much memory a moment ago."""
         if not self._refused:
             return servers
-        needed = reserved_kv_tokens(req.prompt_tokens, req.output_tokens)
+        needed = req.prompt_tokens + self._policy.first_tokens
         return [
             server for server in servers if self._refused.fits(server.name, needed, now)
         ]
