Decode stored objects one by one, and keep threads alive

An entry with a list as its stage ended the thread that follows the servers, and one with half of a surrogate pair hid the whole listing, so a host learned of no server any more.

Decoders of servers, configuration, hosts, suspects, evacuations and lease records return for any bytes. Each malformed object is logged once per reason and counted. A configuration with a text for "anonymous" or "apiKeys" is invalid; "false" counted as true, and each character of a text as a key.

ListWatcher continues from a new listing after an exception, with a growing delay, and gives up its turn. After three in a row the readiness address answers 503 with the cause. The registration of a host moves to entry/host_registration.py; the test that changes its period names the new module.

--- a/src/sesameport/adapters/timers.py
+++ b/src/sesameport/adapters/timers.py
@@ -1,5 +1,6 @@
 """Run the timer service on one thread."""
 
+import contextlib
 import heapq
 import itertools
 import random
@@ -97,7 +98,8 @@
         try:
             callback(self.now())
         except Exception as exc:
-            self._on_error(name, exc)
+            with contextlib.suppress(Exception):
+                self._on_error(name, exc)
         if period_s is None:
             return
         jitter_factor = 1.0 + jitter * (2.0 * self._rng.random() - 1.0)
--- a/src/sesameport/admission/order_lease.py
+++ b/src/sesameport/admission/order_lease.py
@@ -14,6 +14,10 @@
 
 __all__ = ["LeaseStep", "OrderLease", "OrderRecord", "decode_record", "encode_record"]
 
+MAX_EPOCH = 2**53
+"""Fencing number from which a stored record counts as invalid. Engines read it as JSON,
+where larger numbers are not exact."""
+
 MAX_SEND_DELAY_S = 1.0
 """Maximum delay between the start of the lease write and an order, seconds."""
 
@@ -59,9 +63,10 @@
 def decode_record(value: bytes) -> OrderRecord | None:
     """Return the decoded record, or None if the value is not a valid record."""
     try:
-        return msgspec.json.decode(value, type=OrderRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        record = msgspec.json.decode(value, type=OrderRecord)
+    except (ValueError, RecursionError, OverflowError):
         return None
+    return record if 0 < record.epoch < MAX_EPOCH else None
 
 
 @attrs.define
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -289,9 +289,10 @@
         )
         if configuration.version <= known:
             return
-        self._admission.configuration = configuration
+        table = RouteTable.from_configuration(configuration)
         self._admission.quota.configure(configuration.workspaces, now)
-        self._routes.table = RouteTable.from_configuration(configuration)
+        self._admission.configuration = configuration
+        self._routes.table = table
         self._on_config(configuration)
         self._metrics.set("sesameport_entry_version", configuration.version)
         self._publish_change(now)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -16,6 +16,7 @@
 from sesameport.entry.current_routes import CurrentRoutes
 from sesameport.entry.forwarding import Forwarder
 from sesameport.entry.host_directory import HostDirectory
+from sesameport.entry.host_registration import HostRegistration
 from sesameport.entry.http_listener import (
     CallerSocket,
     HttpListener,
@@ -50,14 +51,13 @@
 ROLE_CHECK_PERIOD_S = 1.5
 """Period at which the roles of engines are checked, seconds."""
 
-HOST_CLEANUP_PERIOD_S = 60.0
-"""Period at which hosts are listed and expired registrations deleted, seconds."""
-
-REGISTRATION_RETRY_S = 1.0
 UNREADY_S = 2.6
 """Time between becoming unready and closing, seconds. The load balancer checks
 readiness every second and removes a host after two failed checks."""
 
+MAX_REASON_CHARS = 500
+"""Longest text in the answer to a readiness check, characters."""
+
 LAST_RESPONSES_S = 0.3
 """Time to read requests that were sent before the host closed, seconds. A caller may
 have sent a part of one only."""
@@ -131,6 +131,14 @@
             self.metrics,
             self._guard,
         )
+        self._follower = StoreFollower(
+            self._store, adapter, self._actor, self.metrics, self._closing
+        )
+        self._registration = HostRegistration(
+            HostDirectory(self._store, settings.name, self._peers.address, self._tell),
+            self._timers,
+            lambda: self._actor.ask(m.GetExpiredHosts()),
+        )
         self._caller_listener = HttpListener(
             settings.caller_listen, self._handle, MIN_THREADS, MAX_THREADS
         )
@@ -149,7 +157,7 @@
         self._start_store_access()
         self._guard.start()
         self._timers.subscribe("tick", TICK_PERIOD_S, self._tick)
-        self._timers.call_at("announce", self._timers.now(), self._start_registration)
+        self._registration.start()
         for listener in (
             self._caller_listener,
             self._ready_listener,
@@ -245,8 +253,15 @@
 
     def is_ready(self) -> bool:
         """Return whether the host accepts new connections."""
-        is_configured = self._routes.table is not None and self._evacuations.is_known
-        return is_configured and not self._is_draining()
+        return not self._unready_reasons()
+
+    def _unready_reasons(self) -> list[str]:
+        reasons = self._follower.failures()
+        if self._routes.table is None or not self._evacuations.is_known:
+            reasons.append("no configuration yet")
+        if self._is_draining():
+            reasons.append("draining")
+        return reasons
 
     def configuration_version(self) -> int:
         """Return the version of the configuration in force, 0 without one."""
@@ -280,14 +295,9 @@
 
     def _start_store_access(self) -> None:
         adapter, settings, store = self._adapter, self._settings, self._store
-        self._follower = StoreFollower(
-            store, adapter, self._actor, self.metrics, self._closing
-        ).start()
+        self._follower.start()
         if settings.bounds.evacuate_s is not None:
             self._follower.follow_evacuations()
-        self._directory = HostDirectory(
-            store, settings.name, self._peers.address, self._tell
-        )
         self._role_controller = RoleController(
             settings.name,
             settings.bounds.lease_s,
@@ -301,7 +311,6 @@
             self.metrics,
         )
         self._timers.subscribe("roles", ROLE_CHECK_PERIOD_S, self._start_role_control)
-        self._timers.subscribe("sweep", HOST_CLEANUP_PERIOD_S, self._start_host_cleanup)
 
     def _record_order(self, change: RoleChange) -> None:
         table = self._routes.table
@@ -318,29 +327,16 @@
             target=self._role_controller.run_once, name="roles", daemon=True
         ).start()
 
-    def _start_host_cleanup(self, now: float) -> None:
-        threading.Thread(
-            target=self.delete_expired_hosts, name="sweep", daemon=True
-        ).start()
-
     def delete_expired_hosts(self) -> None:
         """Delete the registrations of expired hosts; see `HostDirectory.clean_up`.
 
         Only the first host by name deletes registrations.
         """
-        self._directory.clean_up(lambda: self._actor.ask(m.GetExpiredHosts()))
-
-    def _start_registration(self, now: float) -> None:
-        # The call may block on the store, so the timer thread must not run it.
-        threading.Thread(target=self._register, name="announce", daemon=True).start()
-
-    def _register(self) -> None:
-        if not self._directory.join():
-            retry_at = self._timers.now() + REGISTRATION_RETRY_S
-            self._timers.call_at("announce", retry_at, self._start_registration)
+        self._registration.delete_expired()
 
     def _tick(self, now: float) -> None:
         self._actor.tell(m.Tick(now))
+        self.metrics.set("sesameport_ready", int(self.is_ready()))
         self._caller_listener.add_threads()
 
     def _apply_limits(self, configuration: EntryConfiguration) -> None:
@@ -383,10 +379,10 @@
         target = http.uri.decode()
         if not self._adapter.is_readiness_check(http.method.decode(), target):
             writer.refuse(404, "not found")
-        elif self.is_ready():
-            writer.send_complete(200, [("Content-Type", "text/plain")], b"ready\n")
+        elif reasons := self._unready_reasons():
+            writer.refuse(503, f"not ready: {'; '.join(reasons)}"[:MAX_REASON_CHARS])
         else:
-            writer.refuse(503, "not ready")
+            writer.send_complete(200, [("Content-Type", "text/plain")], b"ready\n")
 
     def _handle_metrics(self, http: StrictRequest, body: bytes) -> None:
         writer = HttpResponseWriter(http, lambda: True)
--- a/src/sesameport/entry/host_addresses.py
+++ b/src/sesameport/entry/host_addresses.py
@@ -4,11 +4,12 @@
 announcement of a host that has just started.
 """
 
+import re
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
-__all__ = ["HostAddresses", "log_hosts"]
+__all__ = ["HostAddresses", "is_address", "log_hosts"]
 
 LOGGED_HOSTS = 8
 """Number of host names in one log line. All hosts of a fleet may start at once."""
@@ -22,6 +23,11 @@
 exceeds the longest partition between regions. A host that was only cut off registers
 again."""
 
+_HOST = re.compile(
+    r"\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z_-]{1,63}(?:\.[0-9A-Za-z_-]{1,63}){0,10}"
+)
+"""An IPv6 address in brackets, an IPv4 address or a name."""
+
 
 @attrs.define
 class HostAddresses:
@@ -94,6 +100,22 @@
         )
 
 
+def is_address(text) -> bool:
+    """Return whether a value is ``IP:port`` or ``name:port`` that a socket accepts.
+
+    Examples
+    --------
+    >>> is_address("10.0.0.1:80"), is_address("[::1]:80"), is_address("10.0.0.1:x")
+    (True, True, False)
+    """
+    if not isinstance(text, str):
+        return False
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        return False
+    return 0 < int(port) < 65_536 and _HOST.fullmatch(host) is not None
+
+
 def log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
     """Log an event of several hosts in one line, with the first of their names."""
     if hosts:
--- a/src/sesameport/entry/host_directory.py
+++ b/src/sesameport/entry/host_directory.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from sesameport.entry import messages as m
+from sesameport.entry.host_addresses import is_address
 from sesameport.interfaces import Platform, PlatformErrorKind, StoredObject
 from sesameport.telemetry.logs import get_logger
 
@@ -51,6 +52,7 @@
         self._tell = tell
         self._lock = threading.Lock()
         self._registrations: dict[str, StoredObject] = {}
+        self._unreadable: list[str] = []
 
     def join(self) -> bool:
         """Register this host and list the others; return whether both succeeded."""
@@ -105,6 +107,11 @@
         }
         addresses[self._name] = self._address
         known = {name: address for name, address in addresses.items() if address}
+        unreadable = sorted(addresses.keys() - known.keys())
+        if unreadable != self._unreadable:
+            self._unreadable = unreadable
+            names = ",".join(unreadable)
+            log.warning("host registrations ignored", extra={"object": names})
         self._tell(m.HostsChanged(known))
         return True
 
@@ -131,7 +138,7 @@
 def _decode_address(value: bytes) -> str | None:
     try:
         record = msgspec.json.decode(value)
-    except msgspec.DecodeError:
+    except (ValueError, RecursionError, OverflowError):
         return None
     address = record.get("address") if isinstance(record, dict) else None
-    return address if isinstance(address, str) else None
+    return address if is_address(address) else None
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -18,6 +18,7 @@
 import zmq
 from result import Err, Ok, Result
 
+from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
     FleetSnapshot,
     HostAnnounced,
@@ -70,6 +71,9 @@
 MAX_REPORTS_AT_ONCE = 1_000
 """Number of reports handled together; further ones are read after other messages."""
 
+FAILURE_PAUSE_S = 0.1
+"""Pause after an unexpected exception, seconds."""
+
 _REPORT = b"r"
 _PARTIAL_REPORT = b"p"
 _SNAPSHOT = b"s"
@@ -133,6 +137,9 @@
         self.address = endpoint.removeprefix("tcp://")
         self._control = self._context.socket(zmq.PAIR)
         self._control.bind("inproc://peer-control")
+        self._connected: set[str] = set()
+        self._sources: set[str] = set()
+        self._receive_at = 0.0
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
     def start(self) -> "PeerExchange":
@@ -209,31 +216,47 @@
             urgent.register(sock, zmq.POLLIN)
             poller.register(sock, zmq.POLLIN)
         poller.register(subscriber, zmq.POLLIN)
-        connected: set[str] = set()
-        sources: set[str] = set()
-        receive_at = 0.0
         while True:
-            wait_s = receive_at - time.monotonic()
-            if wait_s > 0:
-                ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
-            else:
-                ready = dict(poller.poll())
-            if control in ready:
-                topic, data = control.recv_multipart()
-                if topic == _CONNECT:
-                    connected = self._update_connections(subscriber, connected, data)
-                elif topic == _REQUEST:
-                    sources = self._choose_sources(snapshots, sources, connected, data)
+            wait_s = self._receive_at - time.monotonic()
+            try:
+                if wait_s > 0:
+                    ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
                 else:
-                    self._send(topic, data)
-            if subscriber in ready:
-                self._receive_reports(subscriber)
-                interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(connected)
-                receive_at = time.monotonic() + interval_s
-            if snapshots in ready:
-                self._receive_snapshot(snapshots.recv_multipart()[1])
-            if self._publisher in ready:
-                self._handle_subscription(self._publisher.recv())
+                    ready = dict(poller.poll())
+                self._handle_ready(ready, control, subscriber, snapshots)
+            except Exception as exc:
+                # Without this thread the host neither reports nor hears of others.
+                log.error("peer message failed", extra={"error": repr(exc)})
+                time.sleep(FAILURE_PAUSE_S)
+
+    def _handle_ready(
+        self,
+        ready: dict,
+        control: zmq.Socket,
+        subscriber: zmq.Socket,
+        snapshots: zmq.Socket,
+    ) -> None:
+        """Read one message, or all reports, from each socket that has any."""
+        if control in ready:
+            topic, data = control.recv_multipart()
+            if topic == _CONNECT:
+                self._connected = self._update_connections(
+                    subscriber, self._connected, data
+                )
+            elif topic == _REQUEST:
+                self._sources = self._choose_sources(
+                    snapshots, self._sources, self._connected, data
+                )
+            else:
+                self._send(topic, data)
+        if subscriber in ready:
+            self._receive_reports(subscriber)
+            interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
+            self._receive_at = time.monotonic() + interval_s
+        if snapshots in ready:
+            self._receive_snapshot(snapshots.recv_multipart()[1])
+        if self._publisher in ready:
+            self._handle_subscription(self._publisher.recv())
 
     def _handle_subscription(self, message: bytes) -> None:
         is_new, topic = message[:1] == b"\x01", message[1:]
@@ -249,7 +272,8 @@
         except msgspec.DecodeError as exc:
             log.warning("announcement unreadable", extra={"reason": str(exc)})
             return
-        self._on_message(HostAnnounced(*fields))
+        if is_address(fields[1]):
+            self._on_message(HostAnnounced(*fields))
 
     def _send(self, topic: bytes, data: bytes) -> None:
         try:
@@ -263,7 +287,14 @@
         wanted = set(msgspec.msgpack.decode(data))
         self._disconnect(subscriber, connected - wanted)
         for address in wanted - connected:
-            subscriber.connect(f"tcp://{address}")
+            try:
+                subscriber.connect(f"tcp://{address}")
+            except zmq.ZMQError as exc:
+                log.warning(
+                    "host address unusable",
+                    extra={"address": address, "reason": str(exc)},
+                )
+                wanted.discard(address)
         return wanted
 
     def _disconnect(self, subscriber: zmq.Socket, addresses: set[str]) -> None:
--- a/src/sesameport/entry/settings_reloader.py
+++ b/src/sesameport/entry/settings_reloader.py
@@ -48,7 +48,11 @@
         while not stopped.is_set():
             was_signalled = signalled.wait(POLL_PERIOD_S)
             signalled.clear()
-            self.check_file(was_signalled)
+            try:
+                self.check_file(was_signalled)
+            except Exception as exc:
+                # Later changes of the file must still be read.
+                log.error("settings not read", extra={"reason": repr(exc)})
 
     def check_file(self, was_signalled: bool) -> None:
         """Read the file and apply its settings if they have changed."""
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -9,6 +9,7 @@
 from sesameport.entry.store_handlers import (
     ConfigurationHandler,
     EvacuationHandler,
+    MalformedObjects,
     ServerEntryHandler,
 )
 from sesameport.entry.store_watch import ListWatcher, ObjectHandler, StoreHealth
@@ -49,15 +50,21 @@
         self._closing = closing
         self._health = StoreHealth(lambda ok: actor.tell(m.StoreConnectivity(ok)))
         self._watchers: dict[str, ListWatcher] = {}
+        self._malformed = MalformedObjects(metrics)
 
     def start(self) -> "StoreFollower":
         """Follow the configuration and the servers, and return the follower."""
         adapter = self._adapter
         configurations = ConfigurationHandler(
-            self._actor, adapter.configuration_name, adapter.decode_configuration
+            self._actor,
+            adapter.configuration_name,
+            adapter.decode_configuration,
+            self._malformed,
         )
         self._follow(adapter.configuration_kind, configurations)
-        servers = ServerEntryHandler(self._actor, adapter.decode_server)
+        servers = ServerEntryHandler(
+            self._actor, adapter.decode_server, self._malformed
+        )
         self._follow(adapter.server_kind, servers)
         return self
 
@@ -65,9 +72,16 @@
         """Follow the evacuations of data centres, unless they are followed already."""
         kind = self._adapter.evacuation_kind
         if kind not in self._watchers:
-            handler = EvacuationHandler(self._actor, self._adapter.decode_evacuation)
+            handler = EvacuationHandler(
+                self._actor, self._adapter.decode_evacuation, self._malformed
+            )
             self._follow(kind, handler)
 
+    def failures(self) -> list[str]:
+        """Return why kinds cannot be followed; empty if all are."""
+        failures = [watcher.failure for watcher in list(self._watchers.values())]
+        return [failure for failure in failures if failure]
+
     def _follow(self, kind: str, handler: ObjectHandler) -> None:
         self._watchers[kind] = ListWatcher(
             self._store, kind, handler, self._health, self._metrics, self._closing
--- a/src/sesameport/entry/store_handlers.py
+++ b/src/sesameport/entry/store_handlers.py
@@ -1,5 +1,6 @@
 """Convert objects of the platform's store into messages to the entry actor."""
 
+import threading
 from collections.abc import Callable, Iterable
 
 import pykka
@@ -11,11 +12,58 @@
 from sesameport.interfaces import StoredObject
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["ConfigurationHandler", "EvacuationHandler", "ServerEntryHandler"]
+__all__ = [
+    "ConfigurationHandler",
+    "EvacuationHandler",
+    "MalformedObjects",
+    "ServerEntryHandler",
+]
+
+MAX_REMEMBERED = 1_000
+"""Number of malformed objects that are remembered so that each is logged once."""
 
 log = get_logger("store")
 
 
+class MalformedObjects:
+    """Log and count each malformed object once per reason.
+
+    A listing contains the same objects each time. Objects without a readable name count
+    as one.
+    """
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._reasons: dict[tuple[str, str], str] = {}
+
+    def record(self, event: str, stored: StoredObject, reason: str) -> None:
+        """Log an object that cannot be decoded, unless that is known."""
+        key = (stored.kind, stored.name)
+        with self._lock:
+            if self._reasons.get(key) == reason:
+                return
+            self._reasons.pop(key, None)
+            if len(self._reasons) >= MAX_REMEMBERED:
+                del self._reasons[next(iter(self._reasons))]
+            self._reasons[key] = reason
+        self._metrics.count("sesameport_entry_malformed_total", kind=stored.kind)
+        log.warning(
+            event,
+            extra={
+                "kind": stored.kind,
+                "object": stored.name,
+                "reason": reason,
+                "revision": stored.version,
+            },
+        )
+
+    def clear(self, stored: StoredObject) -> None:
+        """Forget an object that can be decoded, or is deleted."""
+        with self._lock:
+            self._reasons.pop((stored.kind, stored.name), None)
+
+
 class ConfigurationHandler:
     """Send each valid configuration to the actor."""
 
@@ -24,7 +72,9 @@
         actor: pykka.ActorRef,
         name: str,
         decode: Callable[[bytes], Result[EntryConfiguration, str]],
+        malformed: MalformedObjects,
     ):
+        self._malformed = malformed
         self._actor = actor
         self._name = name
         self._decode = decode
@@ -40,12 +90,11 @@
                 continue
             match self._decode(stored.value):
                 case Ok(configuration):
+                    self._malformed.clear(stored)
                     self._actor.tell(m.ApplyConfiguration(configuration, "store"))
                 case Err(reason):
-                    log.error(
-                        "configuration invalid; keeping the previous one",
-                        extra={"revision": stored.version, "reason": reason},
-                    )
+                    event = "configuration invalid; keeping the previous one"
+                    self._malformed.record(event, stored, reason)
 
 
 class ServerEntryHandler:
@@ -55,7 +104,9 @@
         self,
         actor: pykka.ActorRef,
         decode: Callable[[str, bytes], Result[EntryServer, str]],
+        malformed: MalformedObjects,
     ):
+        self._malformed = malformed
         self._actor = actor
         self._decode = decode
 
@@ -69,6 +120,8 @@
         """Handle changes one by one, because their order matters."""
         for stored in objects:
             server = None if stored.deleted else self._decode_entry(stored)
+            if stored.deleted:
+                self._malformed.clear(stored)
             if server is not None:
                 self._actor.tell(m.ServersChanged(changed=(server,)))
             else:
@@ -77,16 +130,10 @@
     def _decode_entry(self, stored: StoredObject) -> EntryServer | None:
         match self._decode(stored.name, stored.value):
             case Ok(server):
+                self._malformed.clear(stored)
                 return server
             case Err(reason):
-                log.warning(
-                    "server entry ignored",
-                    extra={
-                        "server": stored.name,
-                        "reason": reason,
-                        "revision": stored.version,
-                    },
-                )
+                self._malformed.record("server entry ignored", stored, reason)
         return None
 
 
@@ -97,7 +144,9 @@
         self,
         actor: pykka.ActorRef,
         decode: Callable[[str, bytes], Result[str, str]],
+        malformed: MalformedObjects,
     ):
+        self._malformed = malformed
         self._actor = actor
         self._decode = decode
 
@@ -122,8 +171,5 @@
             case Ok(name):
                 return name
             case Err(reason):
-                log.warning(
-                    "evacuation ignored",
-                    extra={"object": stored.name, "reason": reason},
-                )
+                self._malformed.record("evacuation ignored", stored, reason)
         return None
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -5,9 +5,11 @@
 thread of a host tries to reach it.
 """
 
+import math
 import random
 import threading
 import time
+import traceback
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -40,6 +42,15 @@
 below 30 calls/s in an outage, and hosts still recover well within the time bound for
 applying a configuration."""
 
+RESTART_BASE_S = 0.1
+MAX_RESTART_S = 10.0
+"""Bounds of the delay after an unexpected exception, seconds. It doubles with each one,
+and starts again after a time without one of `SETTLED_S`."""
+
+SETTLED_S = 60.0
+FAILURES_UNTIL_UNREADY = 3
+"""Number of exceptions in a row after which the host is not ready."""
+
 log = get_logger("store")
 
 
@@ -66,6 +77,13 @@
         if is_reachable != bool(was_reachable):
             self._on_change(is_reachable)
 
+    def release_turn(self, kind: str) -> None:
+        """Let another kind be read, because the thread of this one has failed."""
+        with self._changed:
+            if self._probing_kind == kind:
+                self._probing_kind = None
+                self._changed.notify_all()
+
     def wait_for_turn(self, kind: str, closing: threading.Event) -> None:
         """Wait while the store is unreachable and another kind is read."""
         with self._changed:
@@ -102,6 +120,11 @@
         Counts calls.
     closing : threading.Event
         Stops the watcher after its current call.
+
+    Attributes
+    ----------
+    failure : str
+        Why objects of this kind cannot be handled, if that keeps failing, else empty.
     """
 
     def __init__(
@@ -123,6 +146,9 @@
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{kind}", daemon=True
         )
+        self._restarts = 0
+        self._failed_at = -math.inf
+        self.failure = ""
 
     def start(self) -> "ListWatcher":
         """Start the thread and return the watcher."""
@@ -130,6 +156,37 @@
         return self
 
     def _run(self) -> None:
+        """Follow the kind until the host closes, from a new listing after a fault."""
+        while not self._closing.is_set():
+            try:
+                self._follow()
+            except Exception as exc:
+                self._health.release_turn(self._kind)
+                self._closing.wait(self._record_failure(exc))
+
+    def _record_failure(self, exc: Exception) -> float:
+        """Log an unexpected exception; return the delay until the next listing."""
+        now = time.monotonic()
+        if now - self._failed_at > SETTLED_S:
+            self._restarts = 0
+        self._failed_at = now
+        delay_s = min(MAX_RESTART_S, RESTART_BASE_S * 2**self._restarts)
+        self._restarts += 1
+        if self._restarts >= FAILURES_UNTIL_UNREADY:
+            self.failure = f"{self._kind} not followed: {exc!r}"
+        log.error(
+            "store thread failed",
+            extra={
+                "kind": self._kind,
+                "error": "".join(traceback.format_exception(exc)),
+                "failures": self._restarts,
+                "wait_s": delay_s,
+            },
+        )
+        self._metrics.count("sesameport_thread_failures_total", thread="follow")
+        return delay_s
+
+    def _follow(self) -> None:
         version, failures = None, 0
         while not self._closing.is_set():
             self._health.wait_for_turn(self._kind, self._closing)
@@ -149,7 +206,7 @@
                         self._handler.handle_listing(batch.objects)
                     elif batch.changes:
                         self._handler.handle_changes(batch.changes)
-                    version = batch.version
+                    version, self.failure = batch.version, ""
                     self._closing.wait(called_at + WATCH_INTERVAL_S - time.monotonic())
                 case Err(error):
                     self._count(operation, str(error.kind))
--- a/src/sesameport/entry/suspect_store.py
+++ b/src/sesameport/entry/suspect_store.py
@@ -89,13 +89,16 @@
 
     def _load(self, on_loaded) -> None:
         while not self._closing.is_set():
-            match self._platform.list(SUSPECT_KIND):
-                case Ok(listing):
-                    on_loaded(self._read_records(listing.objects))
-                    return
-                case Err(error):
-                    reason = f"list: {error.kind} {error.detail}"
-                    log.info("suspects not loaded", extra={"reason": reason})
+            try:
+                match self._platform.list(SUSPECT_KIND):
+                    case Ok(listing):
+                        on_loaded(self._read_records(listing.objects))
+                        return
+                    case Err(error):
+                        reason = f"list: {error.kind} {error.detail}"
+            except Exception as exc:
+                reason = repr(exc)
+            log.info("suspects not loaded", extra={"reason": reason})
             self._closing.wait(LOAD_RETRY_S)
 
     def _read_records(self, objects: tuple[StoredObject, ...]) -> list[SuspectReport]:
@@ -103,7 +106,7 @@
         for stored in objects:
             try:
                 record = msgspec.json.decode(stored.value, type=SuspectRecord)
-            except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+            except (ValueError, RecursionError, OverflowError) as exc:
                 log.warning(
                     "suspect record unreadable",
                     extra={"object": stored.name, "reason": str(exc)},
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -144,3 +144,65 @@
     store.change("servers", "s1")
     store.change("config", "c1")
     wait_until(lambda: handlers["servers"].seen and handlers["config"].seen, 1.5)
+
+
+class FailingHandler(Handler):
+    """Raise for the next ``faults`` listings or changes."""
+
+    faults = 0
+
+    def handle_changes(self, objects):
+        if self.faults:
+            self.faults -= 1
+            raise TypeError("unhashable")
+        super().handle_changes(objects)
+
+
+@pytest.fixture
+def failing():
+    """Return a store, a watcher of servers, its handler and the health of the store."""
+    store, closing, handler = Store(), threading.Event(), FailingHandler()
+    health = StoreHealth(lambda is_reachable: None)
+    watcher = ListWatcher(store, "servers", handler, health, Metrics(), closing)
+    yield store, watcher, handler, health
+    closing.set()
+    store.set_down(True)
+
+
+def test_thread_continues_from_a_new_listing_after_an_exception(failing):
+    # Guards against a host that learns of no server any more, and says nothing.
+    store, watcher, handler, _ = failing
+    watcher.start()
+    wait_until(lambda: len(store.calls) == 2)
+    handler.faults = 1
+    store.change("servers", "s1")
+    wait_until(lambda: handler.seen)
+    store.change("servers", "s2")
+    wait_until(lambda: handler.seen[-1][1] == "s2")
+    assert watcher.failure == ""
+
+
+def test_kind_that_keeps_failing_is_reported_and_retried_less_and_less(failing):
+    store, watcher, handler, _ = failing
+    handler.faults = 5
+    began_at = time.monotonic()
+    watcher.start()
+    wait_until(lambda: handler.faults < 3)
+    wait_until(lambda: "unhashable" in watcher.failure)
+    wait_until(lambda: watcher.failure == "" and handler.faults == 0, 8.0)
+    assert time.monotonic() - began_at >= 0.1 + 0.2 + 0.4 + 0.8 + 1.6
+
+
+def test_thread_that_fails_does_not_keep_the_turn_of_other_kinds(failing):
+    # The other kinds would wait for it for as long as the store is away.
+    store, watcher, _, health = failing
+    store.list = lambda kind: 1 / 0
+    health.record("servers", False)
+    watcher.start()
+    closing = threading.Event()
+    waiting = threading.Thread(target=health.wait_for_turn, args=("config", closing))
+    waiting.start()
+    waiting.join(2.0)
+    is_released = not waiting.is_alive()
+    closing.set()
+    assert is_released
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -1,6 +1,5 @@
 """Decode the configuration that the operator keeps in the users' store."""
 
-import msgspec
 from result import Err, Ok, Result
 
 from sesameport.entry.configuration import (
@@ -14,12 +13,17 @@
     ServiceShare,
     key_digest,
 )
+from sesameport.platform.json_members import decode_json
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode_configuration"]
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 
+MAX_NUMBER = 2.0**53
+"""Largest number in a configuration. Hosts send configurations to each other, and
+larger integers are not exact as floating-point numbers."""
+
 _REQUEST_KINDS = {
     "safe": RequestKind.SAFE,
     "unsafe": RequestKind.UNSAFE,
@@ -29,49 +33,58 @@
 
 def decode_configuration(value: bytes) -> Result[EntryConfiguration, str]:
     """Return a stored configuration, or an Err with the reason if it is invalid."""
-    try:
-        data = msgspec.json.decode(value)
-        if not isinstance(data, dict):
+    match decode_json(value):
+        case Ok(dict(data)):
+            pass
+        case Ok(_):
             return Err("the configuration is not a JSON object")
+        case Err(reason):
+            return Err(reason)
+    try:
         return Ok(
             EntryConfiguration(
-                version=int(data["version"]),
-                routes=tuple(
-                    _decode_route(route) for route in data.get("routes") or ()
-                ),
+                version=_integer(data["version"]),
+                routes=tuple(_decode_route(route) for route in _items(data, "routes")),
                 services=tuple(
-                    _decode_service(service) for service in data.get("services") or ()
+                    _decode_service(service) for service in _items(data, "services")
                 ),
                 workspaces=tuple(
-                    _decode_workspace(tenant) for tenant in data.get("tenants") or ()
+                    _decode_workspace(tenant) for tenant in _items(data, "tenants")
                 ),
                 limits=_decode_limits(data.get("limits") or {}),
             )
         )
-    except msgspec.DecodeError as exc:
-        return Err(f"invalid JSON: {exc}")
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         return Err(f"unexpected layout: {exc!r}")
 
 
 def _decode_route(route: dict) -> EntryRoute:
-    split = route.get("trafficSplit") or ()
     shares = tuple(
-        ServiceShare(share["service"], float(share.get("weight", 1))) for share in split
+        ServiceShare(_text(share, "service"), _weight(share.get("weight", 1)))
+        for share in _items(route, "trafficSplit")
     )
+    if shares and not any(share.weight for share in shares):
+        raise ValueError("trafficSplit without a weight")
     return EntryRoute(
         name=str(route.get("name", "")),
-        host=route["host"].lower(),
-        path_prefix=route["pathPrefix"],
+        host=_text(route, "host").lower(),
+        path_prefix=_text(route, "pathPrefix"),
         kind=_REQUEST_KINDS.get(route.get("kind"), RequestKind.UNSAFE),
-        shares=shares or (ServiceShare(route["service"], 1.0),),
-        timeout_s=float(route["timeoutMs"]) / 1000.0,
+        shares=shares or (ServiceShare(_text(route, "service"), 1.0),),
+        timeout_s=_number(route["timeoutMs"]) / 1000.0,
         # The target covers the whole response; for a stream, only the first event.
-        target_s=float(route.get("targetLatencyMs") or route["timeoutMs"]) / 1000.0,
-        max_attempts=max(1, int(route.get("maxAttempts") or 1)),
-        priority=int(route.get("priority") or 0),
-        is_open=bool(route.get("anonymous", False)),
-        is_resumable=bool(route.get("resumable", False)),
+        target_s=_number(route.get("targetLatencyMs") or route["timeoutMs"]) / 1000.0,
+        max_attempts=max(1, _integer(route.get("maxAttempts") or 1)),
+        priority=_integer(route.get("priority") or 0),
+        is_open=_flag(route, "anonymous"),
+        is_resumable=_flag(route, "resumable"),
     )
 
 
@@ -80,30 +93,76 @@
     profile = None
     if isinstance(engine, dict) and engine.get("kvCapacityTokens"):
         profile = EngineProfile(
-            slots=int(engine.get("slots") or 1),
-            kv_tokens=int(engine["kvCapacityTokens"]),
-            role_change_s=float(engine.get("switchS") or 6.0),
-            handle_s=float(engine.get("kvRetentionS") or 0.5),
+            slots=_integer(engine.get("slots") or 1),
+            kv_tokens=_integer(engine["kvCapacityTokens"]),
+            role_change_s=_number(engine.get("switchS") or 6.0),
+            handle_s=_number(engine.get("kvRetentionS") or 0.5),
         )
-    return EntryService(service["name"], profile)
+    return EntryService(_text(service, "name"), profile)
 
 
 def _decode_workspace(tenant: dict) -> EntryWorkspace:
     priority = tenant.get("priority")
     return EntryWorkspace(
-        name=tenant["name"],
-        key_digests=tuple(key_digest(key) for key in tenant.get("apiKeys") or ()),
-        priority=int(priority) if priority is not None else None,
-        rate_per_s=float(tenant.get("ratePerS") or 0),
-        burst=float(tenant.get("burst") or 0),
-        plain_tokens=int(tenant.get("plainTokens") or 1),
+        name=_text(tenant, "name"),
+        key_digests=tuple(key_digest(key) for key in _items(tenant, "apiKeys")),
+        priority=_integer(priority) if priority is not None else None,
+        rate_per_s=_number(tenant.get("ratePerS") or 0),
+        burst=_number(tenant.get("burst") or 0),
+        plain_tokens=_integer(tenant.get("plainTokens") or 1),
     )
 
 
 def _decode_limits(limits: dict) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        header_bytes=int(limits.get("maxHeaderBytes") or default.header_bytes),
-        body_bytes=int(limits.get("maxBodyBytes") or default.body_bytes),
-        idle_s=float(limits.get("idleTimeoutMs") or default.idle_s * 1000) / 1000,
+        header_bytes=_integer(limits.get("maxHeaderBytes") or default.header_bytes),
+        body_bytes=_integer(limits.get("maxBodyBytes") or default.body_bytes),
+        idle_s=_number(limits.get("idleTimeoutMs") or default.idle_s * 1000) / 1000,
     )
+
+
+def _items(table: dict, field: str) -> list:
+    """Return the items of a list, none if it is missing.
+
+    Raises
+    ------
+    TypeError
+        If it is not a list. The characters of a text would pass as items, for example
+        as API keys.
+    """
+    items = table.get(field)
+    if items is not None and not isinstance(items, list):
+        raise TypeError(f"{field} is not a list")
+    return items or []
+
+
+def _text(table: dict, field: str) -> str:
+    if not isinstance(table[field], str):
+        raise TypeError(f"{field} is not a string")
+    return table[field]
+
+
+def _flag(table: dict, field: str) -> bool:
+    """Return a flag; any text, also "false", would be true."""
+    if not isinstance(table.get(field), bool | None):
+        raise TypeError(f"{field} is not true or false")
+    return bool(table.get(field))
+
+
+def _number(value) -> float:
+    number = float(value)
+    if not abs(number) <= MAX_NUMBER:
+        raise ValueError(f"{number} is out of range")
+    return number
+
+
+def _integer(value) -> int:
+    return int(_number(value))
+
+
+def _weight(value) -> float:
+    weight = _number(value)
+    if weight < 0:
+        raise ValueError(f"negative weight {weight}")
+    return weight
--- a/src/sesameport/platform/orders.py
+++ b/src/sesameport/platform/orders.py
@@ -61,7 +61,7 @@
             return Ok(
                 EngineState(ROLES[body["stage"]], bool(body["busy"]), body["sequence"])
             )
-        except (msgspec.DecodeError, KeyError, TypeError) as exc:
+        except (ValueError, RecursionError, KeyError, TypeError) as exc:
             return Err(f"invalid report: {exc!r}")
 
     def change_role(
--- a/src/sesameport/platform/servers.py
+++ b/src/sesameport/platform/servers.py
@@ -1,16 +1,20 @@
 """Decode the registrations of backend servers in the users' store."""
 
-import msgspec
 from result import Err, Ok, Result
 
 from sesameport.domain import ServerRole, ServerState
+from sesameport.entry.host_addresses import is_address
 from sesameport.entry.servers import EntryServer
+from sesameport.platform.json_members import decode_json
 
 __all__ = ["ROLES", "SERVER_KIND", "STAGES", "decode_server"]
 
 SERVER_KIND = "servers"
 
 _SERVER_STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
+MAX_SLOTS = 1_000_000
+"""Largest number of concurrent requests of a server that counts as valid."""
+
 ROLES = {
     "prefill": ServerRole.PREFILL,
     "decode": ServerRole.DECODE,
@@ -28,10 +32,13 @@
     Other writers may leave entries with missing or invalid fields under the same kind.
     Such an entry must not be used.
     """
-    try:
-        data = msgspec.json.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Err(f"invalid JSON: {exc}")
+    if not (name.isascii() and name.isprintable() and " " not in name and name):
+        return Err("the name is empty or cannot stand in a header")
+    match decode_json(value):
+        case Err(reason):
+            return Err(reason)
+        case Ok(data):
+            pass
     if not isinstance(data, dict):
         return Err("the entry is not a JSON object")
     for field in ("service", "address", "zone", "state"):
@@ -39,17 +46,17 @@
             return Err(f"{field} is missing, empty or not a string")
     if data["state"] not in _SERVER_STATES:
         return Err(f"unknown state {data['state']!r}")
-    host, _, port = data["address"].rpartition(":")
-    if not host or not port.isdigit():
+    if not is_address(data["address"]):
         return Err("address is not IP:port")
     slots = data.get("slots", 1)
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+    if type(slots) is not int or not 1 <= slots <= MAX_SLOTS:
         return Err("slots is not a positive integer")
     role = ServerRole.PLAIN
-    if data.get("stage"):
-        if data["stage"] not in ROLES:
-            return Err(f"unknown stage {data['stage']!r}")
-        role = ROLES[data["stage"]]
+    stage = data.get("stage")
+    if stage:
+        if not isinstance(stage, str) or stage not in ROLES:
+            return Err(f"unknown stage {stage!r}")
+        role = ROLES[stage]
     started_at_ms = data.get("born")
     return Ok(
         EntryServer(
@@ -62,6 +69,11 @@
             slots=slots,
             # Start time in Unix milliseconds. A new value means that the replica has
             # restarted and lost its state.
-            started_at_ms=started_at_ms if isinstance(started_at_ms, int) else 0,
+            started_at_ms=started_at_ms if _is_time_ms(started_at_ms) else 0,
         )
     )
+
+
+def _is_time_ms(value) -> bool:
+    """Return whether a value is a time in Unix milliseconds that other hosts decode."""
+    return type(value) is int and 0 <= value < 2**63
--- a/src/sesameport/platform/store.py
+++ b/src/sesameport/platform/store.py
@@ -20,6 +20,12 @@
     StoredObject,
     WatchBatch,
 )
+from sesameport.platform.json_members import (
+    compact_json,
+    decode_json,
+    split_array,
+    split_object,
+)
 
 __all__ = ["ObjectStoreClient"]
 
@@ -54,7 +60,7 @@
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Return one object."""
         return self._request("GET", self._path(kind, name)).and_then(
-            lambda body: _to_stored_object(kind, body)
+            lambda body: _to_stored_object(kind, body, name)
         )
 
     def list(self, kind: str) -> Result[ObjectList, PlatformError]:
@@ -69,27 +75,24 @@
                     return Err(error)
                 case Ok(body):
                     pass
-            items = body.get("items")
-            revision = body.get("at")
-            if not isinstance(items, list) or not isinstance(revision, int):
+            items = split_array(body.get("items", b"")).unwrap_or(None)
+            revision = _revision(body, "at")
+            if items is None or revision is None:
                 return Err(_invalid_response("list response without items or revision"))
             # Objects may change between two pages. Only a watch from the lowest
             # revision reports all of these changes.
             version = revision if version is None else min(version, revision)
-            for item in items:
-                match _to_stored_object(kind, item):
-                    case Ok(stored):
-                        objects.append(stored)
-            if not body.get("hasMore") or not items:
+            page = [_to_entry(kind, item) for item in items]
+            objects.extend(page)
+            if not _value(body, "hasMore") or not page:
                 return Ok(ObjectList(tuple(objects), version))
-            name = _object_name(items[-1])
-            if not name or name == after:
+            # Objects without a readable name at the end of the page are read again.
+            names = [stored.name for stored in page if stored.name]
+            if not names or names[-1] == after:
                 return Err(
-                    _invalid_response(
-                        "page whose last object has no name or repeats the page before"
-                    )
+                    _invalid_response("page without a name, or that repeats another")
                 )
-            after = name
+            after = names[-1]
 
     def create(
         self, kind: str, name: str, value: bytes
@@ -151,7 +154,7 @@
 
     def _request(
         self, method: str, path: str, body=None, timeout_s: float | None = None
-    ) -> Result[dict, PlatformError]:
+    ) -> Result[dict[str, bytes], PlatformError]:
         data = None if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if data else {}
         try:
@@ -185,66 +188,81 @@
 }
 
 
-def _decode_response(status: int, data: bytes) -> Result[dict, PlatformError]:
-    try:
-        body = msgspec.json.decode(data) if data else {}
-    except msgspec.DecodeError as exc:
-        body = None
-        detail = str(exc)
-    if not isinstance(body, dict):
-        if 200 <= status < 300:
-            return Err(_invalid_response("response is not a JSON object"))
-        body, detail = {}, "error response is not a JSON object"
+def _decode_response(
+    status: int, data: bytes
+) -> Result[dict[str, bytes], PlatformError]:
+    """Return the members of the body of a response, each of them as JSON."""
+    body = split_object(data or b"{}")
     if 200 <= status < 300:
-        return Ok(body)
+        return body.map_err(
+            lambda reason: _invalid_response(f"response is not an object: {reason}")
+        )
     kind = _ERROR_KIND_BY_STATUS.get(status, PlatformErrorKind.INVALID)
     if status >= 500 and status != 503:
         kind = PlatformErrorKind.UNKNOWN
-    detail = f"status {status}"
-    return Err(PlatformError(kind, detail, _object_revision(body)))
+    revision = _object_revision(body.unwrap_or({}))
+    return Err(PlatformError(kind, f"status {status}", revision))
 
 
 def _invalid_response(detail: str) -> PlatformError:
     return PlatformError(PlatformErrorKind.INVALID, detail)
 
 
-def _object_name(item) -> str:
-    metadata = item.get("metadata") if isinstance(item, dict) else None
-    name = metadata.get("name") if isinstance(metadata, dict) else None
+def _value(members: dict[str, bytes], name: str):
+    """Return a decoded member, None if it is missing or cannot be decoded."""
+    return decode_json(members.get(name, b"null")).unwrap_or(None)
+
+
+def _revision(members: dict[str, bytes], name: str) -> int | None:
+    """Return a member that is a revision, None if it is none."""
+    revision = _value(members, name)
+    return revision if type(revision) is int and revision >= 0 else None
+
+
+def _metadata(item: dict[str, bytes]) -> dict[str, bytes]:
+    return split_object(item.get("metadata", b"")).unwrap_or({})
+
+
+def _object_name(item: dict[str, bytes]) -> str:
+    name = _value(_metadata(item), "name")
     return name if isinstance(name, str) else ""
 
 
-def _object_revision(item) -> int:
-    metadata = item.get("metadata") if isinstance(item, dict) else None
-    revision = metadata.get("revision") if isinstance(metadata, dict) else None
-    return revision if isinstance(revision, int) else 0
+def _object_revision(item: dict[str, bytes]) -> int:
+    return _revision(_metadata(item), "revision") or 0
 
 
 def _to_stored_object(
-    kind: str, item, name: str = "", value: bytes | None = None
+    kind: str, item: dict[str, bytes], name: str, value: bytes | None = None
 ) -> Result[StoredObject, PlatformError]:
-    name = _object_name(item) or name
-    if not name:
-        return Err(_invalid_response("object without a name"))
+    """Return the object of a response about one object."""
     if value is None:
-        value = msgspec.json.encode(item.get("spec"))
+        value = compact_json(item.get("spec", b"null"))
+    name = _object_name(item) or name
     return Ok(StoredObject(kind, name, _object_revision(item), value))
 
 
-def _to_watch_batch(kind: str, body: dict) -> Result[WatchBatch, PlatformError]:
-    events, revision = body.get("events"), body.get("at")
-    if not isinstance(events, list) or not isinstance(revision, int):
+def _to_entry(kind: str, item: bytes, deleted: bool = False) -> StoredObject:
+    """Return an object of a listing or a watch.
+
+    An object that cannot be read has no name or no value, and its decoder rejects it.
+    """
+    members = split_object(item).unwrap_or({})
+    name, revision = _object_name(members), _object_revision(members)
+    value = compact_json(members.get("spec", b""))
+    return StoredObject(kind, name, revision, value, deleted)
+
+
+def _to_watch_batch(
+    kind: str, body: dict[str, bytes]
+) -> Result[WatchBatch, PlatformError]:
+    events = split_array(body.get("events", b"")).unwrap_or(None)
+    revision = _revision(body, "at")
+    if events is None or revision is None:
         return Err(_invalid_response("watch response without events or revision"))
     changes = []
     for event in events:
-        if not isinstance(event, dict):
-            continue
-        match _to_stored_object(kind, event.get("object") or {}):
-            case Ok(stored):
-                deleted = event.get("deleted") is True
-                changes.append(
-                    StoredObject(
-                        kind, stored.name, stored.version, stored.value, deleted
-                    )
-                )
+        members = split_object(event).unwrap_or({})
+        deleted = _value(members, "deleted") is True
+        changes.append(_to_entry(kind, members.get("object", b""), deleted))
     return Ok(WatchBatch(tuple(changes), revision))
--- a/src/sesameport/platform/tests/test_evacuations.py
+++ b/src/sesameport/platform/tests/test_evacuations.py
@@ -45,7 +45,7 @@
     return sum(len(cluster.replicas[name].received_requests) for name in names)
 
 
-@pytest.mark.parametrize("value", [{}, None, [1]])
+@pytest.mark.parametrize("value", [{}, None, [1], "\ud800"])
 def test_evacuated_data_centre_gets_no_request_until_the_end(cluster, send, value):
     # The value of the object has no meaning, also if it cannot be read.
     host = start_host(cluster)
--- a/src/sesameport/platform/tests/test_store_faults.py
+++ b/src/sesameport/platform/tests/test_store_faults.py
@@ -145,7 +145,7 @@
 def test_store_gets_two_calls_for_the_registration_of_a_host(cluster, monkeypatch):
     # Each call costs money. A watch of the registrations cost 195 hosts a call for each
     # host that started. The periodic listing starts at a random time of its period.
-    monkeypatch.setattr("sesameport.entry.host.HOST_CLEANUP_PERIOD_S", 3_600.0)
+    monkeypatch.setattr("sesameport.entry.host_registration.CLEANUP_PERIOD_S", 3_600.0)
     hosts = [cluster.start_host(f"h{n}") for n in range(1, 6)]
     wait_until(lambda: all(host.peer_count() == 4 for host in hosts))
     calls = [path for _, path in cluster.store.calls if "/entry-hosts" in path]
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -124,6 +124,10 @@
     _counter(
         "entry_evacuated_calls", "Calls not sent to an evacuated data centre.", "call"
     ),
+    _counter("entry_malformed", "Stored objects that cannot be decoded.", "kind"),
+    _counter(
+        "thread_failures", "Unexpected exceptions of long-lived threads.", "thread"
+    ),
     _gauge("entry_evacuated_data_centres", "Data centres that are evacuated."),
     _gauge(
         "entry_evacuated_requests", "Requests of this host in evacuated data centres."
