Read a configuration again that other hosts have

A watch whose answer is lost ends after 27 s, since its connection stays open and answers keep-alives. Until then the host kept an old configuration and ran requests with a withdrawn key, although the reports of the other hosts name the newer version.

A host that has heard of a newer version for 0.8 s and can reach the store watches the kind again on a new connection, from the version that it knows: one call. The first thread ends with its call, without an effect. Further attempts follow after a wait that doubles up to 30 s. Each thread that follows the store has its own client.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -36,6 +36,7 @@
 from sesameport.admission.server_notices import NoticeReport, ServerNotices
 from sesameport.admission.server_registry import ServerRegistry
 from sesameport.admission.trickle import Trickle
+from sesameport.admission.version_lag import VersionLag
 from sesameport.admission.waiting_queue import (
     RetryAfterPolicy,
     WaitingPolicy,
@@ -70,6 +71,7 @@
     "Shortage",
     "SuspectReport",
     "Trickle",
+    "VersionLag",
     "WaitingRequest",
     "WaitingPolicy",
     "WaitingQueue",
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -11,6 +11,7 @@
 from sesameport.entry.evacuation_controller import EvacuationController
 from sesameport.entry.fleet_queries import FleetQueries
 from sesameport.entry.host_addresses import HostAddresses, log_hosts
+from sesameport.entry.missed_configuration import MissedConfiguration
 from sesameport.entry.notice_exchange import NoticeExchange
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
@@ -54,6 +55,8 @@
         Called with the servers that need a probe.
     on_hosts : callable
         Called with the number of hosts and whether new ones report.
+    on_missed : callable
+        Called when this host misses a configuration that other hosts have.
     notices : ServerNotices
         What servers say of themselves; changed by this actor only.
     evacuations : Evacuations
@@ -72,6 +75,7 @@
         on_config,
         on_probe_targets,
         on_hosts,
+        on_missed,
         notices: ServerNotices,
         evacuations: Evacuations,
     ):
@@ -84,6 +88,7 @@
         self._on_config = on_config
         self._on_probe_targets = on_probe_targets
         self._on_hosts = on_hosts
+        self._missed = MissedConfiguration(on_missed)
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
@@ -142,7 +147,7 @@
             m.GetNextRoleChange: lambda message, now: self._selector.next_change(now),
             m.HostReports: self._handle_reports,
             m.Tick: self._handle_tick,
-            m.ReportDue: self._send_due_report,
+            m.ReportDue: lambda message, now: self._reports.send_due(admission, now),
             m.ApplyConfiguration: self._configure,
             m.ApplySettings: self._apply_settings,
             m.ServersListed: self._apply_servers,
@@ -205,9 +210,6 @@
         actor_ref = self.actor_ref
         self._timers.call_at("report", when, lambda _: actor_ref.tell(m.ReportDue()))
 
-    def _send_due_report(self, message: m.ReportDue, now: float) -> None:
-        self._reports.send_due(self._admission, now)
-
     def _handle_reports(self, message: m.HostReports, now: float) -> None:
         for report in message.reports:
             self._apply_report(report, now)
@@ -220,6 +222,7 @@
         elif known >= (report.incarnation, report.sequence):
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
+        self._missed.record(report, now)
         self._addresses.record_report(report.host, now)
         self._admission.use.apply_report(report.host, report.uses, now, report.waiting)
         self._admission.quota.apply_report(
@@ -381,14 +384,12 @@
         self._admission.place_waiting(now)
         self._request_snapshots(now)
         self._publish_snapshot(now)
-        self._start_probe(now)
+        targets = self._admission.monitor.probe_targets(now)
+        if targets:
+            self._on_probe_targets(targets)
+        self._missed.check(self._admission.configuration, self._store_reachable, now)
         self._reports.send_periodic(self._admission, now)
 
     def _handle_probe_result(self, message: m.ProbeResult, now: float) -> None:
         self._admission.monitor.record_probe_result(message, now)
         self._admission.place_waiting(now)
-
-    def _start_probe(self, now: float) -> None:
-        targets = self._admission.monitor.probe_targets(now)
-        if targets:
-            self._on_probe_targets(targets)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -117,6 +117,7 @@
             self._apply_limits,
             self._reachability_probe.start_round,
             self._guard.record_hosts,
+            lambda: self._follower.read_configuration_again(),
             notices,
             self._evacuations,
         )
@@ -132,7 +133,11 @@
             self._guard,
         )
         self._follower = StoreFollower(
-            self._store, adapter, self._actor, self.metrics, self._closing
+            lambda: adapter.create_store_client(settings.store_address),
+            adapter,
+            self._actor,
+            self.metrics,
+            self._closing,
         )
         self._registration = HostRegistration(
             HostDirectory(self._store, settings.name, self._peers.address, self._tell),
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -1,6 +1,7 @@
 """Follow the kinds of objects in the platform's store that a host needs."""
 
 import threading
+from collections.abc import Callable
 
 import pykka
 
@@ -23,8 +24,8 @@
 
     Parameters
     ----------
-    store : Platform
-        The store.
+    connect : callable
+        Returns a client of the store with connections of its own.
     adapter : PlatformAdapter
         Names the kinds and decodes their objects.
     actor : pykka.ActorRef
@@ -37,13 +38,13 @@
 
     def __init__(
         self,
-        store: Platform,
+        connect: Callable[[], Platform],
         adapter: PlatformAdapter,
         actor: pykka.ActorRef,
         metrics,
         closing: threading.Event,
     ):
-        self._store = store
+        self._connect = connect
         self._adapter = adapter
         self._actor = actor
         self._metrics = metrics
@@ -77,6 +78,10 @@
             )
             self._follow(kind, handler)
 
+    def read_configuration_again(self) -> None:
+        """Watch the configuration on a new connection."""
+        self._watchers[self._adapter.configuration_kind].restart()
+
     def failures(self) -> list[str]:
         """Return why kinds cannot be followed; empty if all are."""
         failures = [watcher.failure for watcher in list(self._watchers.values())]
@@ -84,5 +89,5 @@
 
     def _follow(self, kind: str, handler: ObjectHandler) -> None:
         self._watchers[kind] = ListWatcher(
-            self._store, kind, handler, self._health, self._metrics, self._closing
+            self._connect, kind, handler, self._health, self._metrics, self._closing
         ).start()
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -108,8 +108,8 @@
 
     Parameters
     ----------
-    platform : Platform
-        The store.
+    connect : callable
+        Returns a client of the store with connections of its own.
     kind : str
         Kind of objects.
     handler : ObjectHandler
@@ -129,41 +129,61 @@
 
     def __init__(
         self,
-        platform: Platform,
+        connect: Callable[[], Platform],
         kind: str,
         handler: ObjectHandler,
         health: StoreHealth,
         metrics,
         closing: threading.Event,
     ):
-        self._platform = platform
+        self._connect = connect
         self._kind = kind
         self._handler = handler
         self._health = health
         self._metrics = metrics
         self._closing = closing
         self._rng = random.Random()
-        self._thread = threading.Thread(
-            target=self._run, name=f"follow-{kind}", daemon=True
-        )
+        self._lock = threading.Lock()
+        self._generation = 0
+        self._version: int | None = None
         self._restarts = 0
         self._failed_at = -math.inf
         self.failure = ""
 
     def start(self) -> "ListWatcher":
         """Start the thread and return the watcher."""
-        self._thread.start()
+        threading.Thread(
+            target=self._run,
+            args=(self._generation,),
+            name=f"follow-{self._kind}",
+            daemon=True,
+        ).start()
         return self
 
-    def _run(self) -> None:
+    def restart(self) -> None:
+        """Watch again on a new connection, because the answer to a watch may be lost.
+
+        The thread of the pending call ends when the call does, without an effect.
+        """
+        with self._lock:
+            self._generation += 1
+        self.start()
+
+    def _run(self, generation: int) -> None:
         """Follow the kind until the host closes, from a new listing after a fault."""
-        while not self._closing.is_set():
+        while self._is_current(generation):
             try:
-                self._follow()
+                self._follow(generation, self._connect())
             except Exception as exc:
+                if not self._is_current(generation):
+                    return
+                self._version = None
                 self._health.release_turn(self._kind)
                 self._closing.wait(self._record_failure(exc))
 
+    def _is_current(self, generation: int) -> bool:
+        return generation == self._generation and not self._closing.is_set()
+
     def _record_failure(self, exc: Exception) -> float:
         """Log an unexpected exception; return the delay until the next listing."""
         now = time.monotonic()
@@ -186,33 +206,33 @@
         self._metrics.count("sesameport_thread_failures_total", thread="follow")
         return delay_s
 
-    def _follow(self) -> None:
-        version, failures = None, 0
-        while not self._closing.is_set():
+    def _follow(self, generation: int, store: Platform) -> None:
+        failures = 0
+        while self._is_current(generation):
             self._health.wait_for_turn(self._kind, self._closing)
             called_at = time.monotonic()
+            version = self._version
             if version is None:
-                result = self._platform.list(self._kind)
+                result = store.list(self._kind)
             else:
                 timeout_s = RETRY_WATCH_TIMEOUT_S if failures else WATCH_TIMEOUT_S
-                result = self._platform.watch(self._kind, version, timeout_s)
+                result = store.watch(self._kind, version, timeout_s)
             operation = "list" if version is None else "watch"
             match result:
                 case Ok(batch):
                     self._count(operation, "ok")
                     self._health.record(self._kind, True)
                     failures = 0
-                    if version is None:
-                        self._handler.handle_listing(batch.objects)
-                    elif batch.changes:
-                        self._handler.handle_changes(batch.changes)
-                    version, self.failure = batch.version, ""
+                    if not self._handle(generation, version is None, batch):
+                        return
                     self._closing.wait(called_at + WATCH_INTERVAL_S - time.monotonic())
                 case Err(error):
                     self._count(operation, str(error.kind))
+                    if not self._is_current(generation):
+                        return
                     if error.kind == PlatformErrorKind.GONE:
                         log.info("store history expired", extra={"kind": self._kind})
-                        version = None
+                        self._version = None
                         continue
                     # One failed watch does not show that the store is unreachable.
                     if failures:
@@ -221,6 +241,18 @@
                     self._log_failure(operation, error, failures)
                     self._back_off(failures)
 
+    def _handle(self, generation: int, is_listing: bool, batch) -> bool:
+        """Handle an answer; return False if the thread was replaced meanwhile."""
+        with self._lock:
+            if generation != self._generation:
+                return False
+            if is_listing:
+                self._handler.handle_listing(batch.objects)
+            elif batch.changes:
+                self._handler.handle_changes(batch.changes)
+            self._version, self.failure = batch.version, ""
+            return True
+
     def _log_failure(self, operation: str, error, failures: int) -> None:
         if failures > 1 and failures & (failures - 1):
             return  # log only the 1st, 2nd, 4th, 8th ... consecutive failure
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -82,7 +82,7 @@
     health = StoreHealth(states.append)
     handlers = {kind: Handler() for kind in KINDS}
     for kind, handler in handlers.items():
-        ListWatcher(store, kind, handler, health, Metrics(), closing).start()
+        ListWatcher(lambda: store, kind, handler, health, Metrics(), closing).start()
     wait_until(lambda: len(store.calls) == 4)
     yield store, handlers, states
     closing.set()
@@ -163,7 +163,7 @@
     """Return a store, a watcher of servers, its handler and the health of the store."""
     store, closing, handler = Store(), threading.Event(), FailingHandler()
     health = StoreHealth(lambda is_reachable: None)
-    watcher = ListWatcher(store, "servers", handler, health, Metrics(), closing)
+    watcher = ListWatcher(lambda: store, "servers", handler, health, Metrics(), closing)
     yield store, watcher, handler, health
     closing.set()
     store.set_down(True)
@@ -206,3 +206,44 @@
     is_released = not waiting.is_alive()
     closing.set()
     assert is_released
+
+
+class LossyStore:
+    """Answer the listing, and lose the answers to watches until ``found`` is set."""
+
+    def __init__(self, store):
+        self._store = store
+        self.found = threading.Event()
+        self.list = store.list
+
+    def watch(self, kind, version, timeout_s):
+        answer = self._store.watch(kind, version, timeout_s)
+        self.found.wait(10.0)
+        return answer
+
+
+def test_change_whose_answer_was_lost_is_read_on_a_new_connection():
+    # A host ran requests with a withdrawn key for up to 27 s.
+    store, closing, handler = Store(), threading.Event(), Handler()
+    lossy = LossyStore(store)
+    clients = [lossy, store]
+    health = StoreHealth(lambda is_reachable: None)
+    watcher = ListWatcher(
+        lambda: clients.pop(0), "config", handler, health, Metrics(), closing
+    ).start()
+    try:
+        wait_until(lambda: len(store.calls) == 2)
+        store.change("config", "v2")
+        watcher.restart()
+        wait_until(lambda: handler.seen, 1.0)
+        assert [name for _, name in handler.seen] == ["v2"]
+        # The late answer of the first call has no effect and is followed by no call.
+        wait_until(lambda: len(store.calls) == 4)
+        lossy.found.set()
+        time.sleep(0.6)
+        assert len(store.calls) == 4
+        store.change("config", "v3")
+        wait_until(lambda: len(handler.seen) == 2, 1.0)
+    finally:
+        closing.set()
+        store.set_down(True)
