--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -1,14 +1,17 @@
 """Follow the kinds of objects in the platform's store that a host needs."""
 
 import threading
+from collections.abc import Callable
 
 import pykka
 
 from sesameport.entry import messages as m
+from sesameport.entry.missed_configuration import Missed
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.store_handlers import (
     ConfigurationHandler,
     EvacuationHandler,
+    MalformedObjects,
     ServerEntryHandler,
 )
 from sesameport.entry.store_watch import ListWatcher, ObjectHandler, StoreHealth
@@ -22,8 +25,8 @@
 
     Parameters
     ----------
-    store : Platform
-        The store.
+    connect : callable
+        Returns a client of the store with connections of its own.
     adapter : PlatformAdapter
         Names the kinds and decodes their objects.
     actor : pykka.ActorRef
@@ -36,28 +39,34 @@
 
     def __init__(
         self,
-        store: Platform,
+        connect: Callable[[], Platform],
         adapter: PlatformAdapter,
         actor: pykka.ActorRef,
         metrics,
         closing: threading.Event,
     ):
-        self._store = store
+        self._connect = connect
         self._adapter = adapter
         self._actor = actor
         self._metrics = metrics
         self._closing = closing
         self._health = StoreHealth(lambda ok: actor.tell(m.StoreConnectivity(ok)))
         self._watchers: dict[str, ListWatcher] = {}
+        self._malformed = MalformedObjects(metrics)
 
     def start(self) -> "StoreFollower":
         """Follow the configuration and the servers, and return the follower."""
         adapter = self._adapter
         configurations = ConfigurationHandler(
-            self._actor, adapter.configuration_name, adapter.decode_configuration
+            self._actor,
+            adapter.configuration_name,
+            adapter.decode_configuration,
+            self._malformed,
         )
         self._follow(adapter.configuration_kind, configurations)
-        servers = ServerEntryHandler(self._actor, adapter.decode_server)
+        servers = ServerEntryHandler(
+            self._actor, adapter.decode_server, self._malformed
+        )
         self._follow(adapter.server_kind, servers)
         return self
 
@@ -65,10 +74,26 @@
         """Follow the evacuations of data centres, unless they are followed already."""
         kind = self._adapter.evacuation_kind
         if kind not in self._watchers:
-            handler = EvacuationHandler(self._actor, self._adapter.decode_evacuation)
+            handler = EvacuationHandler(
+                self._actor, self._adapter.decode_evacuation, self._malformed
+            )
             self._follow(kind, handler)
 
+    def read_again(self, missed: Missed) -> None:
+        """Watch objects on a new connection, if they are followed."""
+        kind = self._adapter.configuration_kind
+        if missed == Missed.EVACUATIONS:
+            kind = self._adapter.evacuation_kind
+        watcher = self._watchers.get(kind)
+        if watcher is not None:
+            watcher.restart()
+
+    def failures(self) -> list[str]:
+        """Return why kinds cannot be followed; empty if all are."""
+        failures = [watcher.failure for watcher in list(self._watchers.values())]
+        return [failure for failure in failures if failure]
+
     def _follow(self, kind: str, handler: ObjectHandler) -> None:
         self._watchers[kind] = ListWatcher(
-            self._store, kind, handler, self._health, self._metrics, self._closing
+            self._connect, kind, handler, self._health, self._metrics, self._closing
         ).start()
