--- a/src/sesameport/platform/servers.py
+++ b/src/sesameport/platform/servers.py
@@ -12,8 +12,8 @@
 SERVER_KIND = "servers"
 
 MAX_COLD_MS = 3_600_000.0
-"""Longest cold time that an entry can state, milliseconds. A faulty writer may state any
-number."""
+"""Longest cold time that an entry can state, milliseconds. A faulty writer may state
+any number."""
 
 _SERVER_STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 MAX_SLOTS = 1_000_000
