Share half of the retry budget of a large fleet between its hosts

With 83 hosts an equal part is two retries in 10 s.

Change: where an equal part of the slack is below four retries, half of the budget is a pool. A host that has used its own part takes from the pool while the hosts together took less than 0.7 of it, as far as it knows. Hosts that are not heard lower the pool.

Tests: retries of 83 hosts stay within the fleet's budget under steady load, when all hosts retry at once, and in a partition; four hosts may retry 32 requests, which fails without the pool (4 were allowed).

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -38,6 +38,7 @@
 from sesameport.admission.quota import FleetQuota, QuotaDecision
 from sesameport.admission.request_limits import RequestLimits
 from sesameport.admission.retry_budget import WindowedRetryBudget
+from sesameport.admission.retry_pool import RetryPool
 from sesameport.admission.roles import RolePlan, RolePlanner, WorkloadMix
 from sesameport.admission.routes import RouteTable
 from sesameport.admission.server_health import ServerHealth
@@ -75,6 +76,7 @@
     "RefusedMemory",
     "RequestLimits",
     "RetryAfterPolicy",
+    "RetryPool",
     "WindowedRetryBudget",
     "RolePlan",
     "RolePlanner",
--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -3,18 +3,27 @@
 When many servers fail at once, every host would retry its requests. Each host limits
 its retries to the fraction of its own requests plus an equal part of the fleet's slack.
 The total then stays within the fleet's budget without any communication between hosts.
+
+In a large fleet an equal part is less than the retries that the failure of one server
+costs a host. Half of the budget is then a pool that the hosts share; see ``RetryPool``.
 """
 
 import collections
 
 import attrs
 
+from sesameport.admission.retry_pool import POOL_SHARE, RetryPool
+
 __all__ = ["WindowedRetryBudget"]
 
 USABLE_FRACTION = 0.8
 """Fraction of the budget that is used. The limit is checked against arrivals at the
 servers, and a retry may arrive in a later window than its first attempt."""
 
+MIN_EQUAL_SLACK = 4.0
+"""Part of the slack, in retries, below which hosts share a pool. The failure of a
+server breaks off about as many requests of one host."""
+
 
 @attrs.define
 class _Window:
@@ -39,6 +48,8 @@
         of ``window_s`` seconds.
     hosts : int
         Number of hosts that share the slack.
+    pool : RetryPool
+        What the hosts of a large fleet took from their common part of the budget.
     """
 
     ratio: float
@@ -46,10 +57,18 @@
     slack: float
     hosts: int = 1
     _windows: dict[str, _Window] = attrs.field(factory=dict)
+    pool: RetryPool = attrs.field(
+        default=attrs.Factory(lambda self: RetryPool(self.window_s), takes_self=True)
+    )
 
     def update_limits(self, ratio: float, window_s: float, slack: float) -> None:
         """Change the budget; retries that were already made still count."""
         self.ratio, self.window_s, self.slack = ratio, window_s, slack
+        self.pool.window_s = window_s
+
+    def has_pool(self) -> bool:
+        """Return whether the fleet is so large that hosts share a pool."""
+        return self.hosts > 1 and self.slack / self.hosts < MIN_EQUAL_SLACK
 
     def record_request(self, service: str, now: float) -> None:
         """Count a new request from a caller."""
@@ -62,7 +81,19 @@
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self.window_s)
         allowed = self.ratio * len(window.requests) + self.slack / max(1, self.hosts)
+        if self.has_pool():
+            allowed *= 1.0 - POOL_SHARE
         if len(window.retries) + 1 > USABLE_FRACTION * allowed:
-            return False
+            return self._take_pooled(service, now)
         window.retries.append(now)
         return True
+
+    def _take_pooled(self, service: str, now: float) -> bool:
+        """Take a retry from the pool, which is a part of the slack only.
+
+        The requests of other hosts are not known here.
+        """
+        if not self.has_pool():
+            return False
+        pooled = USABLE_FRACTION * POOL_SHARE * self.slack
+        return self.pool.try_take(service, pooled, now)
--- /dev/null
+++ b/src/sesameport/admission/retry_pool.py
@@ -0,0 +1,94 @@
+"""Share a part of the fleet's retry budget between the hosts that need it.
+
+Each host may use an equal part of the budget without asking anyone. In a fleet of a
+hundred hosts that is one or two retries in ten seconds, while the callers of the few
+hosts that hold requests of a failed server need many and the budget of the fleet is
+nearly unused. The load that this module answers is that of failures that concern few
+hosts. A part of the budget is therefore a pool that any host may use. Hosts report what
+they took from it. Retries that other hosts take at the same moment are not known yet,
+so only a part of the pool is used, and a host that hears of only a part of the fleet
+uses only that part of it.
+"""
+
+import collections
+from collections.abc import Mapping
+
+import attrs
+
+__all__ = ["POOL_SHARE", "RetryPool"]
+
+POOL_SHARE = 0.5
+"""Fraction of the fleet's budget that is pooled. The rest is divided equally."""
+
+USED_POOL_SHARE = 0.7
+"""Fraction of the pool up to which hosts take retries. The remainder covers the retries
+that hosts take before they hear of each other's."""
+
+
+@attrs.define
+class RetryPool:
+    """Track what all hosts took from the pool; not thread-safe.
+
+    Attributes
+    ----------
+    window_s : float
+        Time for which a retry counts, seconds.
+    fleet_size : int
+        Number of hosts of the fleet, including this one.
+
+    Examples
+    --------
+    >>> pool = RetryPool(window_s=10.0, fleet_size=2)
+    >>> pool.apply_report("h2", {"llm": 3}, now=0.0)
+    >>> pool.try_take("llm", pooled=10.0, now=1.0)
+    True
+    >>> pool.taken("llm", now=1.0), pool.try_take("llm", pooled=4.0, now=1.0)
+    (4, False)
+    """
+
+    window_s: float
+    fleet_size: int = 1
+    _own: dict[str, collections.deque] = attrs.field(factory=dict)
+    _reports: dict[str, tuple[float, Mapping[str, int]]] = attrs.field(factory=dict)
+    _heard: int = 0
+
+    def set_heard(self, hosts: int) -> None:
+        """Set the number of other hosts that report to this one."""
+        self._heard = hosts
+
+    def try_take(self, service: str, pooled: float, now: float) -> bool:
+        """Take one retry; return False if the pool of ``pooled`` retries is used up."""
+        known = (self._heard + 1) / max(self._heard + 1, self.fleet_size)
+        if self.taken(service, now) + 1 > USED_POOL_SHARE * known * pooled:
+            return False
+        self._own.setdefault(service, collections.deque()).append(now)
+        return True
+
+    def taken(self, service: str, now: float) -> int:
+        """Return the known retries of all hosts in the last window."""
+        total = len(self._recent(service, now))
+        for at, counts in self._reports.values():
+            if now - at < self.window_s:
+                total += counts.get(service, 0)
+        return total
+
+    def apply_report(self, host: str, counts: Mapping[str, int], now: float) -> None:
+        """Replace what another host took in its last window."""
+        self._reports[host] = now, dict(counts)
+
+    def own(self, now: float) -> dict[str, int]:
+        """Return what this host took in the last window, by service."""
+        counts = {name: len(self._recent(name, now)) for name in list(self._own)}
+        return {name: count for name, count in counts.items() if count}
+
+    def expire(self, now: float) -> None:
+        """Forget reports that are older than the window."""
+        for host, (at, _) in list(self._reports.items()):
+            if now - at >= self.window_s:
+                del self._reports[host]
+
+    def _recent(self, service: str, now: float) -> collections.deque:
+        times = self._own.get(service, collections.deque())
+        while times and times[0] <= now - self.window_s:
+            times.popleft()
+        return times
--- /dev/null
+++ b/src/sesameport/admission/tests/test_retry_pool.py
@@ -0,0 +1,95 @@
+"""Test the pooled part of the retry budget in large fleets."""
+
+import random
+
+import pytest
+
+from sesameport.admission import WindowedRetryBudget
+
+HOSTS, SLACK, WINDOW_S = 83, 206.0, 10.0
+REPORT_DELAY_S = 0.15
+
+
+class Fleet:
+    """Exchange what the hosts took from the pool, with a delay."""
+
+    def __init__(self):
+        self.hosts = [
+            WindowedRetryBudget(0.2, WINDOW_S, SLACK, hosts=HOSTS) for _ in range(HOSTS)
+        ]
+        self.requests, self.retries, self._reports = [], [], []
+        for host in self.hosts:
+            host.pool.fleet_size = HOSTS
+            host.pool.set_heard(HOSTS - 1)
+
+    def request(self, host, now):
+        self.hosts[host].record_request("llm", now)
+        self.requests.append(now)
+
+    def spend(self, host, now):
+        while self._reports and self._reports[0][0] <= now:
+            at, sender, counts = self._reports.pop(0)
+            for number, other in enumerate(self.hosts):
+                if number != sender:
+                    other.pool.apply_report(f"h{sender}", counts, at)
+        budget = self.hosts[host]
+        before = budget.pool.own(now)
+        is_allowed = budget.spend("llm", now)
+        if is_allowed:
+            self.retries.append(now)
+        if budget.pool.own(now) != before:
+            self._reports.append((now + REPORT_DELAY_S, host, budget.pool.own(now)))
+        return is_allowed
+
+    def check(self):
+        for end in self.retries:
+            requests = sum(end - WINDOW_S < at <= end for at in self.requests)
+            retries = sum(end - WINDOW_S < at <= end for at in self.retries)
+            assert retries <= 0.2 * requests + SLACK
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_retries_stay_within_the_budget_while_all_hosts_retry_everything(seed):
+    # Guards against hosts that each use the whole pool before they hear of the others.
+    rng, fleet, now = random.Random(seed), Fleet(), 0.0
+    while now < 25.0:
+        now += rng.expovariate(80.0)
+        host = rng.randrange(HOSTS)
+        fleet.request(host, now)
+        for _ in range(2):
+            fleet.spend(host, now)
+    fleet.check()
+
+
+def test_retries_stay_within_the_budget_if_all_hosts_retry_at_once():
+    # Guards against a whole fleet that takes from the pool in the same moment.
+    fleet = Fleet()
+    for host in range(HOSTS):
+        for number in range(6):
+            fleet.request(host, number * 0.5)
+    for host in range(HOSTS):
+        for _ in range(2):
+            fleet.spend(host, 5.0 + host * 0.002)
+    fleet.check()
+
+
+def test_few_hosts_may_retry_the_requests_of_a_failed_server():
+    # Guards against callers that are refused while the fleet's budget is unused.
+    fleet = Fleet()
+    allowed = [
+        fleet.spend(host, 1.0 + number) for host in range(4) for number in range(8)
+    ]
+    assert sum(allowed) == 32
+
+
+def test_host_that_hears_no_other_uses_its_own_part_of_the_pool():
+    # Guards against each side of a network partition using the whole pool.
+    budget = WindowedRetryBudget(0.0, WINDOW_S, SLACK, hosts=HOSTS)
+    budget.pool.fleet_size = HOSTS
+    assert sum(budget.spend("llm", 1.0) for _ in range(50)) <= SLACK / HOSTS
+
+
+def test_small_fleets_share_no_pool():
+    # Guards against a smaller budget of a host in a fleet where it is large enough.
+    budget = WindowedRetryBudget(0.0, WINDOW_S, 58.0, hosts=9)
+    assert sum(budget.spend("llm", 1.0) for _ in range(50)) == 5
