Keep to the rate of cold servers with permits

Cause: a cold server got its usual share of the requests of every host.

Change: the permit exchange issues permits by the smaller of the stated limit and the cold rate. Requests for permits of cold servers have an id and a topic of their own, which older hosts do not receive; a reply counts only for its request. A share of the rate that has just grown (a cut, a lost issuer, a start) is issued in part until all hosts have noticed the change (IssueShares). Placement takes cold servers only where the others have no room.

--- a/src/sesameport/admission/request_limits.py
+++ b/src/sesameport/admission/request_limits.py
@@ -4,13 +4,20 @@
 smaller of the two applies.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from sesameport.admission.cold_servers import ColdServers
+from sesameport.admission.server_health import ServerHealth
 from sesameport.admission.server_notices import ServerNotices
 
 __all__ = ["RequestLimits"]
 
+COLD_COST = 100.0
+"""Cost multiplier of a cold engine. It exceeds the ratio of the costs of any two
+engines that have room, so that a cold engine is chosen only if no other has."""
+
 
 @attrs.frozen
 class RequestLimits:
@@ -53,3 +60,12 @@
         if self.notices.limit_of(server) is None:
             return 0.0
         return self.notices.age_s(server, now)
+
+    def cost_factor(self, health: ServerHealth, now: float) -> Callable[[str], float]:
+        """Return a function of the cost multiplier of an engine."""
+
+        def factor(server: str) -> float:
+            cost = health.cost_factor(server)
+            return COLD_COST * cost if self.is_cold(server, now) else cost
+
+        return factor
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -2,15 +2,16 @@
 
 import math
 import time
-from collections.abc import Callable
 
 import pykka
 
-from sesameport.admission import RouteTable, ServerNotices
+from sesameport.admission import RequestLimits, RouteTable
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
+from sesameport.entry.cold_exchange import ColdExchange
 from sesameport.entry.host_addresses import HostAddresses
 from sesameport.entry.notice_exchange import NoticeExchange
+from sesameport.entry.placement_log import log_hosts
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
@@ -29,9 +30,6 @@
 SNAPSHOT_REQUEST_LIFETIME_S = 5.0
 """Time after a request for which changes are published as snapshots, seconds."""
 
-LOGGED_HOSTS = 8
-"""Number of host names in one log line. All hosts of a fleet may start at once."""
-
 log = get_logger("entry")
 
 
@@ -56,8 +54,8 @@
         Called with the servers that need a probe.
     on_hosts : callable
         Called with the number of hosts and whether new ones report.
-    notices : ServerNotices
-        What servers say of themselves; changed by this actor only.
+    limits : RequestLimits
+        What servers say of themselves and which are cold; changed by this actor only.
     """
 
     use_daemon_thread = True
@@ -72,7 +70,7 @@
         on_config,
         on_probe_targets,
         on_hosts,
-        notices: ServerNotices,
+        limits: RequestLimits,
     ):
         super().__init__()
         self._settings: EntrySettings = settings
@@ -90,16 +88,23 @@
             settings,
             lambda now: self._reports.record_change(self._admission, now),
             self._wake_at,
-            notices=notices,
+            limits=limits,
             publish=peers.publish,
             started_at=time.monotonic(),
         )
-        self._notices = NoticeExchange(
-            self._admission.registry, notices, peers.publish, metrics
+        registry, notices = self._admission.registry, limits.notices
+        self._notices = NoticeExchange(registry, notices, peers.publish, metrics)
+        self._cold = ColdExchange(
+            registry,
+            limits.cold,
+            peers.publish,
+            self._wake_at,
+            metrics,
+            time.monotonic(),
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
         self._entries = ServerEntries(
-            self._admission.registry, self._admission.health, notices, self._selector
+            registry, self._admission.health, notices, self._selector, self._cold
         )
         self._addresses = HostAddresses(settings.name)
         self._new_peers: list[str] = []
@@ -121,6 +126,7 @@
             m.CallOutcome: admission.monitor.record_outcome,
             m.ServerNoticed: self._record_notice,
             m.NoticeReports: self._apply_notices,
+            m.ColdReports: self._cold.apply_reports,
             m.PermitRequest: admission.permits.handle_request,
             m.PermitReply: self._apply_permits,
             m.ProbeResult: self._handle_probe_result,
@@ -165,6 +171,8 @@
             return refused if isinstance(message, m.AdmitPlain) else None
 
     def _record_notice(self, message: m.ServerNoticed, now: float) -> None:
+        remaining_s = message.notice.cold_remaining_s
+        self._cold.record_answer(message.server, remaining_s, now)
         if self._notices.record(message, now):
             self._admission.place_waiting(now)
 
@@ -291,6 +299,7 @@
             return
         self._admission.configuration = configuration
         self._admission.quota.configure(configuration.workspaces, now)
+        self._admission.limits.cold.configure(configuration.services)
         self._routes.table = RouteTable.from_configuration(configuration)
         self._on_config(configuration)
         self._metrics.set("sesameport_entry_version", configuration.version)
@@ -337,6 +346,7 @@
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self._admission.quota.change_window(bounds.quota_window_s, now)
+        self._cold.apply_bounds(bounds)
         if self._addresses.by_name:
             self._connect_hosts()
 
@@ -361,11 +371,12 @@
         silent = self._admission.use.expire(now, self._reports.scheduler.expiry_s())
         for host in silent:
             self._peer_sequences.pop(host, None)
-        _log_hosts(log.warning, "host silent", silent)
-        _log_hosts(log.info, "host heard", self._new_peers)
+        log_hosts(log.warning, "host silent", silent)
+        log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        self._notices.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
-        self._admission.permits.expire()
+        for exchange in (self._notices, self._cold):
+            exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
+        self._admission.permits.expire(now)
         self._new_peers = []
         self._entries.expire(now)
         self._admission.place_waiting(now)
@@ -382,10 +393,3 @@
         targets = self._admission.monitor.probe_targets(now)
         if targets:
             self._on_probe_targets(targets)
-
-
-def _log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
-    """Log an event of several hosts in one line, with the first of their names."""
-    if hosts:
-        names = ",".join(hosts[:LOGGED_HOSTS])
-        write(event, extra={"peer": names, "hosts": len(hosts)})
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -11,10 +11,12 @@
 from result import Err, Ok, Result
 
 from sesameport.admission import (
+    ColdServers,
     FleetQuota,
     FleetUse,
     Placement,
     PlacementPolicy,
+    RequestLimits,
     RetryAfterPolicy,
     ServerHealth,
     ServerNotices,
@@ -33,12 +35,9 @@
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.placement_log import (
-    log_over_quota,
-    log_placement,
-    log_refusal,
-)
+from sesameport.entry.placement_log import log_placement, log_refusal
 from sesameport.entry.plain_admission import PlainAdmission
+from sesameport.entry.request_charges import charge_request
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import ServerMonitor
 from sesameport.entry.settings import EntrySettings
@@ -67,8 +66,8 @@
         Schedules a call of `place_waiting` at a monotonic time.
     rng : random.Random
         Spreads the retry times of refused callers and samples servers to probe.
-    notices : ServerNotices
-        What servers say of themselves.
+    limits : RequestLimits
+        Limits of servers; its notices are what servers say of themselves.
     publish : callable
         Sends messages about permits to other hosts.
     started_at : float
@@ -81,7 +80,7 @@
         on_change: Callable[[float], None],
         wake_at: Callable[[float], None],
         rng: random.Random | None = None,
-        notices: ServerNotices | None = None,
+        limits: RequestLimits | None = None,
         publish: Callable[[m.PermitRequest | m.PermitReply], None] = lambda _: None,
         started_at: float = -math.inf,
     ):
@@ -93,12 +92,13 @@
         self.registry = ServerRegistry()
         self.use = FleetUse()
         self.health = ServerHealth()
-        self.notices = ServerNotices() if notices is None else notices
+        self.limits = limits or RequestLimits(ServerNotices(), ColdServers())
+        self.notices = self.limits.notices
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng
         )
         self.permits = PermitExchange(
-            settings.name, self.notices, self.use, publish, wake_at, rng, started_at
+            settings.name, self.limits, self.use, publish, wake_at, rng, started_at
         )
         self.quota = FleetQuota(bounds.quota_window_s)
         self.budget = WindowedRetryBudget(
@@ -179,13 +179,7 @@
         self._wake_at(queue.refuse_at(waiting_request))
 
     def _charge(self, req, service: str, now: float) -> m.Refused | None:
-        """Charge a request to its workspace; return a refusal if it is over quota."""
-        decision = self.quota.charge(req.workspace, req.charge_tokens, now)
-        if decision.is_within:
-            self.budget.record_request(service, now)
-            return None
-        log_over_quota(req, decision, self.use, now)
-        return m.Refused("over-quota", decision.retry_after_s, is_over_quota=True)
+        return charge_request(req, service, self.quota, self.budget, self.use, now)
 
     def _engine(self, name: str) -> EngineProfile | None:
         """Return the profile of the engines of a service, None without one."""
@@ -242,7 +236,7 @@
             engine,
             self.permits.usable(self.monitor.usable_servers(service, now), now),
             self.use,
-            self.health.cost_factor,
+            self.limits.cost_factor(self.health, now),
             self._policy,
             self._measurements.prefill_speeds,
             self.workload_mix(service).mean_reservation_s,
@@ -331,7 +325,7 @@
     def _service_order(self, service: str, now: float) -> list[WaitingRequest]:
         """Return the waiting requests in service order, those with a permit first."""
         order = self._queues[service].in_service_order(now)
-        if not self.permits.has_limits():
+        if not self.permits.has_limits(now):
             return order
         first = [item for item in order if self._waiting[item.key].has_permit]
         rest = [item for item in order if not self._waiting[item.key].has_permit]
--- a/src/sesameport/entry/generation_limits.py
+++ b/src/sesameport/entry/generation_limits.py
@@ -47,7 +47,7 @@
             limited = [
                 server.name
                 for server in servers
-                if self._permits.is_limited(server.name)
+                if self._permits.is_limited(server.name, now)
             ]
             self._permits.ask_limited(limited, need, now)
 
@@ -102,28 +102,28 @@
 
     def _limited_prefill(self, service: str, now: float) -> list[EntryServer]:
         """Return the usable prefill engines if all of them name limits."""
-        if not self._permits.has_limits():
+        if not self._permits.has_limits(now):
             return []
         usable = self._monitor.usable_servers(service, now)
         prefill = [server for server in usable if server.can_prefill()]
-        if all(self._permits.is_limited(server.name) for server in prefill):
+        if all(self._permits.is_limited(server.name, now) for server in prefill):
             return prefill
         return []
 
     def _limited_decode(self, service: str, now: float) -> list[EntryServer]:
-        if not self._permits.has_limits():
+        if not self._permits.has_limits(now):
             return []
         return [
             server
             for server in self._monitor.decode_servers(service, now)
-            if self._permits.is_limited(server.name)
+            if self._permits.is_limited(server.name, now)
         ]
 
     def _by_role(
         self, service: str, now: float
     ) -> list[tuple[Shortage, list[EntryServer]]]:
         """Return pairs of a shortage and the usable servers that would end it."""
-        if not self._permits.has_limits():
+        if not self._permits.has_limits(now):
             return []
         usable = self._monitor.usable_servers(service, now)
         decode = [server for server in usable if server.can_decode()]
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -8,9 +8,10 @@
 
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
-from sesameport.admission import ServerNotices
+from sesameport.admission import ColdServers, RequestLimits, ServerNotices
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
+from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.current_routes import CurrentRoutes
@@ -106,7 +107,8 @@
             SuspectStore(self._store, self._closing),
             self.metrics,
         )
-        notices = ServerNotices()
+        cold = ColdServers(cold_bounds(settings.bounds))
+        limits = RequestLimits(ServerNotices(), cold)
         self._actor = EntryActor.start(
             settings,
             self._routes,
@@ -116,9 +118,9 @@
             self._apply_limits,
             self._reachability_probe.start_round,
             self._guard.record_hosts,
-            notices,
+            limits,
         )
-        self._calls = calls = NoticedServerClient(notices, self._tell, self.metrics)
+        self._calls = calls = NoticedServerClient(limits, self._tell, self.metrics)
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from sesameport.admission import (
+    ColdReport,
     NoticeReport,
     ServerUse,
     SuspectReport,
@@ -12,6 +13,7 @@
 from sesameport.entry.servers import EntryServer
 
 __all__ = [
+    "ColdReports",
     "FleetSnapshot",
     "HostReport",
     "HostReports",
@@ -82,6 +84,13 @@
     reports: tuple[NoticeReport, ...]
 
 
+@attrs.frozen
+class ColdReports:
+    """Report the cold servers that a host knows; see ``admission.ColdServers``."""
+
+    reports: tuple[ColdReport, ...]
+
+
 @attrs.frozen
 class PermitRequest:
     """Request permits for a limited server from the host that issues them.
@@ -98,6 +107,9 @@
         Number of requests that wait for a permit.
     unused : int
         Number of earlier permits that expired unused.
+    ask_id : int
+        Identifies a request for permits of a cold server; 0 for other servers. Older
+        hosts do not receive such requests.
     """
 
     to_host: str
@@ -106,17 +118,22 @@
     limit_per_s: float
     count: int
     unused: int
+    ask_id: int = 0
 
 
 @attrs.frozen
 class PermitReply:
-    """Issue permits to the host that requested them; see ``admission.Grant``."""
+    """Issue permits to the host that requested them; see ``admission.Grant``.
+
+    ``ask_id`` is that of the request.
+    """
 
     to_host: str
     server: str
     delays: tuple[float, ...]
     retry_s: float
     wait_s: float
+    ask_id: int = 0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -7,6 +7,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.host_messages import (
+    ColdReports,
     FleetSnapshot,
     HostReport,
     HostReports,
@@ -27,6 +28,7 @@
     "GetUsableServers",
     "GetExpiredHosts",
     "ApplyConfiguration",
+    "ColdReports",
     "FleetCounts",
     "HostReport",
     "HostReports",
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -19,6 +19,7 @@
 from result import Err, Ok, Result
 
 from sesameport.entry.messages import (
+    ColdReports,
     FleetSnapshot,
     HostAnnounced,
     HostReport,
@@ -30,10 +31,12 @@
     SuspectReports,
 )
 from sesameport.entry.report_codec import (
+    decode_cold,
     decode_notices,
     decode_permits,
     decode_report,
     decode_suspects,
+    encode_cold,
     encode_notices,
     encode_permits,
     encode_report,
@@ -77,6 +80,9 @@
 _NOTICES = b"n"
 _PERMITS = b"g"
 """First byte of the topics of single hosts; see `_permit_topic`."""
+_COLD = b"w"
+_COLD_PERMITS = b"k"
+"""First byte of the topics of single hosts about permits for cold servers."""
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -115,6 +121,7 @@
                 | HostAnnounced
                 | SuspectReports
                 | NoticeReports
+                | ColdReports
                 | PermitRequest
                 | PermitReply
             ],
@@ -146,6 +153,7 @@
         | FleetSnapshot
         | SuspectReports
         | NoticeReports
+        | ColdReports
         | PermitRequest
         | PermitReply,
     ) -> None:
@@ -159,8 +167,12 @@
         if isinstance(message, NoticeReports):
             self._control.send_multipart([_NOTICES, encode_notices(message)])
             return
+        if isinstance(message, ColdReports):
+            self._control.send_multipart([_COLD, encode_cold(message)])
+            return
         if isinstance(message, PermitRequest | PermitReply):
-            topic = _permit_topic(message.to_host)
+            first = _COLD_PERMITS if message.ask_id else _PERMITS
+            topic = _permit_topic(message.to_host, first)
             self._control.send_multipart([topic, encode_permits(message)])
             return
         if isinstance(message, HostReport):
@@ -199,7 +211,9 @@
         subscriber.subscribe(_PARTIAL_REPORT)
         subscriber.subscribe(_SUSPECTS)
         subscriber.subscribe(_NOTICES)
-        subscriber.subscribe(_permit_topic(self._name))
+        subscriber.subscribe(_COLD)
+        for first in (_PERMITS, _COLD_PERMITS):
+            subscriber.subscribe(_permit_topic(self._name, first))
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
@@ -312,7 +326,10 @@
         if topic == _NOTICES:
             self._receive(decode_notices(data))
             return None
-        if topic.startswith(_PERMITS):
+        if topic == _COLD:
+            self._receive(decode_cold(data))
+            return None
+        if topic[:1] in (_PERMITS, _COLD_PERMITS):
             self._receive(decode_permits(data))
             return None
         match decode_report(data):
@@ -345,9 +362,9 @@
         self._receive(_decode_snapshot(data))
 
 
-def _permit_topic(host: str) -> bytes:
+def _permit_topic(host: str, first: bytes) -> bytes:
     """Return the topic of one host; subscriptions match by prefix, so it has an end."""
-    return _PERMITS + host.encode() + b"\0"
+    return first + host.encode() + b"\0"
 
 
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
--- a/src/sesameport/entry/permit_exchange.py
+++ b/src/sesameport/entry/permit_exchange.py
@@ -4,6 +4,10 @@
 reports of each other may choose different ones. Each issuer therefore issues only the
 part of the limit that corresponds to the share of the fleet that reports to it. A host
 without a reply sends nothing.
+
+The rate of a cold server holds in each second. Its permits follow `COLD_PACING`, their
+replies are matched to requests, and a share that has just grown is not issued in full;
+see `IssueShares`.
 """
 
 import math
@@ -13,13 +17,15 @@
 import attrs
 
 from sesameport.admission import (
+    COLD_PACING,
     FleetUse,
     PermitIssuer,
     PermitStock,
-    ServerNotices,
+    RequestLimits,
     choose_issuer,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.issue_shares import IssueShares
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
@@ -68,8 +74,9 @@
 
 @attrs.define
 class _Ask:
-    until: float
+    at: float
     count: int
+    ask_id: int = 0
 
 
 @attrs.define
@@ -87,8 +94,8 @@
     ----------
     host : str
         Name of this host.
-    notices : ServerNotices
-        Limits that servers name.
+    limits : RequestLimits
+        Limits that servers name, and the rates of cold servers.
     use : FleetUse
         Knows the hosts that report.
     publish : callable
@@ -104,7 +111,7 @@
     def __init__(
         self,
         host: str,
-        notices: ServerNotices,
+        limits: RequestLimits,
         use: FleetUse,
         publish: Callable[[m.PermitRequest | m.PermitReply], None],
         wake_at: Callable[[float], None],
@@ -112,13 +119,15 @@
         started_at: float = -math.inf,
     ):
         self._host = host
-        self._notices = notices
+        self._limits = limits
         self._use = use
         self._publish = publish
         self._wake_at = wake_at
         self._rng = rng
         self._issues_from = started_at + START_PAUSE_S
         self._issuer = PermitIssuer()
+        self._cold_issuer = PermitIssuer()
+        self._shares = IssueShares(host)
         self._stock = PermitStock()
         self._asks: dict[str, _Ask] = {}
         self._denials: dict[str, _Denial] = {}
@@ -132,43 +141,53 @@
 
     def usable(self, servers: list[EntryServer], now: float) -> list[EntryServer]:
         """Return the servers that may get a request now."""
-        if not self.has_limits():
+        if not self.has_limits(now):
             return servers
         return [server for server in servers if self.may_send(server.name, now)]
 
     def may_send(self, server: str, now: float) -> bool:
         """Return whether a server has no limit or this host has a permit for it."""
-        if not self.is_limited(server):
+        if not self.is_limited(server, now):
             return True
-        return min(self._stock.starts(server, now), default=math.inf) <= now
+        return min(self._starts(server, now), default=math.inf) <= now
+
+    def has_limits(self, now: float) -> bool:
+        """Return whether any server has a limit."""
+        return self._limits.has_limits(now)
 
-    def has_limits(self) -> bool:
-        """Return whether any server names a limit."""
-        return bool(self._notices.limited())
+    def is_limited(self, server: str, now: float) -> bool:
+        """Return whether a server has a limit, perhaps because it is cold."""
+        return self._limits.limit_of(server, now) is not None
 
-    def is_limited(self, server: str) -> bool:
-        """Return whether a server names a limit."""
-        return self._notices.limit_of(server) is not None
+    def is_cold(self, server: str, now: float) -> bool:
+        """Return whether a server is cold."""
+        return self._limits.is_cold(server, now)
 
     def take(self, server: str, now: float) -> bool:
         """Use up a permit for a request; return False if it must not be sent."""
-        return not self.is_limited(server) or self._stock.take(server, now)
+        if not self.is_limited(server, now):
+            return True
+        return self._stock.take(server, now, self.is_cold(server, now))
 
     def ask(self, servers: Iterable[EntryServer], need: int, now: float) -> None:
         """Request permits for ``need`` requests that any of the servers can serve.
 
         If one of the servers has no limit, a permit is requested only to find out
-        whether a limit still holds.
+        whether a limit still holds. None is requested for cold servers: a cold time
+        ends by itself, and their unused permits are not issued again.
         """
-        if not self.has_limits():
+        if not self.has_limits(now):
             return
         servers = list(servers)
-        limited = [item.name for item in servers if self.is_limited(item.name)]
+        limited = [item.name for item in servers if self.is_limited(item.name, now)]
         if len(limited) < len(servers):
             limited = [
-                name for name in limited if self._notices.age_s(name, now) > REFRESH_S
+                name
+                for name in limited
+                if self._limits.stated_age_s(name, now) > REFRESH_S
             ]
             need = len(limited)
+        limited = [name for name in limited if not self.is_cold(name, now)]
         self.ask_limited(limited, need, now)
 
     def ask_limited(self, limited: list[str], need: int, now: float) -> None:
@@ -195,9 +214,9 @@
         forecasts = []
         for server in servers:
             name = server.name
-            if not self.is_limited(name):
+            if not self.is_limited(name, now):
                 return None
-            starts.extend(self._stock.starts(name, now))
+            starts.extend(self._starts(name, now))
             denial = self._denials.get(name)
             if denial is not None and now < denial.retry_at + FORECAST_LIFETIME_S:
                 forecasts.append(max(0.0, denial.expected_at - now))
@@ -216,8 +235,15 @@
     def handle_reply(self, reply: m.PermitReply, now: float) -> None:
         """Add issued permits, or remember until when there are none."""
         name = reply.server
-        ask = self._asks.pop(name, None)
-        self._stock.add(name, reply.delays, now)
+        ask = self._asks.get(name)
+        if reply.ask_id:
+            # A late reply to an earlier request does not show when it was issued.
+            if ask is None or ask.ask_id != reply.ask_id:
+                return
+            self._stock.add(name, reply.delays, now, ask.at)
+        else:
+            self._stock.add(name, reply.delays, now)
+        self._asks.pop(name, None)
         self._denials.pop(name, None)
         for delay in reply.delays:
             self._wake_at(now + delay)
@@ -226,18 +252,23 @@
             self._denials[name] = _Denial(retry_at, now + reply.wait_s)
             self._wake_at(retry_at)
 
-    def expire(self) -> None:
-        """Forget servers that name no limit any more."""
+    def expire(self, now: float) -> None:
+        """Forget servers without a limit, and record the hosts that are heard."""
+        self._record_hosts(now)
         for entries in (self._asks, self._denials):
-            for name in [name for name in entries if not self.is_limited(name)]:
+            for name in [name for name in entries if not self.is_limited(name, now)]:
                 del entries[name]
 
     def _ask_for(self, name: str, count: int, now: float) -> None:
-        self._asks[name] = _Ask(now + REPLY_TIMEOUT_S, count)
+        is_cold = self.is_cold(name, now)
+        ask_id = 1 + self._rng.getrandbits(31) if is_cold else 0
+        self._asks[name] = _Ask(now, count, ask_id)
         issuer = choose_issuer(name, [self._host, *self._use.hosts()])
-        limit = self._notices.limit_of(name)
+        limit = self._limits.limit_of(name, now)
         unused = self._stock.pop_unused(name, now)
-        request = m.PermitRequest(issuer, self._host, name, limit, count, unused)
+        request = m.PermitRequest(
+            issuer, self._host, name, limit, count, unused, ask_id
+        )
         if issuer == self._host:
             self.handle_reply(self._issue(request, now), now)
             return
@@ -248,30 +279,77 @@
         hosts = [self._host, *self._use.hosts()]
         name = request.server
         if choose_issuer(name, hosts) != self._host:
-            return _deny(name, NOT_ISSUER_RETRY_S)
+            return _deny(request, NOT_ISSUER_RETRY_S)
         if not self._is_fleet_known and now < self._issues_from:
-            return _deny(name, NOT_ISSUER_RETRY_S)
-        known = self._notices.limit_of(name)
+            return _deny(request, NOT_ISSUER_RETRY_S)
+        known = self._limits.limit_of(name, now)
         limit = (
             request.limit_per_s if known is None else min(known, request.limit_per_s)
         )
+        if request.ask_id:
+            return self._issue_cold(request, limit, now)
+        if self.is_cold(name, now):
+            # The requesting host does not know it yet, or its build cannot.
+            return _deny(request, NOT_ISSUER_RETRY_S)
         share = len(hosts) / max(len(hosts), self._fleet_size)
         grant = self._issuer.issue(
             name, request.from_host, request.count, limit * share, now, request.unused
         )
         return m.PermitReply("", name, grant.delays, grant.retry_s, grant.wait_s)
 
+    def _issue_cold(
+        self, request: m.PermitRequest, per_s: float, now: float
+    ) -> m.PermitReply:
+        """Issue permits of a cold server, which takes ``per_s`` requests per second."""
+        bounds = self._limits.cold.bounds
+        if bounds is None:
+            return _deny(request, NOT_ISSUER_RETRY_S)
+        self._record_hosts(now)
+        share = self._shares.share_of(request.server, now)
+        allowed = share.allowed(bounds.early_share())
+        if allowed <= 0.0:
+            return _deny(request, NOT_ISSUER_RETRY_S)
+        grant = self._cold_issuer.issue(
+            request.server,
+            request.from_host,
+            request.count,
+            bounds.issue_rate(per_s) * allowed,
+            now,
+            pacing=COLD_PACING,
+            phase=self._rng.random() if share.present < 1.0 else 0.0,
+        )
+        return m.PermitReply(
+            "",
+            request.server,
+            grant.delays,
+            grant.retry_s,
+            grant.wait_s,
+            request.ask_id,
+        )
+
+    def _record_hosts(self, now: float) -> None:
+        """Record the hosts that are heard, for the shares of cold rates.
+
+        A host that knows no other and no listing may be cut off from a fleet.
+        """
+        is_known = self._is_fleet_known or self._fleet_size > 1
+        size = self._fleet_size if is_known else 0
+        self._shares.record([self._host, *self._use.hosts()], size, now)
+
+    def _starts(self, name: str, now: float) -> list[float]:
+        return self._stock.starts(name, now, self.is_cold(name, now))
+
     def _expected(self, name: str, now: float) -> int:
         """Return the permits that this host has or has requested."""
         asked = self._asks[name].count if self._is_pending(name, now) else 0
-        return len(self._stock.starts(name, now)) + asked
+        return len(self._starts(name, now)) + asked
 
     def _is_pending(self, name: str, now: float) -> bool:
-        return name in self._asks and now < self._asks[name].until
+        return name in self._asks and now < self._asks[name].at + REPLY_TIMEOUT_S
 
     def _is_denied(self, name: str, now: float) -> bool:
         return name in self._denials and now < self._denials[name].retry_at
 
 
-def _deny(server: str, seconds: float) -> m.PermitReply:
-    return m.PermitReply("", server, (), seconds, seconds)
+def _deny(request: m.PermitRequest, seconds: float) -> m.PermitReply:
+    return m.PermitReply("", request.server, (), seconds, seconds, request.ask_id)
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -1,10 +1,21 @@
 """Log where generations are placed, what is refused and how recent reports were."""
 
+from collections.abc import Callable
+
 from sesameport.admission import FleetUse, Placement, QuotaDecision
 from sesameport.entry import messages as m
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["fleet_view_fields", "log_over_quota", "log_placement", "log_refusal"]
+__all__ = [
+    "fleet_view_fields",
+    "log_hosts",
+    "log_over_quota",
+    "log_placement",
+    "log_refusal",
+]
+
+LOGGED_HOSTS = 8
+"""Number of host names in one log line. All hosts of a fleet may start at once."""
 
 log = get_logger("entry")
 
@@ -75,3 +86,10 @@
             **fleet_view_fields(use, now),
         },
     )
+
+
+def log_hosts(write: Callable, event: str, hosts: list[str]) -> None:
+    """Log an event of several hosts in one line, with the first of their names."""
+    if hosts:
+        names = ",".join(hosts[:LOGGED_HOSTS])
+        write(event, extra={"peer": names, "hosts": len(hosts)})
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -125,11 +125,17 @@
         return m.Admitted(plain=server)
 
     def _choose(self, candidates, now: float) -> EntryServer | None:
+        """Return a server, a cold one only if the others are full."""
+        usable = self._permits.usable(candidates, now)
+        warm = [item for item in usable if not self._permits.is_cold(item.name, now)]
+        server = self._choose_among(warm)
+        if len(warm) == len(usable) or (server and not self._is_full(server)):
+            return server
+        return self._choose_among(usable)
+
+    def _choose_among(self, servers: list[EntryServer]) -> EntryServer | None:
         return choose_plain_server(
-            self._data_centre,
-            self._permits.usable(candidates, now),
-            self._use,
-            self._health.cost_factor,
+            self._data_centre, servers, self._use, self._health.cost_factor
         )
 
     def _ask(
@@ -139,7 +145,9 @@
         need = len(self._waiting) + 1
         if server is None or self._is_full(server):
             limited = [
-                item.name for item in candidates if self._permits.is_limited(item.name)
+                item.name
+                for item in candidates
+                if self._permits.is_limited(item.name, now)
             ]
             self._permits.ask_limited(limited, need, now)
             return
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -9,12 +9,14 @@
 from result import Err, Ok, Result
 
 from sesameport.admission import (
+    ColdReport,
     NoticeReport,
     ServerUse,
     SuspectReport,
     WaitingTokens,
 )
 from sesameport.entry.host_messages import (
+    ColdReports,
     HostReport,
     NoticeReports,
     PermitReply,
@@ -24,10 +26,12 @@
 from sesameport.entry.server_notices import ServerNotice
 
 __all__ = [
+    "decode_cold",
     "decode_notices",
     "decode_permits",
     "decode_report",
     "decode_suspects",
+    "encode_cold",
     "encode_notices",
     "encode_permits",
     "encode_report",
@@ -38,8 +42,17 @@
 _Waiting = tuple[int, int]
 _Suspect = tuple[str, dict[str, bool], int]
 _Notice = tuple[str, int, float | None, bool, float]
+_Cold = tuple[str, int, float, float]
 _PermitRequest = tuple[str, str, str, float, int, int]
 _PermitReply = tuple[str, str, tuple[float, ...], float, float]
+_ColdPermitRequest = tuple[str, str, str, float, int, int, int]
+_ColdPermitReply = tuple[str, str, tuple[float, ...], float, float, int]
+_PERMIT_KINDS = (
+    (_PermitRequest, PermitRequest),
+    (_PermitReply, PermitReply),
+    (_ColdPermitRequest, PermitRequest),
+    (_ColdPermitReply, PermitReply),
+)
 _Report = tuple[
     str,
     int,
@@ -164,14 +177,42 @@
     )
 
 
+def encode_cold(message: ColdReports) -> bytes:
+    """Return reports of cold servers as MessagePack."""
+    return msgspec.msgpack.encode(
+        [
+            (
+                item.server,
+                item.started_at_ms,
+                round(item.remaining_s, 3),
+                round(item.age_s, 3),
+            )
+            for item in message.reports
+        ]
+    )
+
+
+def decode_cold(data: bytes) -> Result[ColdReports, str]:
+    """Return what `encode_cold` encoded, or an Err with the reason."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Cold])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    return Ok(ColdReports(tuple(ColdReport(*item) for item in fields)))
+
+
 def encode_permits(message: PermitRequest | PermitReply) -> bytes:
-    """Return a message about permits as MessagePack."""
-    return msgspec.msgpack.encode(attrs.astuple(message))
+    """Return a message about permits as MessagePack.
+
+    Older hosts do not know ``ask_id``, so it is encoded only if it is set.
+    """
+    fields = attrs.astuple(message)
+    return msgspec.msgpack.encode(fields if message.ask_id else fields[:-1])
 
 
 def decode_permits(data: bytes) -> Result[PermitRequest | PermitReply, str]:
     """Return what `encode_permits` encoded, or an Err with the reason."""
-    for encoded, kind in ((_PermitRequest, PermitRequest), (_PermitReply, PermitReply)):
+    for encoded, kind in _PERMIT_KINDS:
         try:
             return Ok(kind(*msgspec.msgpack.decode(data, type=encoded)))
         except (msgspec.DecodeError, msgspec.ValidationError) as exc:
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from sesameport.admission import ServerNotices
+from sesameport.admission import RequestLimits
 from sesameport.entry import messages as m
 from sesameport.entry.requests import (
     CallFailure,
@@ -27,21 +27,22 @@
 
     Parameters
     ----------
-    notices : ServerNotices
-        Known notices of servers.
+    limits : RequestLimits
+        Known notices and limits of servers.
     tell : callable
         Sends `ServerNoticed` to the entry actor.
     metrics : Metrics
-        Counts the calls of servers that name a limit.
+        Counts the calls of servers that name a limit or are cold.
     """
 
     def __init__(
         self,
-        notices: ServerNotices,
+        limits: RequestLimits,
         tell: Callable[[m.ServerNoticed], None],
         metrics,
     ):
-        self._notices = notices
+        self._limits = limits
+        self._notices = limits.notices
         self._tell = tell
         self._metrics = metrics
         self._calls: ServerClient | None = None
@@ -73,10 +74,10 @@
     def free(self, source: KvSource):
         """Release the KV cache of a prefill; see ``ServerClient``.
 
-        A server that names a limit or wants nothing releases it at its expiry.
+        A server that has a limit or wants nothing releases it at its expiry.
         """
-        if self._notices.limit_of(source.server) is not None:
-            return Err("the server names a limit of requests")
+        if self._limits.limit_of(source.server, time.monotonic()) is not None:
+            return Err("the server has a limit of requests")
         if self._is_paused(source.server):
             return Err(PAUSED.detail)
         return self._calls.free(source)
@@ -92,3 +93,5 @@
     def _count(self, server: str, call: str) -> None:
         if self._notices.limit_of(server) is not None:
             self._metrics.count("sesameport_entry_limited_calls_total", call=call)
+        if self._limits.is_cold(server, time.monotonic()):
+            self._metrics.count("sesameport_entry_cold_calls_total", call=call)
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from sesameport.admission import ServerHealth, ServerNotices, ServerRegistry
+from sesameport.entry.cold_exchange import ColdExchange
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -26,6 +27,8 @@
         What servers say of themselves.
     selector : RoleChangeSelector
         Learns of lost and new servers.
+    cold : ColdExchange
+        Learns which servers are cold.
     """
 
     def __init__(
@@ -34,17 +37,19 @@
         health: ServerHealth,
         notices: ServerNotices,
         selector: RoleChangeSelector,
+        cold: ColdExchange,
     ):
         self._registry = registry
         self._health = health
         self._notices = notices
         self._selector = selector
+        self._cold = cold
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
     ) -> None:
         """Apply changed entries, then remove the named ones."""
-        self._record_new_entries(changed)
+        self._record_new_entries(changed, now)
         for server in changed:
             self._registry.put(server)
         for name in removed:
@@ -55,7 +60,8 @@
 
     def replace(self, servers: Iterable[EntryServer], now: float) -> None:
         """Apply a complete listing."""
-        self._record_new_entries(servers)
+        self._record_new_entries(servers, now)
+        self._cold.record_listing()
         before = {server.name for server in self._registry.all()}
         self._registry.replace(servers, now)
         remaining = {server.name for server in self._registry.all()}
@@ -74,9 +80,10 @@
         if server is not None:
             self._selector.record_loss(server.service, now)
 
-    def _record_new_entries(self, servers: Iterable[EntryServer]) -> None:
+    def _record_new_entries(self, servers: Iterable[EntryServer], now: float) -> None:
         """Log new and changed entries and update what depends on them."""
         for server in servers:
+            self._cold.record_entry(server, now)
             known = self._registry.get(server.name)
             if known == server:
                 continue
--- a/src/sesameport/entry/tests/test_permit_exchange.py
+++ b/src/sesameport/entry/tests/test_permit_exchange.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameport.admission import FleetUse, ServerNotices
+from sesameport.admission import ColdServers, FleetUse, RequestLimits, ServerNotices
 from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
 from sesameport.entry.permit_exchange import PermitExchange
@@ -39,7 +39,7 @@
         notices.record(SERVER.name, 0, ServerNotice(LIMIT), 0.0)
         exchange = PermitExchange(
             name,
-            notices,
+            RequestLimits(notices, ColdServers()),
             self.uses[name],
             lambda message: self._publish(name, message),
             lambda at: None,
@@ -129,7 +129,13 @@
     notices = ServerNotices()
     notices.record(SERVER.name, 0, ServerNotice(LIMIT), 0.0)
     exchange = PermitExchange(
-        "h1", notices, FleetUse(), print, print, random.Random(1), started_at=0.0
+        "h1",
+        RequestLimits(notices, ColdServers()),
+        FleetUse(),
+        print,
+        print,
+        random.Random(1),
+        started_at=0.0,
     )
     for now in (0.1, 1.0, 2.9):
         exchange.ask([SERVER], 1, now)
