--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -127,6 +127,9 @@
             m.ServerNoticed: self._record_notice,
             m.NoticeReports: self._apply_notices,
             m.ColdReports: self._cold.apply_reports,
+            m.EvacuationEnded: lambda message, now: self._cold.on_evacuation_ended(
+                message.data_centre, now
+            ),
             m.PermitRequest: admission.permits.handle_request,
             m.PermitReply: self._apply_permits,
             m.ProbeResult: self._handle_probe_result,
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -29,6 +29,7 @@
     "GetExpiredHosts",
     "ApplyConfiguration",
     "ColdReports",
+    "EvacuationEnded",
     "FleetCounts",
     "HostReport",
     "HostReports",
@@ -254,6 +255,13 @@
     removed: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class EvacuationEnded:
+    """Report that requests may be sent to a data centre again; it may be cold."""
+
+    data_centre: str
+
+
 @attrs.frozen
 class HostsChanged:
     """Replace the peer addresses of all registered hosts, by name."""
--- /dev/null
+++ b/src/sesameport/platform/tests/test_cold_servers.py
@@ -0,0 +1,139 @@
+"""Test what hosts send to cold servers, with real hosts before fake replicas."""
+
+import concurrent.futures
+import json
+import time
+
+import pytest
+
+from sesameport.entry import messages as m
+from sesameport.entry.settings import FleetBounds
+from sesameport.platform.tests.conftest import make_configuration, wait_until
+
+COLD_START_S, COLD_PER_S, OVERSHOOT, SLACK = 5.0, 2.0, 1.5, 5.0
+ALLOWED = COLD_PER_S * OVERSHOOT + SLACK
+BOUNDS = FleetBounds(cold_overshoot=OVERSHOOT, cold_slack=SLACK)
+
+
+@pytest.fixture
+def fleet(cluster):
+    """Return a cluster with two hosts and cold rates for both services."""
+    services = [
+        {**service, "coldStartS": COLD_START_S, "coldPerS": COLD_PER_S}
+        for service in make_configuration()["services"]
+    ]
+    cluster.configure(2, services=services)
+    for name in ("s2", "s3"):
+        cluster.add_replica(name, "desk")
+    for name in ("h1", "h2"):
+        cluster.start_host(name, bounds=BOUNDS)
+    wait_until(lambda: all(host.peer_count() == 1 for host in cluster.hosts))
+    wait_until(lambda: all(host.server_count() == 5 for host in cluster.hosts))
+    time.sleep(3.6)  # shares of hosts that have just started are not issued in full
+    return cluster
+
+
+def send_all(cluster, seconds, rate):
+    """Send plain requests to the hosts in turn; return the statuses and durations."""
+
+    def send(number):
+        began_at = time.monotonic()
+        host = cluster.hosts[number % len(cluster.hosts)]
+        response = cluster.send_request("/book/x", "POST", b"b", host=host)
+        return response.status, time.monotonic() - began_at
+
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        futures = []
+        for number in range(int(seconds * rate)):
+            futures.append(pool.submit(send, number))
+            time.sleep(1.0 / rate)
+        return [fut.result() for fut in futures]
+
+
+def most_in_a_second(replica, since):
+    times = [at for at in replica.received_at if at >= since]
+    return max((sum(at <= i < at + 1.0 for i in times) for at in times), default=0)
+
+
+def lines(stream, event):
+    found = [json.loads(line) for line in stream.getvalue().splitlines()]
+    return [line for line in found if line["event"] == event]
+
+
+def test_new_server_gets_its_cold_rate_and_adds_no_latency(fleet, log_lines):
+    # Its entry says nothing of its cold time, but hosts see it start during traffic.
+    replica = fleet.add_replica("s4", "desk")
+    for name in ("s1", "s2", "s3", "s4"):
+        fleet.replicas[name].pause_s = 0.1
+    wait_until(lambda: len(lines(log_lines, "server cold")) >= 2)
+    results = send_all(fleet, 3.0, 30.0)
+    assert {status for status, _ in results} == {200}
+    assert sorted(seconds for _, seconds in results)[len(results) * 9 // 10] < 0.3
+    assert replica.received_at == []  # the others have room
+    wait_until(lambda: len(lines(log_lines, "server no longer cold")) >= 2)
+    assert {line["source"] for line in lines(log_lines, "server cold")} == {"start"}
+    send_all(fleet, 1.5, 60.0)
+    assert replica.received_at  # the rate has ended by itself
+
+
+def test_answer_and_entry_state_a_cold_time_that_all_hosts_learn(fleet, log_lines):
+    fleet.replicas["s1"].says["X-Cold-Remaining-Ms"] = "4000"
+    fleet.send_request("/book/x", "POST", b"b", host=fleet.hosts[0])
+    fleet.send_request("/book/x", "POST", b"b", host=fleet.hosts[0])
+    fleet.send_request("/book/x", "POST", b"b", host=fleet.hosts[0])
+    entry = fleet.replicas["s2"].registration("desk", coldRemainingMs=4000)
+    fleet.store.put("servers", "s2", entry)
+    wait_until(lambda: len(lines(log_lines, "server cold")) >= 4)
+    found = [(x["server"], x["source"]) for x in lines(log_lines, "server cold")]
+    assert sorted(found) == [
+        ("s1", "answer"),
+        ("s1", "host"),
+        ("s2", "entry"),
+        ("s2", "entry"),
+    ]
+    # The countdown is not logged as a change of the entry.
+    assert len(lines(log_lines, "server entry")) == 0
+
+
+def test_data_centre_that_returns_cold_does_not_stall_its_service(fleet, log_lines):
+    for host in fleet.hosts:
+        host._actor.tell(m.EvacuationEnded("a"))
+    wait_until(lambda: len(lines(log_lines, "server cold")) >= 10)
+    since = time.monotonic()
+    results = send_all(fleet, 4.0, 20.0)
+    served = [status for status, _ in results].count(200)
+    assert served >= 0.6 * 4.0 * 3 * COLD_PER_S
+    assert {status for status, _ in results} <= {200, 503}
+    assert max(seconds for _, seconds in results) < 0.6
+    for name in ("s1", "s2", "s3"):
+        assert most_in_a_second(fleet.replicas[name], since) <= ALLOWED, name
+    time.sleep(max(0.0, since + COLD_START_S + 0.5 - time.monotonic()))
+    assert {status for status, _ in send_all(fleet, 1.0, 20.0)} == {200}
+
+
+def test_drafts_before_cold_engines_keep_to_the_rate(fleet, log_lines):
+    for host in fleet.hosts:
+        host._actor.tell(m.EvacuationEnded("a"))
+    wait_until(lambda: len(lines(log_lines, "server cold")) >= 10)
+    since = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        futures = []
+        for number in range(60):
+            host = fleet.hosts[number % 2]
+            futures.append(pool.submit(fleet.send_generation, "draft", host=host))
+            time.sleep(0.05)
+        statuses = [fut.result().status for fut in futures]
+    assert statuses.count(200) >= 0.5 * 3.0 * COLD_PER_S, statuses
+    for name in ("p1", "d1"):
+        assert most_in_a_second(fleet.replicas[name], since) <= ALLOWED, name
+
+
+def test_no_server_is_cold_without_the_bound(cluster, host, log_lines):
+    services = [{"name": "desk", "coldStartS": 5, "coldPerS": 1}, {"name": "llm"}]
+    cluster.configure(2, services=services)
+    entry = cluster.replicas["s1"].registration("desk", coldRemainingMs=9000)
+    cluster.store.put("servers", "s1", entry)
+    wait_until(lambda: host.configuration_version() == 2)
+    time.sleep(0.3)
+    assert {cluster.send_request("/open/x").status for _ in range(12)} == {200}
+    assert lines(log_lines, "server cold") == []
