Keep requests in the home regions of their route and workspace

Cause: a request could reach any server of its service.

Change: allowedRegions of routes and workspaces, and the regions of data centres (zones of the settings file, reloaded with it). CandidateServers filters the servers of plain requests, prefills, decodes and resumed streams; a request without a usable server in its regions is refused with no-home-region, also while it waits. A request that is restricted and finds no memory does not hold back others. An allowedRegions that is no list of texts makes the configuration invalid; an empty one restricts nothing.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -16,6 +16,7 @@
 )
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
+from sesameport.admission.home_regions import combine_regions, filter_by_region
 from sesameport.admission.permits import (
     COLD_PACING,
     Grant,
@@ -88,7 +89,9 @@
     "place_generation",
     "choose_issuer",
     "choose_plain_server",
+    "combine_regions",
     "expected_output_tokens",
+    "filter_by_region",
     "forecast_fit_s",
     "forecast_wait_s",
     "reserved_kv_tokens",
--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -98,6 +98,7 @@
     """Represent a generation request to be placed.
 
     ``is_prefilled`` means that a prefill server holds the KV cache of the prompt.
+    ``allowed_regions`` are the regions of the servers that it may reach, None for all.
     """
 
     service: str
@@ -106,6 +107,11 @@
     output_tokens: int
     excluded: frozenset[str] = frozenset()
     is_prefilled: bool = False
+    allowed_regions: frozenset[str] | None = None
+
+    def is_restricted(self) -> bool:
+        """Return whether another request may fit where this one does not."""
+        return bool(self.excluded) or self.allowed_regions is not None
 
 
 @attrs.frozen
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -350,6 +350,7 @@
         )
         self._admission.quota.change_window(bounds.quota_window_s, now)
         self._cold.apply_bounds(bounds)
+        self._admission.candidates.regions = message.settings.regions
         if self._addresses.by_name:
             self._connect_hosts()
 
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -31,6 +31,7 @@
     reserved_kv_tokens,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
@@ -97,6 +98,7 @@
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng
         )
+        self.candidates = CandidateServers(self.monitor, settings.regions)
         self.permits = PermitExchange(
             settings.name, self.limits, self.use, publish, wake_at, rng, started_at
         )
@@ -106,7 +108,7 @@
         )
         self._plain = PlainAdmission(
             settings.data_centre,
-            self.monitor,
+            self.candidates,
             self.health,
             self.use,
             self.budget,
@@ -120,9 +122,7 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._waiting: dict[int, _QueuedRequest] = {}
         self._measurements = EngineMeasurements(self._policy.prefill_tokens_per_s)
-        self._forecast = WaitForecast(
-            self.monitor, self.use, self._measurements, self._policy
-        )
+        self._forecast = WaitForecast(self.use, self._measurements, self._policy)
         self._reported_waiting: dict[str, WaitingTokens] = {}
         self._place_again_at = -math.inf
 
@@ -156,8 +156,8 @@
             reserved_kv_tokens(generation.prompt_tokens, generation.output_tokens),
         )
         queue = self._queues.setdefault(service, WaitingQueue())
-        if not self.monitor.decode_servers(service, now):
-            self._refuse(req, "no-decode-server", now)
+        if shortage := self.candidates.decode_shortage(generation, now):
+            self._refuse(req, shortage, now)
             return
         if not queue.try_add(waiting_request):
             self._refuse(req, "waiting-room-full", now)
@@ -200,7 +200,7 @@
                 break
             queued = self._waiting[waiting_request.key]
             match self._choose(queued.req, now):
-                case Err(Shortage.MEMORY) if not queued.req.generation.excluded:
+                case Err(Shortage.MEMORY) if not queued.req.generation.is_restricted():
                     short.add(Shortage.MEMORY)
                     break
                 case Err(shortage):
@@ -234,7 +234,7 @@
         return place_generation(
             req.generation,
             engine,
-            self.permits.usable(self.monitor.usable_servers(service, now), now),
+            self.permits.usable(self.candidates.usable(req.generation, now), now),
             self.use,
             self.limits.cost_factor(self.health, now),
             self._policy,
@@ -279,16 +279,19 @@
             self._refuse(waiting.req, "no-decode-memory", now)
 
     def _refuse_unservable(self, service: str, now: float) -> None:
-        """Refuse late requests while no decode server is usable.
+        """Refuse late requests while no decode server is usable for them.
 
         Other requests stay queued, because a server may become usable in time.
         """
         queue = self._queues[service]
-        if not len(queue) or self.monitor.decode_servers(service, now):
-            return
-        for waiting_request in queue.in_service_order(now):
-            if queue.is_late(waiting_request, now):
-                self._refuse_waiting(waiting_request, "no-decode-server", now)
+        has_server = bool(len(queue) and self.monitor.decode_servers(service, now))
+        for waiting_request in queue.in_service_order(now) if len(queue) else ():
+            req = self._waiting[waiting_request.key].req.generation
+            is_served = has_server and req.allowed_regions is None
+            if is_served or not queue.is_late(waiting_request, now):
+                continue
+            if shortage := self.candidates.decode_shortage(req, now):
+                self._refuse_waiting(waiting_request, shortage, now)
 
     def _refuse_beyond_limits(self, service: str, now: float) -> None:
         """Refuse requests that get neither a permit nor memory in time.
@@ -335,8 +338,12 @@
         self, service: str, waiting: WaitingRequest, now: float
     ) -> float | None:
         engine, queue = self._engine(service), self._queues[service]
+        req = self._waiting[waiting.key].req
+        servers = self.candidates.decode(req.generation, now)
         size = engine.kv_tokens if engine else 0
-        return self._forecast.excessive_wait_s(service, size, queue, waiting, now)
+        return self._forecast.excessive_wait_s(
+            service, servers, size, queue, waiting, now
+        )
 
     def _refuse_waiting(
         self, waiting: WaitingRequest, reason: str, now: float, wait_s: float = 0.0
@@ -349,8 +356,7 @@
         self, req, reason: str, now: float, forecast_s=0.0, min_retry_s=0.0
     ) -> None:
         self.quota.refund(req.workspace, req.charge_tokens)
-        retry_after_s = max(min_retry_s, self.retry_delay_s())
-        refused = m.Refused(reason, retry_after_s)
+        refused = m.Refused(reason, max(min_retry_s, self.retry_delay_s()))
         log_refusal(req, refused, forecast_s, self.use, now)
         req.future.set(refused)
 
--- /dev/null
+++ b/src/sesameport/entry/candidate_servers.py
@@ -0,0 +1,51 @@
+"""Choose the servers that may get a request, by health and by home region."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from sesameport.admission import GenerationRequest, filter_by_region
+from sesameport.entry import messages as m
+from sesameport.entry.server_monitor import ServerMonitor
+from sesameport.entry.servers import EntryServer
+
+__all__ = ["CandidateServers"]
+
+
+@attrs.define
+class CandidateServers:
+    """Look up the servers that may get the requests of one host.
+
+    Attributes
+    ----------
+    regions : mapping of str to str
+        Region of each data centre; replaced when the settings change.
+    """
+
+    _monitor: ServerMonitor
+    regions: Mapping[str, str]
+
+    def usable(
+        self, req: GenerationRequest | m.AdmitPlain, now: float
+    ) -> list[EntryServer]:
+        """Return the usable servers in the home regions of a request."""
+        servers = self._monitor.usable_servers(req.service, now)
+        return filter_by_region(servers, req.allowed_regions, self.regions)
+
+    def decode(self, req: GenerationRequest, now: float) -> list[EntryServer]:
+        """Return those of the usable servers that can decode."""
+        return [server for server in self.usable(req, now) if server.can_decode()]
+
+    def decode_shortage(self, req: GenerationRequest, now: float) -> str | None:
+        """Return the reason why no server may decode a request, or None."""
+        if self.decode(req, now):
+            return None
+        if self._monitor.decode_servers(req.service, now):
+            return "no-home-region"
+        return "no-decode-server"
+
+    def plain_shortage(self, req: m.AdmitPlain, now: float) -> str:
+        """Return the reason why no server may run a plain request."""
+        if self._monitor.usable_servers(req.service, now) and not self.usable(req, now):
+            return "no-home-region"
+        return "no-server"
--- a/src/sesameport/entry/configuration.py
+++ b/src/sesameport/entry/configuration.py
@@ -68,6 +68,8 @@
         Whether callers need no key.
     is_resumable : bool
         Whether a broken stream may be resumed at another server.
+    allowed_regions : tuple of str
+        Regions in which its requests may be; empty without a restriction.
     """
 
     name: str
@@ -81,6 +83,7 @@
     priority: int = 5
     is_open: bool = False
     is_resumable: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     def may_retry(self) -> bool:
         """Return whether a request that may have run may be sent again."""
@@ -144,6 +147,8 @@
         Fleet-wide rate and burst, tokens; a rate of 0 means no limit.
     plain_tokens : int
         Tokens charged for a request without a token count.
+    allowed_regions : tuple of str
+        Regions in which its requests may be; empty without a restriction.
     """
 
     name: str
@@ -152,6 +157,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     plain_tokens: int = 1
+    allowed_regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from sesameport.admission import RouteTable
+from sesameport.admission import RouteTable, combine_regions
 from sesameport.entry.configuration import RequestKind, key_digest
 from sesameport.entry.crash_detector import CrashDetector
 from sesameport.entry.crash_guard import CrashGuard
@@ -97,12 +97,14 @@
                 return
             req = attrs.evolve(req, deadline=min(req.deadline, ends_at))
         workspace, priority, charge = "", route.priority, 0.0
+        workspace_regions: tuple[str, ...] = ()
         if table.needs_key(route):
             caller_workspace = table.find_workspace(key_digest(key)) if key else None
             if caller_workspace is None:
                 self._outcomes.reject_request(req, writer, 401, "unknown-key")
                 return
             workspace = caller_workspace.name
+            workspace_regions = caller_workspace.allowed_regions
             if caller_workspace.priority is not None:
                 priority = caller_workspace.priority
             charge = float(
@@ -113,6 +115,7 @@
             route=route,
             workspace=workspace,
             deadline=min(req.deadline, req.received_at + route.timeout_s),
+            allowed_regions=combine_regions(route.allowed_regions, workspace_regions),
         )
         service = table.choose_service(route, req.request_id)
         progress = RequestProgress(req, route, table.configuration.version, service)
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -157,6 +157,7 @@
                     output,
                     frozenset(progress.excluded),
                     progress.has_source(),
+                    req.allowed_regions,
                 ),
                 req.workspace,
                 # A request that has run stays charged, so a refusal refunds nothing.
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -164,6 +164,7 @@
             self._settings,
             bounds=changed.bounds,
             seed_addresses=changed.seed_addresses,
+            regions=changed.regions,
         )
         self._role_controller.set_lease_time(changed.bounds.lease_s)
         self._actor.tell(m.ApplySettings(self._settings))
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -105,7 +105,8 @@
     """Request admission and a server for a plain request.
 
     The reply is a `PlainReply`. ``is_first_attempt`` and
-    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`.
+    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`, and
+    ``allowed_regions`` as in ``admission.GenerationRequest``.
     """
 
     request_id: str
@@ -115,6 +116,7 @@
     excluded: frozenset[str] = frozenset()
     is_first_attempt: bool = True
     uses_retry_budget: bool = False
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -17,8 +17,8 @@
     choose_plain_server,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.server_monitor import ServerMonitor
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
@@ -47,7 +47,7 @@
     ----------
     data_centre : str
         Data centre of this host.
-    monitor, health, use, budget
+    candidates, health, use, budget
         Usable servers, their health and use, and the budget of retries.
     permits : PermitExchange
         Permits for servers that name a limit.
@@ -60,7 +60,7 @@
     def __init__(
         self,
         data_centre: str,
-        monitor: ServerMonitor,
+        candidates: CandidateServers,
         health: ServerHealth,
         use: FleetUse,
         budget: WindowedRetryBudget,
@@ -69,7 +69,7 @@
         wake_at: Callable[[float], None],
     ):
         self._data_centre = data_centre
-        self._monitor = monitor
+        self._candidates = candidates
         self._health = health
         self._use = use
         self._budget = budget
@@ -109,7 +109,7 @@
         req = waiting.req
         candidates = [
             server
-            for server in self._monitor.usable_servers(req.service, now)
+            for server in self._candidates.usable(req, now)
             if server.name not in req.excluded
         ]
         server = self._choose(candidates, now)
@@ -164,7 +164,8 @@
         rank: int,
     ) -> m.Refused | None:
         if not candidates:
-            return m.Refused("no-server", self._retry_delay_s())
+            reason = self._candidates.plain_shortage(waiting.req, now)
+            return m.Refused(reason, self._retry_delay_s())
         wait = self._permits.wait_for(candidates, rank, now)
         ends_at = now if wait is None else now + wait.seconds
         if now < waiting.until and ends_at < waiting.until:
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -69,6 +69,7 @@
                 frozenset(progress.excluded),
                 is_first_attempt=progress.sends == 0,
                 uses_retry_budget=uses_budget,
+                allowed_regions=progress.req.allowed_regions,
             )
             reply = self._guard.refusal(progress) or self._actor.ask(admit)
             if isinstance(reply, pykka.Future):
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -74,6 +74,8 @@
         Size of a generation.
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may have too, in order.
+    allowed_regions : frozenset of str or None
+        Regions of the servers that it may reach, None for all.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
     """
@@ -91,6 +93,7 @@
     workspace: str = ""
     route: EntryRoute | None = None
     prompt_parts: tuple[str, ...] = ()
+    allowed_regions: frozenset[str] | None = None
 
 
 class FailureKind(enum.StrEnum):
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -40,7 +40,8 @@
     """Represent the identity, addresses and bounds of one entry host.
 
     Addresses are ``IP:port``. ``seed_addresses`` are hosts that may provide the
-    configuration while the platform's store is unreachable.
+    configuration while the platform's store is unreachable. ``regions`` has the region
+    of each data centre.
     """
 
     name: str
@@ -53,9 +54,10 @@
     seed_addresses: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
     metrics_port: int = 9464
+    regions: dict[str, str] = attrs.field(factory=dict)
 
 
-_RELOADABLE = ("bounds", "seed_addresses")
+_RELOADABLE = ("bounds", "seed_addresses", "regions")
 
 
 def settings_requiring_restart(
--- a/src/sesameport/entry/wait_forecast.py
+++ b/src/sesameport/entry/wait_forecast.py
@@ -8,7 +8,7 @@
     forecast_fit_s,
 )
 from sesameport.entry.engine_measurements import EngineMeasurements
-from sesameport.entry.server_monitor import ServerMonitor
+from sesameport.entry.servers import EntryServer
 
 __all__ = ["WaitForecast"]
 
@@ -18,8 +18,6 @@
 
     Parameters
     ----------
-    monitor : ServerMonitor
-        Usable servers.
     use : FleetUse
         Use of each server by all hosts.
     measurements : EngineMeasurements
@@ -30,12 +28,10 @@
 
     def __init__(
         self,
-        monitor: ServerMonitor,
         use: FleetUse,
         measurements: EngineMeasurements,
         policy: PlacementPolicy,
     ):
-        self._monitor = monitor
         self._use = use
         self._measurements = measurements
         self._policy = policy
@@ -43,6 +39,7 @@
     def excessive_wait_s(
         self,
         service: str,
+        decode_servers: list[EntryServer],
         engine_tokens: int,
         queue: WaitingQueue,
         request: WaitingRequest,
@@ -50,13 +47,13 @@
     ) -> float | None:
         """Return the expected wait if it is too long for the request, else None.
 
+        ``decode_servers`` are the usable ones that may serve the request.
         ``engine_tokens`` is the KV cache of an engine of the service.
         """
         waiting = queue.tokens(now).plus(self._use.remote_waiting(service))
         # An unreachable server releases no memory that this host could use.
         reserved = [
-            self._use.total_for(server.name).kv_tokens
-            for server in self._monitor.decode_servers(service, now)
+            self._use.total_for(server.name).kv_tokens for server in decode_servers
         ]
         mix = self._measurements.workload_mix(service)
         capacity = self._policy.memory_share * engine_tokens
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -74,9 +74,23 @@
         priority=int(route.get("priority") or 0),
         is_open=bool(route.get("anonymous", False)),
         is_resumable=bool(route.get("resumable", False)),
+        allowed_regions=_decode_regions(route),
     )
 
 
+def _decode_regions(data: dict) -> tuple[str, ...]:
+    """Return the regions of a restriction, none if it is absent or empty.
+
+    A restriction that cannot be read must not be ignored.
+    """
+    regions = data.get("allowedRegions")
+    if regions is None:
+        return ()
+    if not isinstance(regions, list) or not all(isinstance(x, str) for x in regions):
+        raise ValueError(f"allowedRegions is {regions!r}")
+    return tuple(regions)
+
+
 def _decode_service(service: dict) -> EntryService:
     engine = service.get("engine")
     profile = None
@@ -112,6 +126,7 @@
         rate_per_s=float(tenant.get("ratePerS") or 0),
         burst=float(tenant.get("burst") or 0),
         plain_tokens=int(tenant.get("plainTokens") or 1),
+        allowed_regions=_decode_regions(tenant),
     )
 
 
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -72,6 +72,11 @@
         findings.append(Finding(file, "internalPorts", "expected two port numbers"))
     bounds, bound_findings = _parse_bounds(data.get("bounds", {}), file)
     findings.extend(bound_findings)
+    regions = data.get("zones", {})
+    if not isinstance(regions, dict) or not all(
+        isinstance(region, str) for region in regions.values()
+    ):
+        findings.append(Finding(file, "zones", "expected a table of texts"))
     if findings:
         return None, findings
     return (
@@ -85,6 +90,7 @@
             store_address=data["platform"]["address"],
             seed_addresses=_seed_addresses(data.get("seeds"), ports[0]),
             bounds=bounds,
+            regions=regions,
         ),
         [],
     )
--- a/src/sesameport/tests/test_recorded_encodings.py
+++ b/src/sesameport/tests/test_recorded_encodings.py
@@ -27,7 +27,12 @@
 RECORDED = json.loads(
     (pathlib.Path(__file__).parent / "recorded/encoded_by_3141af3.json").read_text()
 )
-ADDED_FIELDS = {"cold_start_s", "cold_per_s", "cold_remaining_s"}
+ADDED_FIELDS = {
+    "allowed_regions",
+    "cold_start_s",
+    "cold_per_s",
+    "cold_remaining_s",
+}
 """Fields of snapshots that the recorded build did not have."""
 
 PEER_KINDS = sorted(name for name in RECORDED if name.startswith("peer "))
