--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -5,9 +5,10 @@
 
 import pykka
 
-from sesameport.admission import Evacuations, RouteTable, ServerNotices
+from sesameport.admission import Evacuations, RequestLimits, RouteTable
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
+from sesameport.entry.cold_exchange import ColdExchange
 from sesameport.entry.evacuation_controller import EvacuationController
 from sesameport.entry.fleet_queries import FleetQueries
 from sesameport.entry.host_addresses import HostAddresses, log_hosts
@@ -57,8 +58,8 @@
         Called with the number of hosts and whether new ones report.
     on_missed : callable
         Called with what this host should read from the store again; see `Missed`.
-    notices : ServerNotices
-        What servers say of themselves; changed by this actor only.
+    limits : RequestLimits
+        What servers say of themselves and which are cold; changed by this actor only.
     evacuations : Evacuations
         Data centres whose servers get nothing; changed by this actor only.
     """
@@ -76,7 +77,7 @@
         on_probe_targets,
         on_hosts,
         on_missed,
-        notices: ServerNotices,
+        limits: RequestLimits,
         evacuations: Evacuations,
     ):
         super().__init__()
@@ -96,25 +97,33 @@
             settings,
             lambda now: self._reports.record_change(self._admission, now),
             self._wake_at,
-            notices=notices,
+            limits=limits,
             publish=peers.publish,
             started_at=time.monotonic(),
             evacuations=evacuations,
         )
-        self._notices = NoticeExchange(
-            self._admission.registry, notices, peers.publish, metrics
+        registry, notices = self._admission.registry, limits.notices
+        self._notices = NoticeExchange(registry, notices, peers.publish, metrics)
+        self._cold = ColdExchange(
+            registry,
+            limits.cold,
+            peers.publish,
+            self._wake_at,
+            metrics,
+            time.monotonic(),
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
         self._entries = ServerEntries(
-            self._admission.registry,
+            registry,
             self._admission.health,
             notices,
             self._selector,
             evacuations,
+            self._cold,
         )
         self._evacuations = EvacuationController(
             evacuations,
-            self._admission.registry,
+            registry,
             self._admission.use,
             metrics,
             settings.name,
@@ -144,6 +153,7 @@
             m.CallOutcome: admission.monitor.record_outcome,
             m.ServerNoticed: self._record_notice,
             m.NoticeReports: self._apply_notices,
+            m.ColdReports: self._cold.apply_reports,
             m.PermitRequest: admission.permits.handle_request,
             m.PermitReply: self._apply_permits,
             m.ProbeResult: self._handle_probe_result,
@@ -191,6 +201,8 @@
             return refused if isinstance(message, m.AdmitPlain) else None
 
     def _record_notice(self, message: m.ServerNoticed, now: float) -> None:
+        remaining_s = message.notice.cold_remaining_s
+        self._cold.record_answer(message.server, remaining_s, now)
         if self._notices.record(message, now):
             self._admission.place_waiting(now)
 
@@ -299,6 +311,7 @@
             return
         table = RouteTable.from_configuration(configuration)
         self._admission.quota.configure(configuration.workspaces, now)
+        self._admission.limits.cold.configure(configuration.services)
         self._admission.configuration = configuration
         self._routes.table = table
         self._on_config(configuration)
@@ -327,6 +340,7 @@
         self._admission.place_waiting(now)
 
     def _handle_evacuation_ended(self, data_centre: str, now: float) -> None:
+        self._cold.on_evacuation_ended(data_centre, now)
         self._selector.record_return(data_centre, now)
 
     def _add_host(self, message: m.HostAnnounced, now: float) -> None:
@@ -354,6 +368,8 @@
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self._admission.quota.change_window(bounds.quota_window_s, now)
+        self._cold.apply_bounds(bounds)
+        self._admission.candidates.regions = message.settings.regions
         if self._addresses.by_name:
             self._connect_hosts()
 
@@ -381,8 +397,9 @@
         log_hosts(log.warning, "host silent", silent)
         log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        self._notices.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
-        self._admission.permits.expire()
+        for exchange in (self._notices, self._cold):
+            exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
+        self._admission.permits.expire(now)
         self._new_peers = []
         self._entries.expire(now)
         self._evacuations.check_progress(now)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -8,9 +8,15 @@
 
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
-from sesameport.admission import Evacuations, ServerNotices
+from sesameport.admission import (
+    ColdServers,
+    Evacuations,
+    RequestLimits,
+    ServerNotices,
+)
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
+from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.current_routes import CurrentRoutes
@@ -105,7 +111,8 @@
             SuspectStore(self._store, self._closing),
             self.metrics,
         )
-        notices = ServerNotices()
+        cold = ColdServers(cold_bounds(settings.bounds))
+        limits = RequestLimits(ServerNotices(), cold)
         # Without the bound, the deployment has no evacuations that must be known first.
         self._evacuations = Evacuations(settings.bounds.evacuate_s is None)
         self._actor = EntryActor.start(
@@ -118,11 +125,11 @@
             self._reachability_probe.start_round,
             self._guard.record_hosts,
             lambda missed: self._follower.read_again(missed),
-            notices,
+            limits,
             self._evacuations,
         )
         self._calls = calls = NoticedServerClient(
-            notices, self._tell, self.metrics, self._evacuations
+            limits, self._tell, self.metrics, self._evacuations
         )
         self._forwarder = Forwarder(
             self._actor,
@@ -179,6 +186,7 @@
             self._settings,
             bounds=changed.bounds,
             seed_addresses=changed.seed_addresses,
+            regions=changed.regions,
         )
         self._role_controller.set_lease_time(changed.bounds.lease_s)
         if changed.bounds.evacuate_s is not None:
--- a/src/sesameport/entry/memory_leases/planner.py
+++ b/src/sesameport/entry/memory_leases/planner.py
@@ -24,8 +24,8 @@
     use : FleetUse
         Use of each engine by all hosts.
     permits : PermitExchange
-        Knows the engines that name a limit of requests. They get no calls for leases,
-        because each of these would be a request within the limit.
+        Knows the engines that have a limit of requests, also those that are cold. They
+        get no calls for leases, because each of these would count against the limit.
     policy : LeasePolicy
         Thresholds and times.
     """
@@ -41,9 +41,11 @@
         self._policy = policy or LeasePolicy()
         self._refused = RefusedMemory(self._policy)
 
-    def plan(self, placement: Placement, engine: EngineProfile) -> Placement:
+    def plan(
+        self, placement: Placement, engine: EngineProfile, now: float
+    ) -> Placement:
         """Return a placement with its lease; see ``plan_lease``."""
-        if self._permits.is_limited(placement.decode.name):
+        if self._permits.is_limited(placement.decode.name, now):
             return placement
         return plan_lease(placement, engine, self._use, self._policy)
 
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -7,6 +7,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.host_messages import (
+    ColdReports,
     EvacuationReport,
     FleetSnapshot,
     HostReport,
@@ -28,6 +29,7 @@
     "GetUsableServers",
     "GetExpiredHosts",
     "ApplyConfiguration",
+    "ColdReports",
     "EvacuationReport",
     "EvacuationsChanged",
     "EvacuationsListed",
@@ -107,7 +109,8 @@
     """Request admission and a server for a plain request.
 
     The reply is a `PlainReply`. ``is_first_attempt`` and
-    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`.
+    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`, and
+    ``allowed_regions`` as in ``admission.GenerationRequest``.
     """
 
     request_id: str
@@ -117,6 +120,7 @@
     excluded: frozenset[str] = frozenset()
     is_first_attempt: bool = True
     uses_retry_budget: bool = False
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -20,6 +20,7 @@
 
 from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
+    ColdReports,
     EvacuationReport,
     FleetSnapshot,
     HostAnnounced,
@@ -32,11 +33,13 @@
     SuspectReports,
 )
 from sesameport.entry.report_codec import (
+    decode_cold,
     decode_evacuations,
     decode_notices,
     decode_permits,
     decode_report,
     decode_suspects,
+    encode_cold,
     encode_evacuations,
     encode_notices,
     encode_permits,
@@ -84,6 +87,9 @@
 _EVACUATIONS = b"e"
 _PERMITS = b"g"
 """First byte of the topics of single hosts; see `_permit_topic`."""
+_COLD = b"w"
+_COLD_PERMITS = b"k"
+"""First byte of the topics of single hosts about permits for cold servers."""
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -92,7 +98,9 @@
     _SUSPECTS: decode_suspects,
     _NOTICES: decode_notices,
     _EVACUATIONS: decode_evacuations,
+    _COLD: decode_cold,
     _PERMITS: decode_permits,
+    _COLD_PERMITS: decode_permits,
 }
 
 log = get_logger("peers")
@@ -129,6 +137,7 @@
                 | HostAnnounced
                 | SuspectReports
                 | NoticeReports
+                | ColdReports
                 | EvacuationReport
                 | PermitRequest
                 | PermitReply
@@ -165,6 +174,7 @@
         | SuspectReports
         | NoticeReports
         | EvacuationReport
+        | ColdReports
         | PermitRequest
         | PermitReply,
     ) -> None:
@@ -178,11 +188,15 @@
         if isinstance(message, NoticeReports):
             self._control.send_multipart([_NOTICES, encode_notices(message)])
             return
+        if isinstance(message, ColdReports):
+            self._control.send_multipart([_COLD, encode_cold(message)])
+            return
         if isinstance(message, EvacuationReport):
             self._control.send_multipart([_EVACUATIONS, encode_evacuations(message)])
             return
         if isinstance(message, PermitRequest | PermitReply):
-            topic = _permit_topic(message.to_host)
+            first = _COLD_PERMITS if message.ask_id else _PERMITS
+            topic = _permit_topic(message.to_host, first)
             self._control.send_multipart([topic, encode_permits(message)])
             return
         if isinstance(message, HostReport):
@@ -222,7 +236,9 @@
         subscriber.subscribe(_SUSPECTS)
         subscriber.subscribe(_NOTICES)
         subscriber.subscribe(_EVACUATIONS)
-        subscriber.subscribe(_permit_topic(self._name))
+        subscriber.subscribe(_COLD)
+        for first in (_PERMITS, _COLD_PERMITS):
+            subscriber.subscribe(_permit_topic(self._name, first))
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
@@ -387,9 +403,9 @@
         self._receive(_decode_snapshot(data))
 
 
-def _permit_topic(host: str) -> bytes:
+def _permit_topic(host: str, first: bytes) -> bytes:
     """Return the topic of one host; subscriptions match by prefix, so it has an end."""
-    return _PERMITS + host.encode() + b"\0"
+    return first + host.encode() + b"\0"
 
 
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -4,7 +4,12 @@
 from sesameport.entry import messages as m
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["fleet_view_fields", "log_over_quota", "log_placement", "log_refusal"]
+__all__ = [
+    "fleet_view_fields",
+    "log_over_quota",
+    "log_placement",
+    "log_refusal",
+]
 
 log = get_logger("entry")
 
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -17,8 +17,8 @@
     choose_plain_server,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.server_monitor import ServerMonitor
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
@@ -47,7 +47,7 @@
     ----------
     data_centre : str
         Data centre of this host.
-    monitor, health, use, budget
+    candidates, health, use, budget
         Usable servers, their health and use, and the budget of retries.
     permits : PermitExchange
         Permits for servers that name a limit.
@@ -60,7 +60,7 @@
     def __init__(
         self,
         data_centre: str,
-        monitor: ServerMonitor,
+        candidates: CandidateServers,
         health: ServerHealth,
         use: FleetUse,
         budget: WindowedRetryBudget,
@@ -69,7 +69,7 @@
         wake_at: Callable[[float], None],
     ):
         self._data_centre = data_centre
-        self._monitor = monitor
+        self._candidates = candidates
         self._health = health
         self._use = use
         self._budget = budget
@@ -109,7 +109,7 @@
         req = waiting.req
         candidates = [
             server
-            for server in self._monitor.usable_servers(req.service, now)
+            for server in self._candidates.usable(req, now)
             if server.name not in req.excluded
         ]
         server = self._choose(candidates, now)
@@ -125,11 +125,17 @@
         return m.Admitted(plain=server)
 
     def _choose(self, candidates, now: float) -> EntryServer | None:
+        """Return a server, a cold one only if the others are full."""
+        usable = self._permits.usable(candidates, now)
+        warm = [item for item in usable if not self._permits.is_cold(item.name, now)]
+        server = self._choose_among(warm)
+        if len(warm) == len(usable) or (server and not self._is_full(server)):
+            return server
+        return self._choose_among(usable)
+
+    def _choose_among(self, servers: list[EntryServer]) -> EntryServer | None:
         return choose_plain_server(
-            self._data_centre,
-            self._permits.usable(candidates, now),
-            self._use,
-            self._health.cost_factor,
+            self._data_centre, servers, self._use, self._health.cost_factor
         )
 
     def _ask(
@@ -139,7 +145,9 @@
         need = len(self._waiting) + 1
         if server is None or self._is_full(server):
             limited = [
-                item.name for item in candidates if self._permits.is_limited(item.name)
+                item.name
+                for item in candidates
+                if self._permits.is_limited(item.name, now)
             ]
             self._permits.ask_limited(limited, need, now)
             return
@@ -156,7 +164,7 @@
         rank: int,
     ) -> m.Refused | None:
         if not candidates:
-            reason = self._monitor.no_server_reason(waiting.req.service)
+            reason = self._candidates.plain_shortage(waiting.req, now)
             return m.Refused(reason, self._retry_delay_s())
         wait = self._permits.wait_for(candidates, rank, now)
         ends_at = now if wait is None else now + wait.seconds
--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -23,9 +23,15 @@
 """Number of servers in one probe. It bounds the cost per host when a whole data centre
 is cut off. A server that is not probed gets a request again after its pause."""
 
+ServerFilter = Callable[[EntryServer], bool]
+
 log = get_logger("entry")
 
 
+def _any(server: EntryServer) -> bool:
+    return True
+
+
 class ServerMonitor:
     """Pause servers after failed calls and probes; not thread-safe.
 
@@ -104,22 +110,26 @@
             if server.can_decode()
         ]
 
-    def no_server_reason(self, service: str) -> str:
-        """Return why a plain service has no usable server."""
-        is_evacuated = self._has_evacuated(service, EntryServer.is_plain)
+    def no_server_reason(self, service: str, is_allowed: ServerFilter = _any) -> str:
+        """Return why a plain service has no usable server among the allowed ones."""
+        is_evacuated = self._has_evacuated(service, EntryServer.is_plain, is_allowed)
         return EVACUATED if is_evacuated else "no-server"
 
-    def no_decode_server_reason(self, service: str) -> str:
-        """Return why a service has no usable server that can decode."""
-        is_evacuated = self._has_evacuated(service, EntryServer.can_decode)
+    def no_decode_server_reason(
+        self, service: str, is_allowed: ServerFilter = _any
+    ) -> str:
+        """Return why no allowed server of a service that can decode is usable."""
+        is_evacuated = self._has_evacuated(service, EntryServer.can_decode, is_allowed)
         return EVACUATED if is_evacuated else "no-decode-server"
 
     def _has_evacuated(
-        self, service: str, serves: Callable[[EntryServer], bool]
+        self, service: str, serves: ServerFilter, is_allowed: ServerFilter
     ) -> bool:
         """Return whether a server of a service would serve but for an evacuation."""
         return any(
-            self._evacuations.is_evacuated(server.data_centre) and serves(server)
+            self._evacuations.is_evacuated(server.data_centre)
+            and serves(server)
+            and is_allowed(server)
             for server in self._registry.live_servers(service)
         )
 
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -120,6 +120,7 @@
     _counter("entry_server_crashes", "Crashes with a request in flight.", "call"),
     _counter("entry_limited_calls", "Calls of servers that name a limit.", "call"),
     _counter("entry_memory_leases", "Leases of decode memory.", "result"),
+    _counter("entry_cold_calls", "Calls of cold servers.", "call"),
     _counter("role_orders", "Orders to change a role.", "result"),
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
     _counter(
@@ -135,6 +136,7 @@
     ),
     _gauge("entry_version", "Version of the configuration in force."),
     _gauge("entry_limited_servers", "Servers that name a limit of requests."),
+    _gauge("entry_cold_servers", "Servers that are cold."),
     _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
     _gauge("entry_store_reachable", "1 while the store answers, else 0."),
     _gauge("ready", "1 while the host accepts requests, else 0."),
