Test a process with clients outside the limits

Cause: one trailer line without an end, bodies that stop short of their end, and one-byte chunks exhaust an entry process. No test started a process with such clients.

Change: five tests start the real process with small crowds. They check that it lives, its peak memory, its descriptors, and that ordinary requests are answered afterwards. They are in one module and hold a lock file, so that they run one at a time.

--- /dev/null
+++ b/src/sesameport/platform/tests/test_caller_crowds.py
@@ -0,0 +1,123 @@
+"""Test that clients outside the limits neither stop nor exhaust a process.
+
+The tests run one after the other: they are in one module, which is one scope of xdist,
+and a lock file keeps those of other test runs waiting. They check no times and no share
+of answered requests, so load of other kinds does not change their result.
+"""
+
+import itertools
+
+import pytest
+
+from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST
+from sesameport.platform.tests.crowds import (
+    BLOCK_BYTES,
+    CHUNKED_HEAD,
+    assert_unharmed,
+    crowded_host,
+)
+
+# The bounds are the limits stated in the settings file: memoryMb, and maxFds without
+# the 200 descriptors that are reserved for files.
+MEMORY_MB = 128
+MAX_FDS = 1_638
+MAX_FEW_FDS = 320
+RESERVED_FDS = 200
+
+pytestmark = [pytest.mark.xdist_group("caller-crowds"), pytest.mark.timeout(180)]
+
+BLOCK = b"x" * BLOCK_BYTES
+LARGE_CHUNK = b"%x\r\n%b\r\n" % (BLOCK_BYTES, BLOCK)
+SMALL_CHUNKS = b"1\r\nx\r\n" * 10_000
+
+
+def endless_trailer_line():
+    yield CHUNKED_HEAD + b"1\r\nx\r\n0\r\nX-Long: "
+    yield from itertools.repeat(BLOCK, 512)  # 32 MiB
+
+
+def many_trailer_lines():
+    yield CHUNKED_HEAD + b"1\r\nx\r\n0\r\n"
+    yield from itertools.repeat(b"X-Trailer: a\r\n" * 4_000, 512)  # 27 MiB
+
+
+def almost_whole_body():
+    yield CHUNKED_HEAD
+    yield from itertools.repeat(LARGE_CHUNK, 62)  # 3.9 MiB without the last chunk
+
+
+def one_byte_chunks():
+    yield CHUNKED_HEAD
+    yield from itertools.repeat(SMALL_CHUNKS, 20)  # 200,000 chunks, no last one
+
+
+def whole_one_byte_chunks():
+    yield from one_byte_chunks()
+    yield b"0\r\n\r\n"
+
+
+def unfinished_head():
+    yield CHUNKED_HEAD[:-2]
+
+
+def silence():
+    yield b""
+
+
+def test_trailers_without_end_take_no_memory(cluster, tmp_path):
+    # Guards against a trailer line that is read into memory until its end.
+    with crowded_host(cluster, tmp_path) as (host, crowd):
+        crowd.add(endless_trailer_line, 6)
+        crowd.add(many_trailer_lines, 6)
+        crowd.wait()
+        assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
+
+
+def test_bodies_that_stop_before_their_end_take_bounded_memory(cluster, tmp_path):
+    # Guards against bodies that are each within the limit, but not all together.
+    with crowded_host(cluster, tmp_path) as (host, crowd):
+        crowd.add(almost_whole_body, 40)
+        crowd.wait()
+        assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
+
+
+def test_one_byte_chunks_leave_processor_time_to_others(cluster, tmp_path):
+    # Guards against a parser whose time per chunk exceeds that of a whole request.
+    with crowded_host(cluster, tmp_path) as (host, crowd):
+        crowd.add(one_byte_chunks, 50)
+        crowd.add(whole_one_byte_chunks, 10)
+        crowd.wait()
+        assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
+
+
+def test_unfinished_heads_and_silent_connections_take_few_descriptors(
+    cluster, tmp_path
+):
+    # Guards against connections that occupy descriptors and threads without a request.
+    with crowded_host(cluster, tmp_path, max_fds=MAX_FEW_FDS) as (host, crowd):
+        crowd.add(silence, 60)
+        crowd.add(unfinished_head, 60)
+        crowd.wait()
+        assert_unharmed(host, MEMORY_MB, MAX_FEW_FDS - RESERVED_FDS)
+
+
+def test_largest_body_in_one_byte_chunks_is_served(cluster, tmp_path):
+    # Guards against bounds that a caller within the limits reaches. The largest body
+    # was refused, because the framing of its chunks counted as a part of it.
+    with crowded_host(cluster, tmp_path) as (host, _):
+        head = (
+            "POST /book/x HTTP/1.1\r\n"
+            f"Host: {ROUTE_HOST}\r\nX-Key: {API_KEY}\r\nX-Request-Id: whole\r\n"
+            "X-Deadline-Ms: 60000\r\nTransfer-Encoding: chunked\r\n"
+            "Connection: close\r\n\r\n"
+        ).encode()
+        with host.connect() as sock:
+            sock.sendall(head)
+            for _ in range(64):
+                sock.sendall(b"1\r\ny\r\n" * 65_536)
+            sock.sendall(b"0\r\n\r\n")
+            response = b"".join(iter(lambda: sock.recv(BLOCK_BYTES), b""))
+        assert response.startswith(b"HTTP/1.1 200 ")
+        _, _, _, body = cluster.replicas["s1"].received_requests[-1]
+        assert body == b"y" * 4_194_304
+        assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
