Bound what clients can make an entry host hold

Cause: bodies were read without a common bound, each chunk cost two calls of a Python reader, a silent connection took a thread, and the listeners for readiness and metrics had no limits at all.

Connections without data wait without a thread. Each refusal is counted, and the first one of an address is logged.

--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -126,32 +126,6 @@
         limit = self.server.max_request_body_size
         return ChunkedRFile(_ChunkSizeReader(self.conn.rfile), limit)
 
-    def read_body(self) -> bytes:
-        """Read the whole body.
-
-        Raises
-        ------
-        FramingError
-            If the body is shorter than its Content-Length or has malformed chunks.
-        """
-        if not self.chunked_read:
-            length = int(self.inheaders.get(b"Content-Length", 0))
-            body = self.rfile.read(length) if length else b""
-            if len(body) < length:
-                raise FramingError("body is shorter than its Content-Length")
-            return body
-        reader = self.chunked_body()
-        try:
-            body = reader.read()
-            reader.rfile = self.conn.rfile
-            for _ in reader.read_trailer_lines():
-                continue
-        except FramingError:
-            raise
-        except ValueError as exc:
-            raise FramingError(str(exc)) from exc
-        return body
-
 
 class StrictConnection(HTTPConnection):
     """Parse the requests of a connection with ``StrictRequest``."""
--- /dev/null
+++ b/src/sesameport/entry/caller_limits/bounds.py
@@ -0,0 +1,125 @@
+"""Define the bounds on what clients can make an entry host hold.
+
+They are derived from the memory and the descriptors of the machine. Callers within the
+limits of the configuration do not reach them.
+"""
+
+import attrs
+
+__all__ = ["BodyRefused", "CallerBounds"]
+
+RESERVED_FDS = 200
+"""Descriptors of the limit that are left for files."""
+
+PROCESS_MB = 64
+"""Memory of a process without requests, MB. 41 to 55 MB were measured."""
+
+CONNECTION_SHARE = 0.4
+"""Share of the descriptors for connections of callers. Each request may open one more
+to a server, and the rest is for other hosts and the store."""
+
+RESERVED_SHARE = 0.25
+"""Share of the account that is reserved for requests that arrive at once."""
+
+ADDRESS_SHARE = 0.75
+"""Share of all bodies in progress that one address may have. It is large because all
+callers may share the address of a load balancer."""
+
+
+class BodyRefused(Exception):
+    """Raised for a body that exceeds a bound; the request is not run.
+
+    Attributes
+    ----------
+    status : int
+        Status of the response.
+    bound : str
+        Name of the bound, for the log and the counter.
+    """
+
+    def __init__(self, status: int, bound: str, detail: str):
+        super().__init__(detail)
+        self.status = status
+        self.bound = bound
+
+
+@attrs.frozen
+class CallerBounds:
+    """Represent the bounds of one process.
+
+    Attributes
+    ----------
+    account_bytes : int
+        Memory that may be held for all callers and servers together, bytes.
+    reserved_bytes : int
+        Part of it that bodies that arrive in several reads may not use, bytes.
+    max_connections : int
+        Open connections of callers.
+    max_threads : int
+        Threads for requests of callers.
+    max_bodies, max_bodies_per_address : int
+        Bodies that are being received, in total and from one address.
+    max_trailer_bytes, max_trailer_line_bytes : int
+        Size of a trailer section and of one line of it, bytes.
+    max_chunk_line_bytes : int
+        Size of a chunk-size line with its extensions, bytes.
+    max_extension_bytes : int
+        Size of all chunk extensions of one body, bytes.
+    small_chunk_bytes : int
+        Mean size of chunks below which a body is expensive to read, bytes.
+    max_expensive_bodies : int
+        Expensive bodies of which a part is parsed at the same time.
+    head_s : float
+        Longest time to receive a head, seconds. It exceeds the ``headerTimeoutMs`` of
+        usual configurations, as the messages between hosts do not carry that.
+    body_s : float
+        Longest time to receive a body, seconds. A shorter deadline that the caller
+        states takes precedence.
+    min_body_rate : float
+        Mean rate at which a body must arrive after the idle time, bytes per second.
+    """
+
+    account_bytes: int
+    reserved_bytes: int
+    max_connections: int
+    max_threads: int
+    max_bodies: int
+    max_bodies_per_address: int
+    max_trailer_bytes: int = 16_384
+    max_trailer_line_bytes: int = 8_192
+    max_chunk_line_bytes: int = 4_096
+    max_extension_bytes: int = 262_144
+    small_chunk_bytes: int = 64
+    max_expensive_bodies: int = 1
+    head_s: float = 10.0
+    body_s: float = 60.0
+    min_body_rate: float = 256.0
+
+    @classmethod
+    def for_machine(
+        cls, memory_mb: float = 128, max_fds: int = 1_638, **stated
+    ) -> "CallerBounds":
+        """Return the bounds for a machine; ``stated`` replaces what is derived.
+
+        Examples
+        --------
+        >>> CallerBounds.for_machine(128, 1_638).account_bytes
+        32000000
+        >>> CallerBounds.for_machine(128, 1_638).max_connections
+        575
+        """
+        account = int(max(8e6, (memory_mb - PROCESS_MB) * 1e6 / 2))
+        account = stated.get("account_bytes", account)
+        connections = max(8, int((max_fds - RESERVED_FDS) * CONNECTION_SHARE))
+        connections = stated.get("max_connections", connections)
+        threads = stated.get("max_threads", min(400, connections))
+        bodies = stated.get("max_bodies", max(4, threads // 2))
+        derived = {
+            "account_bytes": account,
+            "reserved_bytes": int(account * RESERVED_SHARE),
+            "max_connections": connections,
+            "max_threads": threads,
+            "max_bodies": bodies,
+            "max_bodies_per_address": max(2, int(bodies * ADDRESS_SHARE)),
+        }
+        return cls(**{**derived, **stated})
--- /dev/null
+++ b/src/sesameport/entry/caller_limits/connections.py
@@ -0,0 +1,131 @@
+"""Accept connections up to a bound, and give only those with data to threads.
+
+cheroot gives each new connection to a thread, which then waits for its first byte. Here
+a silent connection waits without a thread, and is closed first if there are too many.
+"""
+
+import contextlib
+import select
+import selectors
+import socket
+import time
+
+from cheroot.connections import ConnectionManager
+
+from sesameport.adapters.strict_http import StrictConnection, StrictRequest
+
+__all__ = ["BoundedConnection", "ConnectionAcceptor", "choose_idle"]
+
+ACCEPT_PAUSE_S = 0.02
+"""Pause before the next connection is accepted if there are too many, seconds."""
+
+CLOSED_AT_ONCE = 8
+"""Silent connections that are closed together, as finding them costs time."""
+
+
+class _Request(StrictRequest):
+    def simple_response(self, status, msg="") -> None:
+        """Answer 408 if the head was not complete when it was cut off."""
+        if self.conn.closed_for:
+            status, msg = "408 Request Timeout", "head did not arrive in time\n"
+        super().simple_response(status, msg)
+
+
+class BoundedConnection(StrictConnection):
+    """State how long a connection has been in its present phase.
+
+    Attributes
+    ----------
+    head_since : float
+        Monotonic time since which the head of a request is read, or 0, seconds.
+    write_since : float
+        Monotonic time since which a part of a response is sent, or 0, seconds.
+    has_served : bool
+        Whether a request was read from the connection.
+    closed_for : str
+        Bound for which the connection was cut off, or an empty string.
+    """
+
+    RequestHandlerClass = _Request
+    head_since = 0.0
+    write_since = 0.0
+    has_served = False
+    closed_for = ""
+
+    def __init__(self, server, sock, *args):
+        super().__init__(server, sock, *args)
+        server.open_connections.add(self)
+
+    def communicate(self) -> bool:
+        """Read a request and respond; return whether the connection stays open."""
+        self.head_since = time.monotonic()
+        try:
+            return super().communicate()
+        finally:
+            self.head_since = 0.0
+            self.has_served = True
+
+    def cut_off(self, bound: str, how: int = socket.SHUT_RD) -> None:
+        """Let the thread that reads or writes see the end of the connection."""
+        self.closed_for = bound
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(how)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.server.open_connections.discard(self)
+        super().close()
+
+
+def choose_idle(connections: list[BoundedConnection]) -> list[BoundedConnection]:
+    """Return the idle connections to close: those that never sent a request, oldest."""
+    ranked = sorted(connections, key=lambda conn: (conn.has_served, conn.last_used))
+    return ranked[:CLOSED_AT_ONCE]
+
+
+class ConnectionAcceptor(ConnectionManager):
+    """Accept the connections of one server.
+
+    The server has the attributes ``open_connections`` (set), ``max_connections`` and
+    ``make_room`` (called if the bound is reached and no connection is idle), and
+    ``report`` (called with an address and the name of a bound).
+    """
+
+    @property
+    def _num_connections(self) -> int:
+        # Silent connections must not end the keep-alive of others.
+        return sum(conn.has_served for conn in self._idle())
+
+    def _idle(self) -> list[BoundedConnection]:
+        return [conn for _, conn in self._selector.connections if conn != self.server]
+
+    def _from_server_socket(self, server_socket):
+        server = self.server
+        if len(server.open_connections) >= server.max_connections:
+            idle = choose_idle(self._idle())
+            for conn in idle:
+                self._selector.unregister(conn.socket.fileno())
+                server.report(conn.remote_addr, "connections")
+                conn.close()
+            if not idle:
+                server.make_room()
+                time.sleep(ACCEPT_PAUSE_S)
+                return None
+        try:
+            conn = super()._from_server_socket(server_socket)
+        except OSError as exc:
+            # Without a free descriptor, the connection stays in the accept queue.
+            server.error_log(f"accept failed: {exc!r}")
+            time.sleep(ACCEPT_PAUSE_S)
+            return None
+        if conn is None or _is_readable(conn.socket):
+            return conn
+        conn.last_used = time.time()
+        self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, data=conn)
+        return None
+
+
+def _is_readable(sock: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/src/sesameport/entry/caller_limits/supervisor.py
@@ -0,0 +1,111 @@
+"""Close the connections that hold threads for too long without progress."""
+
+import socket
+
+from sesameport.entry.caller_limits.bounds import CallerBounds
+from sesameport.entry.caller_limits.connections import BoundedConnection
+from sesameport.entry.caller_limits.open_bodies import (
+    OpenBodies,
+    choose_overdue,
+    choose_slowest,
+)
+
+__all__ = ["ConnectionSupervisor", "choose_blocked"]
+
+YOUNG_HEAD_S = 0.25
+"""Age below which a head is not cut off for other requests, seconds. An ordinary head
+arrives in one piece."""
+
+SLOW_READER_S = 5.0
+"""Time for which a caller may not read before it is cut off for other requests,
+seconds."""
+
+
+def choose_blocked(
+    connections: list[BoundedConnection], now: float
+) -> BoundedConnection | None:
+    """Return the connection to cut off if threads are scarce, or None.
+
+    A head that is not complete comes first, then a caller that does not read.
+    """
+    heads = [
+        conn
+        for conn in connections
+        if conn.head_since and now - conn.head_since > YOUNG_HEAD_S
+    ]
+    if heads:
+        return min(heads, key=lambda conn: conn.head_since)
+    readers = [
+        conn
+        for conn in connections
+        if conn.write_since and now - conn.write_since > SLOW_READER_S
+    ]
+    return min(readers, key=lambda conn: conn.write_since, default=None)
+
+
+class ConnectionSupervisor:
+    """Supervise the connections of one server.
+
+    Parameters
+    ----------
+    server : cheroot.server.HTTPServer
+        Server with `BoundedConnection` objects.
+    open_bodies : OpenBodies
+        Bodies that the server receives.
+    bounds : CallerBounds
+        Bounds of bodies.
+    """
+
+    def __init__(self, server, open_bodies: OpenBodies, bounds: CallerBounds):
+        self._server = server
+        self._open_bodies = open_bodies
+        self._bounds = bounds
+
+    def enforce(self, now: float, idle_s: float) -> None:
+        """Cut off what exceeds its time, and more if requests wait for threads.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, seconds.
+        idle_s : float
+            Longest silence of a connection, seconds.
+        """
+        for conn in self._connections():
+            if conn.head_since and now - conn.head_since > self._bounds.head_s:
+                self._cut_off(conn, "head-time")
+        for holder, bound in choose_overdue(
+            self._open_bodies.holders(), now, idle_s, self._bounds.min_body_rate
+        ):
+            self._open_bodies.close(holder, bound)
+        pool = self._server.requests
+        waiting = pool.qsize if not pool.idle else 0
+        for _ in range(waiting):
+            if not self.close_one(now, "threads"):
+                break
+
+    def close_one(self, now: float, bound: str) -> bool:
+        """Cut off the connection that holds a thread with least progress, if any."""
+        conn = choose_blocked(self._connections(), now)
+        if conn is not None:
+            self._cut_off(conn, bound)
+            return True
+        holder = choose_slowest(self._open_bodies.holders(), now)
+        if holder is None:
+            return False
+        self._open_bodies.close(holder, bound)
+        return True
+
+    def _connections(self) -> list[BoundedConnection]:
+        """Return the connections that have a thread and are not cut off yet."""
+        found = [thread.conn for thread in list(self._server.requests._threads)]
+        return [
+            conn
+            for conn in found
+            if isinstance(conn, BoundedConnection) and not conn.closed_for
+        ]
+
+    def _cut_off(self, conn: BoundedConnection, bound: str) -> None:
+        self._server.report(conn.remote_addr, bound)
+        how = socket.SHUT_RD if conn.head_since else socket.SHUT_RDWR
+        conn.cut_off(bound, how)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -16,11 +16,8 @@
 from sesameport.entry.current_routes import CurrentRoutes
 from sesameport.entry.forwarding import Forwarder
 from sesameport.entry.host_directory import HostDirectory
-from sesameport.entry.http_listener import (
-    CallerSocket,
-    HttpListener,
-    HttpResponseWriter,
-)
+from sesameport.entry.host_listeners import HostListeners
+from sesameport.entry.http_listener import CallerSocket, HttpResponseWriter
 from sesameport.entry.peers import PeerExchange
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.reachability_probe import ReachabilityProbe
@@ -38,12 +35,14 @@
 MIN_THREADS = 24
 MAX_THREADS = 400
 """Initial and maximum number of threads. Each request occupies one thread; further
-requests wait."""
+requests wait. A machine with few descriptors has fewer threads."""
 
-READY_THREADS = 2
 TICK_PERIOD_S = 0.5
 """Period of the actor's tasks and of the thread pool check, seconds."""
 
+LIMIT_PERIOD_S = 0.25
+"""Period at which connections that exceed their time are cut off, seconds."""
+
 MAX_RUN_S = 14.0
 """Longest time until the running requests of an engine that changes its role end,
 seconds. It is the longest timeout of the users' routes."""
@@ -127,14 +126,14 @@
             self.metrics,
             self._guard,
         )
-        self._caller_listener = HttpListener(
-            settings.caller_listen, self._handle, MIN_THREADS, MAX_THREADS
-        )
-        self._ready_listener = HttpListener(
-            settings.ready_listen, self._handle_ready, READY_THREADS, READY_THREADS
-        )
-        self._metrics_listener = HttpListener(
-            f"{settings.ip}:{settings.metrics_port}", self._handle_metrics, 1, 1
+        self._listeners = HostListeners(
+            settings,
+            (MIN_THREADS, min(MAX_THREADS, settings.limits.max_threads)),
+            self.metrics,
+            adapter.stated_wait_s,
+            self._handle,
+            self._handle_ready,
+            self._handle_metrics,
         )
 
     def start(self) -> "EntryHost":
@@ -146,13 +145,9 @@
         self._guard.start()
         self._timers.subscribe("tick", TICK_PERIOD_S, self._tick)
         self._timers.call_at("announce", self._timers.now(), self._start_registration)
-        for listener in (
-            self._caller_listener,
-            self._ready_listener,
-            self._metrics_listener,
-        ):
-            listener.start()
-        log.info("started", extra={"listen": self._caller_listener.address})
+        self._timers.subscribe("limits", LIMIT_PERIOD_S, self._enforce_limits)
+        self._listeners.start()
+        log.info("started", extra={"listen": self._listeners.callers.address})
         return self
 
     def reload(self, changed: EntrySettings) -> None:
@@ -190,7 +185,7 @@
         with self._in_flight_changed:
             while self._in_flight and time.monotonic() < until:
                 self._in_flight_changed.wait(until - time.monotonic())
-        self._caller_listener.stop_accepting()
+        self._listeners.callers.stop_accepting()
         self._finish_accepted(until)
         with self._in_flight_changed:
             left = self._in_flight
@@ -201,7 +196,7 @@
         """Wait for requests that a thread is yet to read and for their responses."""
         read_until = time.monotonic() + LAST_RESPONSES_S
         until = max(until, read_until)
-        while self._caller_listener.has_work():
+        while self._listeners.callers.has_work():
             with self._in_flight_changed:
                 is_running = self._in_flight > 0
                 self._in_flight_changed.wait(DRAIN_CHECK_S)
@@ -214,13 +209,7 @@
         """Stop immediately without draining, for hosts that share a process."""
         self._timers.stop()
         self._closing.set()
-        for listener in (
-            self._caller_listener,
-            self._ready_listener,
-            self._metrics_listener,
-        ):
-            listener.stop_accepting()
-            listener.stop()
+        self._listeners.stop()
 
     @property
     def settings(self) -> EntrySettings:
@@ -230,7 +219,7 @@
     @property
     def caller_address(self) -> str:
         """Return the bound ``IP:port`` for callers."""
-        return self._caller_listener.address
+        return self._listeners.callers.address
 
     @property
     def peer_address(self) -> str:
@@ -339,13 +328,13 @@
 
     def _tick(self, now: float) -> None:
         self._actor.tell(m.Tick(now))
-        self._caller_listener.add_threads()
+        self._listeners.add_threads()
+
+    def _enforce_limits(self, now: float) -> None:
+        self._listeners.enforce_limits()
 
     def _apply_limits(self, configuration: EntryConfiguration) -> None:
-        limits = configuration.limits
-        self._caller_listener.set_limits(
-            limits.header_bytes, limits.body_bytes, limits.idle_s
-        )
+        self._listeners.callers.set_limits(configuration.limits)
         self.metrics.set("sesameport_ready", int(self.is_ready()))
 
     def _is_draining(self) -> bool:
--- /dev/null
+++ b/src/sesameport/entry/host_listeners.py
@@ -0,0 +1,121 @@
+"""Listen for callers, readiness checks and metrics within the bounds of the process."""
+
+from collections.abc import Callable
+
+from sesameport.adapters.strict_http import StrictRequest
+from sesameport.entry.caller_limits.bounds import CallerBounds
+from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.caller_limits.reports import LimitReporter
+from sesameport.entry.configuration import CallerLimits
+from sesameport.entry.http_listener import HttpListener
+from sesameport.entry.settings import EntrySettings
+from sesameport.telemetry.metrics import Metrics
+
+__all__ = ["HostListeners"]
+
+SIDE_BOUNDS = CallerBounds.for_machine(
+    account_bytes=1_000_000, max_connections=32, max_threads=8
+)
+"""Bounds of the listeners for readiness and for metrics. Each has a small account
+of its own, so that it responds when that of the callers is full."""
+
+SIDE_LIMITS = CallerLimits(body_bytes=16_384)
+
+Handler = Callable[[StrictRequest, bytes], None]
+
+
+class HostListeners:
+    """Run the listeners of one host.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Addresses and bounds.
+    threads : tuple of int
+        Initial and maximum number of threads for callers.
+    metrics : Metrics
+        Gets the state of the account and the refusals.
+    stated_wait_s : callable
+        Returns how long a caller waits according to its headers, seconds.
+    handle_caller, handle_readiness, handle_metrics : callable
+        Respond to a request with its body.
+
+    Attributes
+    ----------
+    callers : HttpListener
+        Listener for callers.
+    account : MemoryAccount
+        Memory that is held for callers and servers.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        threads: tuple[int, int],
+        metrics: Metrics,
+        stated_wait_s: Callable[[tuple], float],
+        handle_caller: Handler,
+        handle_readiness: Handler,
+        handle_metrics: Handler,
+    ):
+        self._metrics = metrics
+        bounds = settings.limits
+        self.account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        report = LimitReporter(self._count).report
+        self.callers = HttpListener(
+            settings.caller_listen,
+            handle_caller,
+            min(threads),
+            threads[1],
+            bounds,
+            self.account,
+            report,
+            stated_wait_s,
+        )
+        self._side_listeners = [
+            HttpListener(
+                address,
+                handle,
+                threads,
+                SIDE_BOUNDS.max_threads,
+                SIDE_BOUNDS,
+                report=report,
+            )
+            for address, handle, threads in (
+                (settings.ready_listen, handle_readiness, 2),
+                (f"{settings.ip}:{settings.metrics_port}", handle_metrics, 1),
+            )
+        ]
+        for listener in self._side_listeners:
+            listener.set_limits(SIDE_LIMITS)
+
+    def start(self) -> None:
+        """Serve on separate threads."""
+        for listener in self._all():
+            listener.start()
+
+    def stop(self) -> None:
+        """Stop at once, without waiting for requests."""
+        for listener in self._all():
+            listener.stop_accepting()
+            listener.stop()
+
+    def enforce_limits(self) -> None:
+        """Cut off clients that exceed their time or hold threads that others need."""
+        for listener in self._all():
+            listener.enforce_limits()
+        self._metrics.set("sesameport_entry_account_bytes", self.account.used)
+        self._metrics.set(
+            "sesameport_entry_caller_connections", self.callers.connection_count()
+        )
+
+    def add_threads(self) -> None:
+        """Add threads to listeners with few idle ones; blocks while they start."""
+        for listener in self._all():
+            listener.add_threads()
+
+    def _all(self) -> list[HttpListener]:
+        return [self.callers, *self._side_listeners]
+
+    def _count(self, bound: str) -> None:
+        self._metrics.count("sesameport_entry_limit_refusals_total", bound=bound)
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -1,18 +1,27 @@
 """Serve callers over HTTP with cheroot."""
 
+import contextlib
+import math
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 
 from cheroot.server import Gateway, HTTPServer
 
 from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
-from sesameport.adapters.strict_http import (
-    FramingError,
-    StrictConnection,
-    StrictRequest,
+from sesameport.adapters.strict_http import FramingError, StrictRequest
+from sesameport.entry.caller_limits.body_reader import BodyReader
+from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
+from sesameport.entry.caller_limits.connections import (
+    BoundedConnection,
+    ConnectionAcceptor,
 )
+from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.caller_limits.open_bodies import OpenBodies
+from sesameport.entry.caller_limits.supervisor import ConnectionSupervisor
+from sesameport.entry.configuration import CallerLimits
 from sesameport.entry.requests import CallerDisconnected
 from sesameport.telemetry.logs import get_logger
 
@@ -25,13 +34,21 @@
 """Time beyond the configured idle limit before a connection is closed, seconds. cheroot
 measures idle time by the wall clock, which may jump by some seconds."""
 
+MAX_NEW_THREADS = 48
+"""Threads that are started at once while connections wait for one."""
+
+RETRY_AFTER_S = 1.0
+"""Time after which a request that was refused for memory may be repeated, seconds."""
+
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
     503: "Service Unavailable",
@@ -133,16 +150,32 @@
             raise CallerDisconnected from exc
 
     def _write(self, data: bytes) -> None:
+        conn = self._req.conn
+        conn.write_since = time.monotonic()
         try:
             self._req.write(data)
         except OSError as exc:
             raise CallerDisconnected from exc
+        finally:
+            conn.write_since = 0.0
 
 
 class _Server(HTTPServer):
     """Serve HTTP and close connections with further requests while stopping."""
 
     is_stopping = False
+    max_connections = 0
+    ConnectionClass = BoundedConnection
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.open_connections = set()
+
+    def prepare(self) -> None:
+        """Listen, and accept a bounded number of connections."""
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = ConnectionAcceptor(self)
 
     def process_conn(self, conn) -> None:
         """Pass a connection with a request to a thread, or close it unread."""
@@ -163,11 +196,17 @@
     def respond(self) -> None:
         """Read the body and pass the request to the server's handler."""
         req = self.req
+        req.conn.head_since = 0.0
         try:
-            body = req.read_body()
+            with req.server.bodies.body_of(req) as body:
+                self._handle(body)
         except FramingError as exc:
             req.reject(str(exc))
-            return
+        except BodyRefused as exc:
+            self._refuse(exc)
+
+    def _handle(self, body: bytes) -> None:
+        req = self.req
         try:
             req.server.handle(req, body)
         except CallerDisconnected:
@@ -177,6 +216,15 @@
             log.error("request handler failed", extra={"error": repr(exc)})
             raise
 
+    def _refuse(self, exc: BodyRefused) -> None:
+        req = self.req
+        req.server.report(req.conn.remote_addr, exc.bound)
+        # The rest of the body is not read, so the connection can't be used again.
+        writer = HttpResponseWriter(req, lambda: True)
+        retry_after_s = RETRY_AFTER_S if exc.status == 503 else None
+        with contextlib.suppress(CallerDisconnected):
+            writer.refuse(exc.status, str(exc), retry_after_s)
+
 
 class HttpListener:
     """Serve requests on ``IP:port``; each occupies a thread until it is answered.
@@ -189,6 +237,14 @@
         Responds to a `StrictRequest` with its body.
     threads, max_threads : int
         Initial and maximum number of threads.
+    bounds : CallerBounds
+        Bounds on what clients can make the listener hold.
+    account : MemoryAccount
+        Memory of the process.
+    report : callable
+        Called with the address of a client and the name of a bound that it reached.
+    stated_wait_s : callable
+        Returns how long a caller waits according to its headers, seconds.
     """
 
     def __init__(
@@ -197,12 +253,26 @@
         handle: Callable[[StrictRequest, bytes], None],
         threads: int,
         max_threads: int,
+        bounds: CallerBounds | None = None,
+        account: MemoryAccount | None = None,
+        report: Callable[[str | None, str], None] = lambda address, bound: None,
+        stated_wait_s: Callable[[tuple], float] = lambda headers: math.inf,
     ):
+        bounds = bounds or CallerBounds.for_machine()
+        account = account or MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
         host, _, port = address.rpartition(":")
         self._server = _Server(
             (host, int(port)), _Gateway, minthreads=threads, maxthreads=max_threads
         )
-        self._server.ConnectionClass = StrictConnection
+        open_bodies = OpenBodies(bounds)
+        self._server.bodies = BodyReader(bounds, account, open_bodies, stated_wait_s)
+        self._server.max_connections = bounds.max_connections
+        self._server.report = report
+        self._supervisor = ConnectionSupervisor(self._server, open_bodies, bounds)
+        self._server.make_room = lambda: self._supervisor.close_one(
+            time.monotonic(), "connections"
+        )
+        self.set_limits(CallerLimits())
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.handle = handle
         self._server.server_name = "sesameport"
@@ -222,11 +292,11 @@
         ).start()
         return self
 
-    def set_limits(self, header_bytes: int, body_bytes: int, idle_s: float) -> None:
+    def set_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a configuration."""
-        self._server.max_request_header_size = header_bytes
-        self._server.max_request_body_size = body_bytes
-        self._server.timeout = idle_s + IDLE_MARGIN_S
+        self._server.max_request_header_size = limits.header_bytes
+        self._server.max_request_body_size = limits.body_bytes
+        self._server.timeout = limits.idle_s + IDLE_MARGIN_S
 
     def add_threads(self) -> None:
         """Add threads if few are idle.
@@ -235,7 +305,16 @@
         """
         pool = self._server.requests
         if pool.idle < self._min_idle_threads:
-            pool.grow(self._min_idle_threads)
+            waiting = min(pool.qsize, MAX_NEW_THREADS)
+            pool.grow(max(self._min_idle_threads, waiting))
+
+    def enforce_limits(self) -> None:
+        """Cut off clients that exceed their time or hold threads that others need."""
+        self._supervisor.enforce(time.monotonic(), self._server.timeout)
+
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.open_connections)
 
     def stop_accepting(self) -> None:
         """Accept no more requests: close idle connections and new ones unread.
--- a/src/sesameport/entry/platform_adapter.py
+++ b/src/sesameport/entry/platform_adapter.py
@@ -47,6 +47,10 @@
         """Return a caller's request, or an Err with the reason."""
         ...
 
+    def stated_wait_s(self, headers) -> float:
+        """Return how long a caller waits according to its headers, seconds."""
+        ...
+
     def extract_key(self, headers) -> str:
         """Return the API key in the headers of a request."""
         ...
--- a/src/sesameport/entry/process.py
+++ b/src/sesameport/entry/process.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from sesameport.domain import Finding, format_findings
+from sesameport.entry.caller_limits.allocator import return_freed_memory
 from sesameport.entry.host import EntryHost
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.settings import EntrySettings
@@ -43,6 +44,7 @@
     adapter : PlatformAdapter
         Adapter of the platform.
     """
+    return_freed_memory()
     text = path.read_text()
     settings, findings = load_settings(text, str(path))
     if settings is None:
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from sesameport.entry.caller_limits.bounds import CallerBounds
+
 __all__ = ["EntrySettings", "FleetBounds", "settings_requiring_restart"]
 
 
@@ -35,7 +37,8 @@
     """Represent the identity, addresses and bounds of one entry host.
 
     Addresses are ``IP:port``. ``seed_addresses`` are hosts that may provide the
-    configuration while the platform's store is unreachable.
+    configuration while the platform's store is unreachable. ``limits`` follow from the
+    memory and the descriptors of the machine.
     """
 
     name: str
@@ -48,6 +51,7 @@
     seed_addresses: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
     metrics_port: int = 9464
+    limits: CallerBounds = CallerBounds.for_machine()
 
 
 _RELOADABLE = ("bounds", "seed_addresses")
--- a/src/sesameport/platform/__init__.py
+++ b/src/sesameport/platform/__init__.py
@@ -58,6 +58,10 @@
         """Return a caller's decoded request, or an Err with the reason."""
         return callers.decode_request(method, target, headers, body, now)
 
+    def stated_wait_s(self, headers) -> float:
+        """Return how long a caller waits according to its headers, seconds."""
+        return callers.stated_wait_s(headers)
+
     def extract_key(self, headers) -> str:
         """Return the API key in a caller's headers."""
         return callers.extract_key(headers)
--- a/src/sesameport/platform/callers.py
+++ b/src/sesameport/platform/callers.py
@@ -7,7 +7,7 @@
 from sesameport.entry.requests import EntryRequest, TokenCounts
 from sesameport.platform import header_names
 
-__all__ = ["decode_request", "extract_key"]
+__all__ = ["decode_request", "extract_key", "stated_wait_s"]
 
 DEFAULT_CALLER_WAIT_S = 30.0
 """Wait of a caller that sends no deadline, seconds.
@@ -24,6 +24,15 @@
     return ""
 
 
+def stated_wait_s(headers: Iterable[tuple[str, str]]) -> float:
+    """Return how long a caller waits for its response, seconds."""
+    text = None
+    for name, value in headers:
+        if name.lower() == header_names.DEADLINE_MS:
+            text = value
+    return _parse_number(text, DEFAULT_CALLER_WAIT_S * 1000) / 1000.0
+
+
 def decode_request(
     method: str,
     target: str,
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -4,6 +4,7 @@
 import tomllib
 
 from sesameport.domain import Finding
+from sesameport.entry.caller_limits.bounds import CallerBounds
 from sesameport.entry.settings import EntrySettings, FleetBounds
 
 __all__ = ["is_platform_settings", "load_platform_settings"]
@@ -31,6 +32,27 @@
 Values whose name ends in ``Ms`` are in milliseconds.
 """
 
+_MACHINE_LIMIT_NAMES = {"memory_mb": "memoryMb", "max_fds": "maxFds"}
+"""Platform's names of what `CallerBounds.for_machine` derives the bounds from."""
+
+_CALLER_BOUND_NAMES = {
+    "account_bytes": "accountBytes",
+    "max_connections": "maxConnections",
+    "max_threads": "maxThreads",
+    "max_bodies": "maxBodies",
+    "max_bodies_per_address": "maxBodiesPerAddress",
+    "max_trailer_bytes": "maxTrailerBytes",
+    "max_trailer_line_bytes": "maxTrailerLineBytes",
+    "max_chunk_line_bytes": "maxChunkLineBytes",
+    "max_extension_bytes": "maxExtensionBytes",
+    "small_chunk_bytes": "smallChunkBytes",
+    "max_expensive_bodies": "maxExpensiveBodies",
+    "head_s": "headTimeoutMs",
+    "body_s": "bodyTimeoutMs",
+    "min_body_rate": "minBodyBytesPerS",
+}
+"""Names, in the ``limits`` of the settings file, of the fields of ``CallerBounds``."""
+
 _POSITIVE_BOUNDS = frozenset({"retryWindowS", "quotaWindowS"})
 """Bounds that must not be 0, because rates are counted over these times."""
 
@@ -70,6 +92,8 @@
         findings.append(Finding(file, "internalPorts", "expected two port numbers"))
     bounds, bound_findings = _parse_bounds(data.get("bounds", {}), file)
     findings.extend(bound_findings)
+    limits, limit_findings = _parse_limits(data.get("limits", {}), file)
+    findings.extend(limit_findings)
     if findings:
         return None, findings
     return (
@@ -83,6 +107,7 @@
             store_address=data["platform"]["address"],
             seed_addresses=_seed_addresses(data.get("seeds"), ports[0]),
             bounds=bounds,
+            limits=limits,
         ),
         [],
     )
@@ -122,6 +147,27 @@
     return FleetBounds(**values), findings
 
 
+def _parse_limits(table, file: str) -> tuple[CallerBounds, list[Finding]]:
+    findings, values = [], {}
+    if not isinstance(table, dict):
+        return CallerBounds.for_machine(), [Finding(file, "limits", "expected a table")]
+    for name, platform_name in (_MACHINE_LIMIT_NAMES | _CALLER_BOUND_NAMES).items():
+        if platform_name not in table:
+            continue
+        value = table[platform_name]
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not is_number or not 0 < value < math.inf:
+            message = f"expected a number above 0, got {value!r}"
+            findings.append(Finding(file, f"limits.{platform_name}", message))
+            continue
+        if platform_name.endswith(("Ms", "PerS")):
+            seconds = 1000.0 if platform_name.endswith("Ms") else 1.0
+            values[name] = value / seconds
+        else:
+            values[name] = max(1, int(value))
+    return CallerBounds.for_machine(**values), findings
+
+
 def _get_nested(data: dict, path: str):
     for key in path.split("."):
         if not isinstance(data, dict):
