--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -3,8 +3,28 @@
 import select
 import socket
 import time
+from typing import Protocol
 
-__all__ = ["CancellableSocket", "ReadLimitExceeded"]
+__all__ = ["Account", "CancellableSocket", "ReadLimitExceeded"]
+
+FREE_BYTES = 24_576
+"""Bytes since the last call of ``allow_bytes`` that are not charged. The request is
+charged for that many, see ``caller_limits.body_reader``."""
+
+CHARGE_BYTES = 16_384
+"""Step in which further bytes are charged, bytes."""
+
+
+class Account(Protocol):
+    """Account for memory, see ``caller_limits.memory_account``."""
+
+    def charge_open(self, size: int) -> bool:
+        """Charge memory; return False if there is none left."""
+        ...
+
+    def release(self, size: int) -> None:
+        """Release what was charged."""
+        ...
 
 
 class ReadLimitExceeded(OSError):
@@ -23,11 +43,20 @@
     _caller = None
     _deadline = 0.0
     _allowed_bytes: int | None = None
+    _account: Account | None = None
+    _held_bytes = 0
+    _charged_bytes = 0
     caller_disconnected = False
     timed_out = False
 
     @classmethod
-    def wrap(cls, sock: socket.socket, caller, deadline: float) -> "CancellableSocket":
+    def wrap(
+        cls,
+        sock: socket.socket,
+        caller,
+        deadline: float,
+        account: Account | None = None,
+    ) -> "CancellableSocket":
         """Return a socket that owns the file descriptor of a connected socket.
 
         Parameters
@@ -38,12 +67,15 @@
             Connection of the caller that waits for the response.
         deadline : float
             Monotonic time at which reads time out, seconds.
+        account : Account or None
+            Memory that large heads, lines and trailers are charged to.
         """
         timeout = sock.gettimeout()
         wrapped = cls(sock.family, sock.type, sock.proto, fileno=sock.detach())
         wrapped.settimeout(timeout)
         wrapped._caller = caller
         wrapped._deadline = deadline
+        wrapped._account = account
         return wrapped
 
     def extend_deadline(self, deadline: float) -> None:
@@ -57,6 +89,15 @@
         read without end from a server that never sends it.
         """
         self._allowed_bytes = count
+        self._held_bytes = 0
+        if self._charged_bytes:
+            self._release()
+
+    def stop_charging(self) -> None:
+        """Release the charged memory, and charge no more of it."""
+        if self._charged_bytes:
+            self._release()
+        self._account = None
 
     def recv_into(self, *args, **kwargs) -> int:
         """Receive data into a buffer.
@@ -68,7 +109,7 @@
         ConnectionAbortedError
             If the caller disconnects first.
         ReadLimitExceeded
-            If all allowed bytes have been received.
+            If all allowed bytes have been received, or there is no memory for more.
         """
         if self._allowed_bytes is not None and self._allowed_bytes <= 0:
             raise ReadLimitExceeded("more bytes than a response may have here")
@@ -76,8 +117,20 @@
         received = super().recv_into(*args, **kwargs)
         if self._allowed_bytes is not None:
             self._allowed_bytes -= received
+        self._held_bytes += received
+        if self._held_bytes > FREE_BYTES + self._charged_bytes and self._account:
+            self._charge(self._account)
         return received
 
+    def _charge(self, account: Account) -> None:
+        if not account.charge_open(CHARGE_BYTES):
+            raise ReadLimitExceeded("no memory for more bytes of a response")
+        self._charged_bytes += CHARGE_BYTES
+
+    def _release(self) -> None:
+        charged, self._charged_bytes = self._charged_bytes, 0
+        self._account.release(charged)
+
     def _wait(self) -> None:
         poller = select.poll()
         poller.register(self, select.POLLIN)
--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -81,11 +81,15 @@
         self._inner = rfile
         self._left = 0
         self._is_last = False
+        self._trailer_bytes = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Read a chunk size, or a line after the last chunk."""
         line = self._inner.readline(limit)
         if self._is_last:
+            self._trailer_bytes += len(line)
+            if self._trailer_bytes > MAX_HEAD_BYTES:
+                raise ResponseFramingError(f"trailers exceed {MAX_HEAD_BYTES} bytes")
             return line
         if not is_chunk_size(line):
             raise ResponseFramingError(f"invalid chunk size {line[:20]!r}")
--- a/src/sesameport/entry/caller_limits/body_reader.py
+++ b/src/sesameport/entry/caller_limits/body_reader.py
@@ -41,6 +41,9 @@
 """After several small reads in succession, bytes are left to collect in the socket for
 this time, seconds. Each read costs as much as a small request."""
 
+MAX_CLOSED_FOR_REQUEST = 4
+"""Stalled bodies that are closed for one small request if the account is full."""
+
 _REFUSALS = {
     "body-deadline": (408, "body did not arrive in time"),
     "body-progress": (408, "body arrives too slowly"),
@@ -107,7 +110,7 @@
                 return self._read_slowly(req, _LengthParser(length))
             size = length + REQUEST_BYTES
             if not self._account.charge(size):
-                raise _refusal("memory")
+                self._make_room(size)
             return (req.rfile.read(length) if length else b""), size
         parser = ChunkedParser(self._bounds, req.server.max_request_body_size)
         parser.feed(_take_buffered(rfile))
@@ -116,9 +119,21 @@
         _put_back(rfile, parser.rest)
         size = parser.size + REQUEST_BYTES
         if not self._account.charge(size):
-            raise _refusal("memory")
+            self._make_room(size)
         return parser.body(), size
 
+    def _make_room(self, size: int) -> None:
+        """Close stalled bodies until a small request is charged, or refuse it."""
+        for _ in range(MAX_CLOSED_FOR_REQUEST):
+            found = choose_largest(self._open_bodies.holders(), time.monotonic(), 0.0)
+            if found is None:
+                break
+            self._open_bodies.close(found, "memory")
+            self._account.wait_for_release()
+            if self._account.charge(size):
+                return
+        raise _refusal("memory")
+
     def _read_slowly(self, req: StrictRequest, parser) -> tuple[bytes, int]:
         conn, now = req.conn, time.monotonic()
         wait_s = min(self._bounds.body_s, self._stated_wait_s(req.header_pairs))
--- a/src/sesameport/entry/caller_limits/connections.py
+++ b/src/sesameport/entry/caller_limits/connections.py
@@ -93,6 +93,10 @@
 
     @property
     def _num_connections(self) -> int:
+        count = super()._num_connections
+        limit = self.server.keep_alive_conn_limit
+        if limit is None or count < limit:
+            return count
         # Silent connections must not end the keep-alive of others.
         return sum(conn.has_served for conn in self._idle())
 
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -11,6 +11,7 @@
 from sesameport.admission import ServerNotices
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
+from sesameport.entry.caller_limits.memory_account import MemoryAccount
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.current_routes import CurrentRoutes
@@ -98,7 +99,9 @@
         self._peers = PeerExchange(
             settings.name, settings.ip, settings.peer_port, self._receive
         )
-        self._store = adapter.create_store_client(settings.store_address)
+        bounds = settings.limits
+        account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        self._store = adapter.create_store_client(settings.store_address, account)
         self._guard = CrashGuard(
             self._timers,
             self._tell,
@@ -121,14 +124,15 @@
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
-            calls.wrap(adapter.create_server_client(calls.record_notice)),
+            calls.wrap(adapter.create_server_client(calls.record_notice, account)),
             settings.data_centre,
             self.metrics,
             self._guard,
         )
         self._listeners = HostListeners(
             settings,
-            (MIN_THREADS, min(MAX_THREADS, settings.limits.max_threads)),
+            account,
+            (MIN_THREADS, min(MAX_THREADS, bounds.max_threads)),
             self.metrics,
             adapter.stated_wait_s,
             self._handle,
--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -31,6 +31,8 @@
     ----------
     settings : EntrySettings
         Addresses and bounds.
+    account : MemoryAccount
+        Memory that is held for callers and servers.
     threads : tuple of int
         Initial and maximum number of threads for callers.
     metrics : Metrics
@@ -44,13 +46,12 @@
     ----------
     callers : HttpListener
         Listener for callers.
-    account : MemoryAccount
-        Memory that is held for callers and servers.
     """
 
     def __init__(
         self,
         settings: EntrySettings,
+        account: MemoryAccount,
         threads: tuple[int, int],
         metrics: Metrics,
         stated_wait_s: Callable[[tuple], float],
@@ -60,7 +61,7 @@
     ):
         self._metrics = metrics
         bounds = settings.limits
-        self.account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        self._account = account
         report = LimitReporter(self._count).report
         self.callers = HttpListener(
             settings.caller_listen,
@@ -68,7 +69,7 @@
             min(threads),
             threads[1],
             bounds,
-            self.account,
+            self._account,
             report,
             stated_wait_s,
         )
@@ -104,7 +105,7 @@
         """Cut off clients that exceed their time or hold threads that others need."""
         for listener in self._all():
             listener.enforce_limits()
-        self._metrics.set("sesameport_entry_account_bytes", self.account.used)
+        self._metrics.set("sesameport_entry_account_bytes", self._account.used)
         self._metrics.set(
             "sesameport_entry_caller_connections", self.callers.connection_count()
         )
--- a/src/sesameport/entry/platform_adapter.py
+++ b/src/sesameport/entry/platform_adapter.py
@@ -4,6 +4,7 @@
 
 from result import Result
 
+from sesameport.adapters.cancellable_socket import Account
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.requests import EntryRequest, ServerClient
 from sesameport.entry.role_controller import EngineOrderClient
@@ -21,11 +22,13 @@
     configuration_name: str
     server_kind: str
 
-    def create_store_client(self, address: str) -> Platform:
-        """Return a client of the store."""
+    def create_store_client(self, address: str, account: Account) -> Platform:
+        """Return a client of the store; its responses are charged to the account."""
         ...
 
-    def create_server_client(self, on_notice: OnNotice) -> ServerClient:
+    def create_server_client(
+        self, on_notice: OnNotice, account: Account
+    ) -> ServerClient:
         """Return a client that calls ``on_notice`` for each answer of a server."""
         ...
 
--- a/src/sesameport/platform/__init__.py
+++ b/src/sesameport/platform/__init__.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from sesameport.adapters.cancellable_socket import Account
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.requests import EntryRequest
 from sesameport.entry.server_notices import OnNotice
@@ -32,13 +33,15 @@
     configuration_name = configuration.CONFIGURATION_NAME
     server_kind = servers.SERVER_KIND
 
-    def create_store_client(self, address: str) -> ObjectStoreClient:
+    def create_store_client(self, address: str, account: Account) -> ObjectStoreClient:
         """Return a client of the object store at an address."""
-        return ObjectStoreClient(address)
+        return ObjectStoreClient(address, account=account)
 
-    def create_server_client(self, on_notice: OnNotice) -> ReplicaClient:
+    def create_server_client(
+        self, on_notice: OnNotice, account: Account
+    ) -> ReplicaClient:
         """Return a client that sends requests to replicas."""
-        return ReplicaClient(on_notice)
+        return ReplicaClient(on_notice, account)
 
     def create_order_client(self, on_notice: OnNotice) -> ReplicaOrderClient:
         """Return a client that sends orders to replicas."""
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from sesameport.adapters.cancellable_socket import (
+    Account,
     CancellableSocket,
     ReadLimitExceeded,
 )
@@ -142,6 +143,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._sock.stop_charging()
         self._conn.close()
 
 
@@ -156,10 +158,13 @@
     ----------
     on_notice : callable
         Called with what each answer says of its replica.
+    account : Account or None
+        Memory that large parts of answers are charged to.
     """
 
-    def __init__(self, on_notice: OnNotice):
+    def __init__(self, on_notice: OnNotice, account: Account | None = None):
         self._on_notice = on_notice
+        self._account = account
 
     def prefill(
         self,
@@ -262,18 +267,22 @@
             conn.close()
             return Err(CallFailure(FailureKind.CALLER_LEFT))
         conn.timeout = max(0.001, req.deadline - time.monotonic())
-        conn.sock = sock = CancellableSocket.wrap(conn.sock, caller, attempt_deadline)
+        conn.sock = sock = CancellableSocket.wrap(
+            conn.sock, caller, attempt_deadline, self._account
+        )
         sock.allow_bytes(MAX_HEAD_BYTES)
         try:
             self._send_request(conn, server, req, extra_headers)
             response = conn.getresponse()
         except _HTTP_ERRORS as exc:
+            sock.stop_charging()
             conn.close()
             return Err(_to_call_failure(sock, exc))
         failure = _check_head(response, req)
         if not _echoes_another_request(response, req):
             report_notice(self._on_notice, server, response.status, response.headers)
         if failure is not None:
+            sock.stop_charging()
             conn.close()
             return Err(failure)
         return Ok(
--- a/src/sesameport/platform/store.py
+++ b/src/sesameport/platform/store.py
@@ -10,6 +10,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from sesameport.adapters.cancellable_socket import Account
 from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
 from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.interfaces import (
@@ -26,6 +27,12 @@
 WATCH_RESPONSE_MARGIN_S = 2.0
 """Extra read timeout for the response of a watch that ran to its end, seconds."""
 
+MAX_RESPONSE_BYTES = 16_777_216
+"""Largest response, bytes. A page of a list has some hundred objects of about 1 KB."""
+
+READ_BYTES = 65_536
+"""Step in which a response is read and charged, bytes."""
+
 _SOCKET_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *KEEPALIVE_OPTIONS]
 
 
@@ -42,9 +49,14 @@
         ``IP:port`` of the store.
     timeout_s : float
         Timeout of one call, seconds.
+    account : Account or None
+        Memory that responses are charged to while they are read and decoded.
     """
 
-    def __init__(self, address: str, timeout_s: float = 1.0):
+    def __init__(
+        self, address: str, timeout_s: float = 1.0, account: Account | None = None
+    ):
+        self._account = account
         host, _, port = address.rpartition(":")
         self._timeout_s = timeout_s
         self._pool = StrictConnectionPool(
@@ -165,8 +177,9 @@
                 ),
                 retries=False,
                 redirect=False,
+                preload_content=False,
             )
-            return _decode_response(response.status, response.data)
+            return self._read(response)
         except urllib3.exceptions.NewConnectionError as exc:
             return Err(PlatformError(PlatformErrorKind.UNAVAILABLE, str(exc)))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
@@ -175,6 +188,30 @@
                 kind = PlatformErrorKind.UNAVAILABLE
             return Err(PlatformError(kind, str(exc)))
 
+    def _read(self, response) -> Result[dict, PlatformError]:
+        """Read and decode a response, and hold its memory in the account meanwhile."""
+        parts, size, charged = [], 0, 0
+        try:
+            for part in response.stream(READ_BYTES, decode_content=False):
+                parts.append(part)
+                size += len(part)
+                # The first part is not charged, as most responses have no other.
+                if size > READ_BYTES + charged:
+                    if size > MAX_RESPONSE_BYTES or not self._charge():
+                        detail = f"no memory for a response of {size} bytes or more"
+                        raise OSError(detail)
+                    charged += READ_BYTES
+            return _decode_response(response.status, b"".join(parts))
+        except BaseException:
+            response.close()
+            raise
+        finally:
+            if charged and self._account:
+                self._account.release(charged)
+
+    def _charge(self) -> bool:
+        return self._account is None or self._account.charge_open(READ_BYTES)
+
 
 _ERROR_KIND_BY_STATUS = {
     404: PlatformErrorKind.NOT_FOUND,
--- a/src/sesameport/platform/tests/test_caller_crowds.py
+++ b/src/sesameport/platform/tests/test_caller_crowds.py
@@ -9,13 +9,14 @@
 
 import pytest
 
-from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST
+from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST, wait_until
 from sesameport.platform.tests.crowds import (
     BLOCK_BYTES,
     CHUNKED_HEAD,
     assert_unharmed,
     crowded_host,
 )
+from sesameport.platform.tests.test_endless_bytes import FloodingServer
 
 # The bounds are the limits stated in the settings file: memoryMb, and maxFds without
 # the 200 descriptors that are reserved for files.
@@ -60,6 +61,13 @@
     yield CHUNKED_HEAD[:-2]
 
 
+def request_without_reading():
+    yield (
+        f"GET /look/x HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nX-Key: {API_KEY}\r\n"
+        "X-Request-Id: slow\r\nX-Deadline-Ms: 30000\r\n\r\n"
+    ).encode()
+
+
 def silence():
     yield b""
 
@@ -121,3 +129,20 @@
         _, _, _, body = cluster.replicas["s1"].received_requests[-1]
         assert body == b"y" * 4_194_304
         assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
+
+
+def test_callers_that_do_not_read_take_bounded_memory(cluster, tmp_path):
+    # Guards against responses that collect in memory while a slow link takes them. The
+    # fixed crowds above do not read either, but their responses are short.
+    server = FloodingServer(b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r\n", BLOCK)
+    with crowded_host(cluster, tmp_path) as (host, crowd):
+        registration = cluster.replicas["s1"].registration("desk")
+        cluster.store.put("servers", "s1", {**registration, "address": server.address})
+        wait_until(lambda: host.get(host.caller, "/look/x", 1.0) != 200)
+        crowd.add(request_without_reading, 30)
+        crowd.wait()
+        wait_until(lambda: server.accepted >= 30)
+        cluster.store.put("servers", "s1", registration)
+        wait_until(lambda: host.get(host.caller, "/look/x") == 200)
+        assert_unharmed(host, MEMORY_MB, MAX_FDS - RESERVED_FDS)
+    server.stop()
