Wake waiting bodies only when there is room for one

Cause: each release woke all bodies that waited for memory, and one turn of the supervisor looked at all connections for each that waited for a thread. Both grow with the square of the number of clients.

Change: a release wakes one body, and only if a step of 64 KiB is free; the others look every 0.25 s. One turn cuts off at most 32 connections for others.

--- a/src/sesameport/entry/caller_limits/body_reader.py
+++ b/src/sesameport/entry/caller_limits/body_reader.py
@@ -14,6 +14,7 @@
 from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
 from sesameport.entry.caller_limits.chunked_parser import ChunkedParser
 from sesameport.entry.caller_limits.memory_account import (
+    STEP_BYTES,
     Holder,
     MemoryAccount,
     choose_largest,
@@ -32,9 +33,6 @@
 HOLDER_BYTES = 32_768
 """Memory of a body in progress besides the body itself, bytes."""
 
-CHARGE_BYTES = 65_536
-"""Step in which the memory of a growing body is charged, bytes."""
-
 SMALL_READ_BYTES = 512
 MAX_SMALL_READS = 8
 SMALL_READ_PAUSE_S = 0.005
@@ -164,7 +162,7 @@
         small_reads = 0
         while not parser.is_complete:
             if parser.held_bytes() > holder.held - HOLDER_BYTES:
-                self._charge(holder, CHARGE_BYTES)
+                self._charge(holder, STEP_BYTES)
             _raise_if_closed(holder)
             data = conn.socket.recv(min(READ_BYTES, parser.wanted_bytes()))
             _raise_if_closed(holder)
--- a/src/sesameport/entry/caller_limits/memory_account.py
+++ b/src/sesameport/entry/caller_limits/memory_account.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-__all__ = ["Holder", "MemoryAccount", "choose_largest"]
+__all__ = ["STEP_BYTES", "Holder", "MemoryAccount", "choose_largest"]
 
 STALLED_S = 1.0
 """Time without a byte after which a holder counts as stalled, seconds."""
@@ -19,9 +19,13 @@
 """Time for which a body waits for memory before the largest holder is closed even if it
 makes progress, seconds."""
 
-CHECK_S = 0.05
+CHECK_S = 0.25
 """Period at which a body that waits for memory looks for a stalled holder, seconds."""
 
+STEP_BYTES = 65_536
+"""Step in which the memory of a growing body is charged, bytes. A waiting body is woken
+only if that much is free, as each ordinary request releases less."""
+
 
 @attrs.define(eq=False)
 class Holder:
@@ -126,8 +130,8 @@
         """Release what was charged."""
         with self._lock:
             self._used -= size
-            if self._waiting:
-                self._released.notify_all()
+            if self._waiting and self._used + STEP_BYTES <= self._open_limit:
+                self._released.notify()
 
     def wait_for_release(self, timeout_s: float = CHECK_S) -> None:
         """Wait until something is released, or for a time."""
--- a/src/sesameport/entry/caller_limits/supervisor.py
+++ b/src/sesameport/entry/caller_limits/supervisor.py
@@ -21,6 +21,11 @@
 seconds."""
 
 
+MAX_CUT_OFF_AT_ONCE = 32
+"""Connections that are cut off in one turn for others that wait. Each choice looks at
+all of them, so more would take processor time from ordinary requests."""
+
+
 def choose_blocked(
     connections: list[BoundedConnection], now: float
 ) -> BoundedConnection | None:
@@ -80,7 +85,7 @@
             self._open_bodies.close(holder, bound)
         pool = self._server.requests
         waiting = pool.qsize if not pool.idle else 0
-        for _ in range(waiting):
+        for _ in range(min(waiting, MAX_CUT_OFF_AT_ONCE)):
             if not self.close_one(now, "threads"):
                 break
 
