--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from sesameport.entry.caller_limits.bounds import CallerBounds
+
 __all__ = ["EntrySettings", "FleetBounds", "settings_requiring_restart"]
 
 
@@ -45,7 +47,8 @@
 
     Addresses are ``IP:port``. ``seed_addresses`` are hosts that may provide the
     configuration while the platform's store is unreachable. ``regions`` has the region
-    of each data centre.
+    of each data centre. ``limits`` follow from the memory and the descriptors of the
+    machine.
     """
 
     name: str
@@ -59,6 +62,7 @@
     bounds: FleetBounds = FleetBounds()
     metrics_port: int = 9464
     regions: dict[str, str] = attrs.field(factory=dict)
+    limits: CallerBounds = CallerBounds.for_machine()
 
 
 _RELOADABLE = ("bounds", "seed_addresses", "regions")
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -195,3 +195,12 @@
     text = SETTINGS.replace("graceS = 8", "coldOvershoot = 1.5\ncoldSlack = 5")
     bounds = load_platform_settings(text, "x.toml")[0].bounds
     assert (bounds.cold_overshoot, bounds.cold_slack) == (1.5, 5.0)
+
+
+def test_limits_of_the_machine_give_the_bounds_and_invalid_ones_are_found():
+    text = SETTINGS + "\n[limits]\nmemoryMb = 552\nmaxBodies = 7\nbodyTimeoutMs = 500\n"
+    limits = load_platform_settings(text, "node.toml")[0].limits
+    assert (limits.account_bytes, limits.max_bodies, limits.body_s) == (342e6, 7, 0.5)
+    text = SETTINGS + "\n[limits]\nmemoryMb = 0\nmaxFds = true\n"
+    findings = load_platform_settings(text, "node.toml")[1]
+    assert [item.path for item in findings] == ["limits.memoryMb", "limits.maxFds"]
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -134,6 +134,9 @@
     _gauge(
         "entry_evacuated_requests", "Requests of this host in evacuated data centres."
     ),
+    _counter("entry_limit_refusals", "Clients refused or cut off.", "bound"),
+    _gauge("entry_account_bytes", "Memory held for callers and servers."),
+    _gauge("entry_caller_connections", "Open connections of callers."),
     _gauge("entry_version", "Version of the configuration in force."),
     _gauge("entry_limited_servers", "Servers that name a limit of requests."),
     _gauge("entry_cold_servers", "Servers that are cold."),
