Weigh learned speeds and cached prefixes in placement

Placement treats all decode engines and plain servers as equally fast, and no prefill is placed where the prompt's first parts are cached.

place_generation takes one object, Predictions, with prefill speeds, gap factors and cached tokens of servers. KeptPrefixes estimates what engines still have. Nothing fills the predictions yet.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -11,6 +11,12 @@
 )
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
+from sesameport.admission.kept_prefixes import (
+    KeptPrefixes,
+    PrefixPart,
+    PrefixReport,
+    prefix_parts,
+)
 from sesameport.admission.permits import (
     Grant,
     PermitIssuer,
@@ -20,20 +26,25 @@
 from sesameport.admission.placement import (
     GenerationRequest,
     Placement,
-    PlacementPolicy,
     Shortage,
-    choose_plain_server,
-    expected_output_tokens,
     place_generation,
-    reserved_kv_tokens,
 )
+from sesameport.admission.placement_policy import PlacementPolicy
+from sesameport.admission.plain_placement import choose_plain_server
+from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
 from sesameport.admission.quota import FleetQuota, QuotaDecision
+from sesameport.admission.request_size import (
+    expected_output_tokens,
+    reserved_kv_tokens,
+)
 from sesameport.admission.retry_budget import WindowedRetryBudget
 from sesameport.admission.roles import RolePlan, RolePlanner, WorkloadMix
 from sesameport.admission.routes import RouteTable
 from sesameport.admission.server_health import ServerHealth
 from sesameport.admission.server_notices import NoticeReport, ServerNotices
 from sesameport.admission.server_registry import ServerRegistry
+from sesameport.admission.server_speeds import ServerSpeeds
+from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
 from sesameport.admission.trickle import Trickle
 from sesameport.admission.waiting_queue import (
     RetryAfterPolicy,
@@ -50,11 +61,16 @@
     "GenerationRequest",
     "Grant",
     "Judgement",
+    "KeptPrefixes",
+    "NO_PREDICTIONS",
     "NoticeReport",
     "PermitIssuer",
     "PermitStock",
     "Placement",
     "PlacementPolicy",
+    "Predictions",
+    "PrefixPart",
+    "PrefixReport",
     "QuotaDecision",
     "RetryAfterPolicy",
     "WindowedRetryBudget",
@@ -64,8 +80,11 @@
     "ServerRegistry",
     "ServerHealth",
     "ServerNotices",
+    "ServerSpeeds",
     "ServerUse",
     "Shortage",
+    "SpeedMeasure",
+    "SpeedReport",
     "SuspectReport",
     "Trickle",
     "WaitingRequest",
@@ -79,5 +98,6 @@
     "expected_output_tokens",
     "forecast_fit_s",
     "forecast_wait_s",
+    "prefix_parts",
     "reserved_kv_tokens",
 ]
--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -19,85 +19,28 @@
 from result import Err, Ok, Result
 
 from sesameport.admission.fleet_use import FleetUse, ServerUse
+from sesameport.admission.kept_prefixes import PrefixPart
+from sesameport.admission.placement_policy import PlacementPolicy
+from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
+from sesameport.admission.request_size import reserved_kv_tokens
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EngineProfile
 from sesameport.entry.servers import EntryServer
 
 __all__ = [
-    "BLOCK_TOKENS",
     "GenerationRequest",
     "Placement",
-    "PlacementPolicy",
     "Shortage",
     "place_generation",
-    "choose_plain_server",
-    "expected_output_tokens",
-    "reserved_kv_tokens",
 ]
 
-BLOCK_TOKENS = 16
-"""Tokens per KV cache block, the unit in which engines allocate memory."""
-
-TYPICAL_OUTPUT_SHARE = 0.4
-"""Mean answer length as a fraction of the output limit: 740 of 1,870 tokens."""
-
-ESTIMATE_WEIGHT = 0.58
-"""Weight of a caller's length estimate against the typical length, on a log scale.
-Answer length grows with this power of the estimate, so short estimates used unchanged
-would reserve too little memory."""
-
-
-@attrs.frozen
-class PlacementPolicy:
-    """Set the thresholds and cost weights of placement.
-
-    Attributes
-    ----------
-    memory_share : float
-        Fraction of an engine's KV cache that may be reserved. Values above 1 lead to
-        preempted streams, which costs more throughput than the extra requests add.
-    prefill_tokens_per_s : float
-        Default prefill speed of a server without a measured speed.
-    freed_share : float
-        Fraction of the memory expected to be freed during a prefill that may be
-        reserved in advance. It is below 1 because streams end at random times, and a
-        stream that runs out of memory is preempted.
-    cross_centre_cost : float
-        Load penalty for a server in another data centre. Transferring a KV cache
-        between data centres takes twice as long.
-    max_prefill_wait_s : float
-        Queueing delay above which a prefill server receives no more prompts, seconds.
-    local_prefill_below : float
-        Fraction of reserved decode memory below which decode servers run prefills
-        themselves while the queues of prefill servers are long.
-    local_prefill_tokens_per_s : float
-        Prefill speed of a decode server, half that of a prefill server.
-    max_decode_stall_s : float
-        Longest time for which a local prefill may stall the streams of a decode
-        server, seconds. Callers count a stream as late after a pause of 0.3 s. The
-        pause consists of the prefill and the next decode step of 0.06 s, which both
-        take 1.3 times as long on the slowest engines: 1.3 * (0.17 + 0.06) < 0.3.
-    """
-
-    memory_share: float = 1.0
-    freed_share: float = 0.7
-    prefill_tokens_per_s: float = 30_000.0
-    cross_centre_cost: float = 0.08
-    max_prefill_wait_s: float = 0.45
-    local_prefill_below: float = 0.7
-    local_prefill_tokens_per_s: float = 15_000.0
-    max_decode_stall_s: float = 0.17
-
-    def makes_streams_late(self, prompt_tokens: int) -> bool:
-        """Return whether a local prefill of this length makes running streams late."""
-        return prompt_tokens > self.local_prefill_tokens_per_s * self.max_decode_stall_s
-
 
 @attrs.frozen
 class GenerationRequest:
     """Represent a generation request to be placed.
 
     ``is_prefilled`` means that a prefill server holds the KV cache of the prompt.
+    ``prefix`` has the parts of the prompt that other requests may have too, in order.
     """
 
     service: str
@@ -106,6 +49,7 @@
     output_tokens: int
     excluded: frozenset[str] = frozenset()
     is_prefilled: bool = False
+    prefix: tuple[PrefixPart, ...] = ()
 
 
 @attrs.frozen
@@ -114,8 +58,10 @@
 
     ``prefill`` is None if the decode server runs the prefill or if it is already done.
     ``handle_s`` is the time for which a prefill server retains the KV cache, and
-    ``expected_prefill_s`` is the expected time until the prefill completes. Both
-    are in seconds.
+    ``expected_prefill_s`` is the expected time until the prefill completes without
+    cached parts. Both are in seconds. ``cached_tokens`` is what the server of the
+    prefill is expected to have cached of the prompt, and ``queued_tokens`` what waits
+    there before it.
     """
 
     decode: EntryServer
@@ -125,6 +71,9 @@
     handle_s: float = 0.5
     is_prefilled: bool = False
     expected_prefill_s: float = 0.0
+    cached_tokens: float = 0.0
+    queued_tokens: float = 0.0
+    prefix: tuple[PrefixPart, ...] = ()
 
     @property
     def prefill_server(self) -> EntryServer | None:
@@ -145,7 +94,7 @@
 
     def prefill_use(self) -> ServerUse:
         """Return the prefill load on the server that runs the prefill."""
-        return ServerUse(0.0, 0, self.prompt_tokens)
+        return ServerUse(0.0, 0, self.prompt_tokens - round(self.cached_tokens))
 
     def called_servers(self) -> set[str]:
         """Return the servers that get a call for this placement."""
@@ -173,30 +122,6 @@
     PREFILL_SERVER = "reader"
 
 
-def reserved_kv_tokens(prompt: int, output: int) -> int:
-    """Return the KV cache of a completed request, in tokens rounded up to blocks."""
-    return math.ceil((prompt + output) / BLOCK_TOKENS) * BLOCK_TOKENS
-
-
-def expected_output_tokens(max_output: int, estimate: int | None) -> int:
-    """Return the expected length of an answer in tokens.
-
-    A caller's estimate, if any, is blended with the typical length.
-
-    Examples
-    --------
-    >>> expected_output_tokens(1000, None)
-    400
-    >>> 100 < expected_output_tokens(1000, 100) < 400
-    True
-    """
-    typical = TYPICAL_OUTPUT_SHARE * max_output
-    if estimate is None or estimate <= 0 or typical <= 0:
-        return int(typical)
-    blended = typical ** (1.0 - ESTIMATE_WEIGHT) * estimate**ESTIMATE_WEIGHT
-    return int(min(max_output, blended))
-
-
 def place_generation(
     req: GenerationRequest,
     profile: EngineProfile,
@@ -206,12 +131,14 @@
     policy: PlacementPolicy,
     speeds: dict[str, float],
     mean_reservation_s: float = math.inf,
+    predictions: Predictions = NO_PREDICTIONS,
 ) -> Result[Placement, Shortage]:
     """Return a placement for a generation, or an Err with the resource that is short.
 
     The least loaded decode server is chosen, because decode steps take longer with
     more running requests. Servers in the caller's data centre win among nearly equal
-    ones.
+    ones. A slow server counts as loaded by as much as makes a typical one as slow, and
+    one that has no part of the prompt cached as loaded by what it has to fetch more.
 
     If every prefill server is unreachable or excluded, the decode server runs the
     prefill itself. This takes twice as long and stalls its running streams, so it is
@@ -236,14 +163,29 @@
         Measured prefill speeds by server, tokens per second.
     mean_reservation_s : float
         Mean time for which a request holds its KV cache, seconds.
+    predictions : Predictions
+        Learned speeds of servers, and what they have cached of the prompt.
     """
+    speeds = predictions.prefill_speeds or speeds
+    cached = predictions.cached_tokens
     needed = reserved_kv_tokens(req.prompt_tokens, req.output_tokens)
     limit = policy.memory_share * profile.kv_tokens
-    expected_prefill_s = _min_prefill_latency_s(req, servers, use, policy, speeds)
+    expected_prefill_s = _min_prefill_latency_s(
+        req, servers, use, policy, speeds, cached
+    )
     freed_share = policy.freed_share * expected_prefill_s / mean_reservation_s
     decode_costs = list(
         _decode_costs(
-            req, profile, servers, use, cost_factor, policy, needed, limit, freed_share
+            req,
+            profile,
+            servers,
+            use,
+            cost_factor,
+            policy,
+            needed,
+            limit,
+            freed_share,
+            predictions,
         )
     )
     decode = _cheapest(decode_costs)
@@ -254,15 +196,25 @@
         kv_tokens=needed,
         prompt_tokens=req.prompt_tokens,
         handle_s=profile.handle_s,
+        prefix=req.prefix,
     )
     if req.is_prefilled:
         return Ok(place(decode, None, is_prefilled=True))
     prefill = _cheapest(
-        _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode)
+        _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode, cached)
     )
     if prefill is not None:
-        wait_s, prefill_s = _queue_and_prefill_s(prefill, req, use, policy, speeds)
-        return Ok(place(decode, prefill, expected_prefill_s=wait_s + prefill_s))
+        # Time-outs follow from this time, so it does not rely on the cache.
+        wait_s, prefill_s = _queue_and_prefill_s(prefill, req, use, policy, speeds, {})
+        return Ok(
+            place(
+                decode,
+                prefill,
+                expected_prefill_s=wait_s + prefill_s,
+                cached_tokens=cached.get(prefill.name, 0.0),
+                queued_tokens=use.total_for(prefill.name).prefill_tokens,
+            )
+        )
     has_prefill = any(
         server.can_prefill() and server.name not in req.excluded for server in servers
     )
@@ -295,7 +247,7 @@
         yield cost, server
 
 
-def _min_prefill_latency_s(req, servers, use, policy, speeds) -> float:
+def _min_prefill_latency_s(req, servers, use, policy, speeds, cached) -> float:
     """Return the shortest expected prefill latency over prefill servers, seconds."""
     if req.is_prefilled:
         return 0.0
@@ -303,21 +255,41 @@
     for server in servers:
         if not server.can_prefill() or server.name in req.excluded:
             continue
-        expected_prefill_s = sum(_queue_and_prefill_s(server, req, use, policy, speeds))
+        expected_prefill_s = sum(
+            _queue_and_prefill_s(server, req, use, policy, speeds, cached)
+        )
         times.append(min(expected_prefill_s, policy.max_prefill_wait_s))
     return min(times, default=0.0)
 
 
-def _queue_and_prefill_s(server, req, use, policy, speeds) -> tuple[float, float]:
+def _queue_and_prefill_s(
+    server, req, use, policy, speeds, cached
+) -> tuple[float, float]:
     """Return the queueing time and the prefill time of a prompt, seconds."""
     speed = speeds.get(server.name, policy.prefill_tokens_per_s)
-    return use.total_for(server.name).prefill_tokens / speed, req.prompt_tokens / speed
+    tokens = req.prompt_tokens - cached.get(server.name, 0.0)
+    return use.total_for(server.name).prefill_tokens / speed, tokens / speed
 
 
 def _decode_costs(
-    req, profile, servers, use, cost_factor, policy, needed, limit, freed_share
+    req,
+    profile,
+    servers,
+    use,
+    cost_factor,
+    policy,
+    needed,
+    limit,
+    freed_share,
+    predictions,
 ):
     """Yield the costs of decode servers that have room for a request."""
+    cached = predictions.cached_tokens
+    most_cached = 0.0
+    if cached:
+        decoders = (server.name for server in servers if server.can_decode())
+        most_cached = max((cached.get(name, 0.0) for name in decoders), default=0.0)
+    fastest = min([1.0, *predictions.gap_factors.values()])
     for server in servers:
         if not server.can_decode():
             continue
@@ -331,17 +303,36 @@
         ):
             continue
         cost = (used.kv_tokens + needed) / profile.kv_tokens
+        slowness = predictions.gap_factors.get(server.name, 1.0) / fastest
+        if slowness != 1.0:
+            cost = _equivalent_load(cost, slowness, policy)
+        fetched_more = most_cached - cached.get(server.name, 0.0)
+        cost += policy.fetch_cost * fetched_more / 1_000
         if server.data_centre != req.data_centre:
             cost += policy.cross_centre_cost
         yield cost * cost_factor(server.name), server
 
 
-def _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode):
+def _equivalent_load(load, slowness, policy) -> float:
+    """Return the load at which the fastest server is as bad as a slower one.
+
+    Both the time between two events and the share of free memory count. Otherwise the
+    fastest server would be filled first, and hosts that do not know of each other's
+    latest placements would overcommit it.
+    """
+    left = 1.0 - policy.memory_weight * min(1.0, load)
+    badness = slowness * (1.0 + policy.gap_growth * load) / left
+    return (badness - 1.0) / (policy.gap_growth + policy.memory_weight * badness)
+
+
+def _prefill_costs(req, servers, use, cost_factor, policy, speeds, decode, cached):
     """Yield the costs of prefill servers whose queue is short enough."""
     for server in servers:
         if not server.can_prefill() or server.name in req.excluded:
             continue
-        wait_s, prefill_s = _queue_and_prefill_s(server, req, use, policy, speeds)
+        wait_s, prefill_s = _queue_and_prefill_s(
+            server, req, use, policy, speeds, cached
+        )
         if wait_s > policy.max_prefill_wait_s:
             continue
         cost = wait_s + prefill_s
@@ -357,22 +348,3 @@
         if cost < best_cost:
             best, best_cost = server, cost
     return best
-
-
-def choose_plain_server(
-    data_centre: str,
-    servers: Iterable[EntryServer],
-    use: FleetUse,
-    cost_factor: Callable[[str], float],
-    excluded: frozenset[str] = frozenset(),
-) -> EntryServer | None:
-    """Return the plain server with the lowest load per slot, or None."""
-    costs = []
-    for server in servers:
-        if server.role != ServerRole.PLAIN or server.name in excluded:
-            continue
-        cost = (use.total_for(server.name).active_requests + 1) / server.slots
-        if server.data_centre != data_centre:
-            cost *= 1.1
-        costs.append((cost * cost_factor(server.name), server))
-    return _cheapest(costs)
--- a/src/sesameport/admission/tests/test_placement.py
+++ b/src/sesameport/admission/tests/test_placement.py
@@ -12,7 +12,7 @@
     choose_plain_server,
     place_generation,
 )
-from sesameport.admission.placement import expected_output_tokens, reserved_kv_tokens
+from sesameport.admission.request_size import expected_output_tokens, reserved_kv_tokens
 from sesameport.admission.tests.builders import PROFILE, generation, server
 from sesameport.domain import ServerRole
 
