Share learned speeds and cached prefixes between hosts

What a host learned of servers was its own. In a fleet of 195 hosts each one sees few requests of each server.

LearnedServers takes samples from the ends of prefills and runs, SpeedExchange sends what other hosts lack on two topics of its own, which older hosts do not subscribe to. X-Prompt-Prefix is read as ids with tokens. Placement uses the predictions.

--- a/src/sesameport/admission/server_speeds.py
+++ b/src/sesameport/admission/server_speeds.py
@@ -150,6 +150,13 @@
         """
         return self._table(service, measure, now).factors
 
+    def unequal(self, now: float) -> dict[str, float]:
+        """Return the servers that have a factor in a measure that placement uses."""
+        found: dict[str, float] = {}
+        for service, measure in list(self._tables):
+            found.update(self.factors(service, measure, now))
+        return found
+
     def typical_s(self, service: str, measure: SpeedMeasure, now: float) -> float:
         """Return the typical time of a service's servers, seconds; 0 if unknown."""
         return self._table(service, measure, now).typical_s
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -10,11 +10,13 @@
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
 from sesameport.entry.host_addresses import HostAddresses
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.notice_exchange import NoticeExchange
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.speed_exchange import SpeedExchange
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
@@ -86,6 +88,7 @@
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
+        learned = LearnedServers(settings.data_centre)
         self._admission = AdmissionController(
             settings,
             lambda now: self._reports.record_change(self._admission, now),
@@ -93,13 +96,16 @@
             notices=notices,
             publish=peers.publish,
             started_at=time.monotonic(),
+            learned=learned,
         )
+        self._speeds = SpeedExchange(learned, self._admission, peers.publish, metrics)
         self._notices = NoticeExchange(
             self._admission.registry, notices, peers.publish, metrics
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
+        admission = self._admission
         self._entries = ServerEntries(
-            self._admission.registry, self._admission.health, notices, self._selector
+            admission.registry, admission.health, notices, self._selector, learned
         )
         self._addresses = HostAddresses(settings.name)
         self._new_peers: list[str] = []
@@ -110,12 +116,9 @@
         self._own_request_at = -math.inf
         self._store_reachable = False
         self._had_store_contact = False
-        admission = self._admission
         self._handlers = {
-            m.AdmitGeneration: admission.admit_generation,
+            **self._speeds.handlers(),
             m.AdmitPlain: admission.admit_plain,
-            m.PrefillEnded: admission.handle_prefill_ended,
-            m.RunEnded: admission.handle_run_ended,
             m.CancelWait: admission.cancel_wait,
             m.ConsumeRetry: admission.consume_retry,
             m.CallOutcome: admission.monitor.record_outcome,
@@ -365,6 +368,7 @@
         _log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
         self._notices.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
+        self._speeds.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
         self._admission.permits.expire()
         self._new_peers = []
         self._entries.expire(now)
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -32,12 +32,9 @@
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.placement_log import (
-    log_over_quota,
-    log_placement,
-    log_refusal,
-)
+from sesameport.entry.placement_log import log_over_quota, log_placement, log_refusal
 from sesameport.entry.plain_admission import PlainAdmission
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import ServerMonitor
@@ -67,8 +64,8 @@
         Schedules a call of `place_waiting` at a monotonic time.
     rng : random.Random
         Spreads the retry times of refused callers and samples servers to probe.
-    notices : ServerNotices
-        What servers say of themselves.
+    notices, learned : ServerNotices, LearnedServers
+        What servers say of themselves, and what this host learns of them.
     publish : callable
         Sends messages about permits to other hosts.
     started_at : float
@@ -84,6 +81,7 @@
         notices: ServerNotices | None = None,
         publish: Callable[[m.PermitRequest | m.PermitReply], None] = lambda _: None,
         started_at: float = -math.inf,
+        learned: LearnedServers | None = None,
     ):
         bounds = settings.bounds
         self._on_change = on_change
@@ -94,6 +92,7 @@
         self.use = FleetUse()
         self.health = ServerHealth()
         self.notices = ServerNotices() if notices is None else notices
+        self._learned = learned or LearnedServers(settings.data_centre)
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng
         )
@@ -113,6 +112,7 @@
             self.permits,
             self.retry_delay_s,
             wake_at,
+            self._learned.plain_factors,
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
         self._policy = PlacementPolicy()
@@ -246,6 +246,7 @@
             self._policy,
             self._measurements.prefill_speeds,
             self.workload_mix(service).mean_reservation_s,
+            predictions=self._learned.predict(req.generation, engine, self.use, now),
         )
 
     def place_waiting(self, now: float) -> None:
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -7,7 +7,11 @@
 import pykka
 from result import Err, Ok
 
-from sesameport.admission import GenerationRequest, expected_output_tokens
+from sesameport.admission import (
+    GenerationRequest,
+    expected_output_tokens,
+    prefix_parts,
+)
 from sesameport.entry import messages as m
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
@@ -117,6 +121,8 @@
                     placement=admitted.placement,
                     seconds=time.monotonic() - began_at,
                     succeeded=succeeded,
+                    events=progress.run_events,
+                    events_s=progress.run_events_s(),
                 )
                 self._actor.tell(ended)
             if failure is None:
@@ -157,6 +163,7 @@
                     output,
                     frozenset(progress.excluded),
                     progress.has_source(),
+                    prefix_parts(req.prompt_parts, req.prompt_part_tokens),
                 ),
                 req.workspace,
                 # A request that has run stays charged, so a refusal refunds nothing.
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -4,7 +4,9 @@
 
 from sesameport.admission import (
     NoticeReport,
+    PrefixReport,
     ServerUse,
+    SpeedReport,
     SuspectReport,
     WaitingTokens,
 )
@@ -18,6 +20,8 @@
     "NoticeReports",
     "PermitReply",
     "PermitRequest",
+    "PrefixReports",
+    "SpeedReports",
     "SuspectReports",
 ]
 
@@ -82,6 +86,20 @@
     reports: tuple[NoticeReport, ...]
 
 
+@attrs.frozen
+class SpeedReports:
+    """Report samples of the speeds of servers; see ``admission.ServerSpeeds``."""
+
+    reports: tuple[SpeedReport, ...]
+
+
+@attrs.frozen
+class PrefixReports:
+    """Report cached parts of prompts; see ``admission.KeptPrefixes``."""
+
+    reports: tuple[PrefixReport, ...]
+
+
 @attrs.frozen
 class PermitRequest:
     """Request permits for a limited server from the host that issues them.
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -13,6 +13,8 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.server_notices import ServerNotice
@@ -37,6 +39,7 @@
     "PermitReply",
     "PermitRequest",
     "PlainReply",
+    "PrefixReports",
     "GetNextRoleChange",
     "PrefillEnded",
     "ProbeResult",
@@ -48,6 +51,7 @@
     "CallOutcome",
     "ServerNoticed",
     "ServersChanged",
+    "SpeedReports",
     "ServersListed",
     "SnapshotRequested",
     "ConsumeRetry",
@@ -175,12 +179,18 @@
 
 @attrs.frozen
 class RunEnded:
-    """Report that a request no longer uses its decode server or plain server."""
+    """Report that a request no longer uses its decode server or plain server.
+
+    ``events`` is the number of reads with events of a run on a decode server, and
+    ``events_s`` the time from the first to the last of them, seconds.
+    """
 
     placement: Placement | None = None
     plain: EntryServer | None = None
     seconds: float = 0.0
     succeeded: bool = False
+    events: int = 0
+    events_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -139,6 +139,12 @@
             return False
         return time.monotonic() - self._run_first_event_at >= SETTLING_S
 
+    def run_events_s(self) -> float:
+        """Return the time from the first to the last event of the run, seconds."""
+        if self._run_first_event_at is None or self._last_event_at is None:
+            return 0.0
+        return max(0.0, self._last_event_at - self._run_first_event_at)
+
     def record_event(self) -> None:
         """Record the time of an event that is forwarded, and the pause before it."""
         now = time.monotonic()
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -26,17 +26,23 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
     SnapshotRequested,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.report_codec import (
     decode_notices,
     decode_permits,
+    decode_prefixes,
     decode_report,
+    decode_speeds,
     decode_suspects,
     encode_notices,
     encode_permits,
+    encode_prefixes,
     encode_report,
+    encode_speeds,
     encode_suspects,
 )
 from sesameport.telemetry.logs import get_logger
@@ -77,6 +83,8 @@
 _NOTICES = b"n"
 _PERMITS = b"g"
 """First byte of the topics of single hosts; see `_permit_topic`."""
+_SPEEDS = b"v"
+_PREFIXES = b"k"
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -115,6 +123,8 @@
                 | HostAnnounced
                 | SuspectReports
                 | NoticeReports
+                | SpeedReports
+                | PrefixReports
                 | PermitRequest
                 | PermitReply
             ],
@@ -146,6 +156,8 @@
         | FleetSnapshot
         | SuspectReports
         | NoticeReports
+        | SpeedReports
+        | PrefixReports
         | PermitRequest
         | PermitReply,
     ) -> None:
@@ -159,6 +171,12 @@
         if isinstance(message, NoticeReports):
             self._control.send_multipart([_NOTICES, encode_notices(message)])
             return
+        if isinstance(message, SpeedReports):
+            self._control.send_multipart([_SPEEDS, encode_speeds(message)])
+            return
+        if isinstance(message, PrefixReports):
+            self._control.send_multipart([_PREFIXES, encode_prefixes(message)])
+            return
         if isinstance(message, PermitRequest | PermitReply):
             topic = _permit_topic(message.to_host)
             self._control.send_multipart([topic, encode_permits(message)])
@@ -199,6 +217,8 @@
         subscriber.subscribe(_PARTIAL_REPORT)
         subscriber.subscribe(_SUSPECTS)
         subscriber.subscribe(_NOTICES)
+        subscriber.subscribe(_SPEEDS)
+        subscriber.subscribe(_PREFIXES)
         subscriber.subscribe(_permit_topic(self._name))
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
@@ -312,6 +332,12 @@
         if topic == _NOTICES:
             self._receive(decode_notices(data))
             return None
+        if topic == _SPEEDS:
+            self._receive(decode_speeds(data))
+            return None
+        if topic == _PREFIXES:
+            self._receive(decode_prefixes(data))
+            return None
         if topic.startswith(_PERMITS):
             self._receive(decode_permits(data))
             return None
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -29,6 +29,7 @@
             "decode": decode.name,
             "prefill": prefill.name if prefill else "",
             "kv_tokens": placement.kv_tokens,
+            "cached_tokens": round(placement.cached_tokens),
             "decode_reserved": round(use.total_for(decode.name).kv_tokens),
             **fleet_view_fields(use, now),
         },
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -4,7 +4,7 @@
 limit and no other host has said yet when there is one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import pykka
@@ -55,6 +55,9 @@
         Returns the Retry-After where no server is usable, seconds.
     wake_at : callable
         Schedules a call of `place_waiting` at a monotonic time.
+    time_factors : callable
+        Returns the service times of a service's servers that differ from the typical
+        one, as multiples of it.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         permits: PermitExchange,
         retry_delay_s: Callable[[], float],
         wake_at: Callable[[float], None],
+        time_factors: Callable[[str, float], Mapping[str, float]],
     ):
         self._data_centre = data_centre
         self._monitor = monitor
@@ -76,6 +80,7 @@
         self._permits = permits
         self._retry_delay_s = retry_delay_s
         self._wake_at = wake_at
+        self._time_factors = time_factors
         self._waiting: list[_Waiting] = []
 
     def admit(self, req: m.AdmitPlain, now: float) -> m.PlainReply:
@@ -112,10 +117,10 @@
             for server in self._monitor.usable_servers(req.service, now)
             if server.name not in req.excluded
         ]
-        server = self._choose(candidates, now)
+        server = self._choose(req.service, candidates, now)
         self._ask(candidates, server, now)
         if server is None:
-            server = self._choose(candidates, now)
+            server = self._choose(req.service, candidates, now)
         if server is None:
             return self._refuse_or_wait(waiting, candidates, now, rank)
         if req.uses_retry_budget and not self._budget.spend(req.service, now):
@@ -124,12 +129,13 @@
         self._use.add_local(server.name, ServerUse(0.0, 1, 0.0))
         return m.Admitted(plain=server)
 
-    def _choose(self, candidates, now: float) -> EntryServer | None:
+    def _choose(self, service: str, candidates, now: float) -> EntryServer | None:
         return choose_plain_server(
             self._data_centre,
             self._permits.usable(candidates, now),
             self._use,
             self._health.cost_factor,
+            time_factors=self._time_factors(service, now),
         )
 
     def _ask(
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -83,11 +83,13 @@
             progress.sends += 1
             progress.begin_run(server)
             progress.excluded.add(server.name)
-            started = time.monotonic()
+            started, succeeded = time.monotonic(), False
             try:
                 outcome = self._run_attempt(progress, server, caller)
+                succeeded = outcome.is_ok() and outcome.unwrap()[0] < 500
             finally:
-                ended = m.RunEnded(plain=server, seconds=time.monotonic() - started)
+                seconds = time.monotonic() - started
+                ended = m.RunEnded(plain=server, seconds=seconds, succeeded=succeeded)
                 self._actor.tell(ended)
             match outcome:
                 case Ok((status, headers, body, rest)) if not self._may_retry_status(
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -10,7 +10,10 @@
 
 from sesameport.admission import (
     NoticeReport,
+    PrefixReport,
     ServerUse,
+    SpeedMeasure,
+    SpeedReport,
     SuspectReport,
     WaitingTokens,
 )
@@ -19,6 +22,8 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.server_notices import ServerNotice
@@ -26,11 +31,15 @@
 __all__ = [
     "decode_notices",
     "decode_permits",
+    "decode_prefixes",
     "decode_report",
+    "decode_speeds",
     "decode_suspects",
     "encode_notices",
     "encode_permits",
+    "encode_prefixes",
     "encode_report",
+    "encode_speeds",
     "encode_suspects",
 ]
 
@@ -38,6 +47,8 @@
 _Waiting = tuple[int, int]
 _Suspect = tuple[str, dict[str, bool], int]
 _Notice = tuple[str, int, float | None, bool, float]
+_Speed = tuple[str, int, int, int, int, int, bool]
+_Prefix = tuple[str, int, tuple[int, ...], int]
 _PermitRequest = tuple[str, str, str, float, int, int]
 _PermitReply = tuple[str, str, tuple[float, ...], float, float]
 _Report = tuple[
@@ -164,6 +175,81 @@
     )
 
 
+def encode_speeds(message: SpeedReports) -> bytes:
+    """Return samples of speeds as MessagePack.
+
+    Logarithms are in thousandths, and ages in seconds.
+    """
+    measures = list(SpeedMeasure)
+    return msgspec.msgpack.encode(
+        [
+            (
+                item.server,
+                item.started_at_ms,
+                measures.index(item.measure),
+                round(1_000 * item.log_seconds),
+                item.count,
+                round(item.age_s),
+                item.is_summary,
+            )
+            for item in message.reports
+        ]
+    )
+
+
+def decode_speeds(data: bytes) -> Result[SpeedReports, str]:
+    """Return what `encode_speeds` encoded, or an Err with the reason.
+
+    Samples of a measure that this build does not know are left out.
+    """
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Speed])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    measures, reports = list(SpeedMeasure), []
+    for server, started_at_ms, measure, log_ms, count, age_s, is_summary in fields:
+        if not 0 <= measure < len(measures) or count <= 0:
+            continue
+        reports.append(
+            SpeedReport(
+                server,
+                started_at_ms,
+                measures[measure],
+                log_ms / 1_000,
+                count,
+                max(0, age_s),
+                is_summary,
+            )
+        )
+    return Ok(SpeedReports(tuple(reports)))
+
+
+def encode_prefixes(message: PrefixReports) -> bytes:
+    """Return cached parts as MessagePack, with ages in seconds."""
+    return msgspec.msgpack.encode(
+        [
+            (item.server, item.started_at_ms, item.digests, round(item.age_s))
+            for item in message.reports
+        ]
+    )
+
+
+def decode_prefixes(data: bytes) -> Result[PrefixReports, str]:
+    """Return what `encode_prefixes` encoded, or an Err with the reason."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Prefix])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    return Ok(
+        PrefixReports(
+            tuple(
+                PrefixReport(server, started_at_ms, digests, max(0, age_s))
+                for server, started_at_ms, digests, age_s in fields
+            )
+        )
+    )
+
+
 def encode_permits(message: PermitRequest | PermitReply) -> bytes:
     """Return a message about permits as MessagePack."""
     return msgspec.msgpack.encode(attrs.astuple(message))
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -74,6 +74,8 @@
         Size of a generation.
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may have too, in order.
+    prompt_part_tokens : tuple of int
+        Tokens of each of these parts; 0 if unknown.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
     """
@@ -91,6 +93,7 @@
     workspace: str = ""
     route: EntryRoute | None = None
     prompt_parts: tuple[str, ...] = ()
+    prompt_part_tokens: tuple[int, ...] = ()
 
 
 class FailureKind(enum.StrEnum):
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from sesameport.admission import ServerHealth, ServerNotices, ServerRegistry
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -22,8 +23,8 @@
         Registered servers.
     health : ServerHealth
         Health of each server.
-    notices : ServerNotices
-        What servers say of themselves.
+    notices, learned : ServerNotices, LearnedServers
+        What servers say of themselves, and what this host learns of them.
     selector : RoleChangeSelector
         Learns of lost and new servers.
     """
@@ -34,11 +35,13 @@
         health: ServerHealth,
         notices: ServerNotices,
         selector: RoleChangeSelector,
+        learned: LearnedServers,
     ):
         self._registry = registry
         self._health = health
         self._notices = notices
         self._selector = selector
+        self._learned = learned
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
@@ -81,6 +84,7 @@
             if known == server:
                 continue
             self._notices.begin_incarnation(server.name, server.started_at_ms)
+            self._learned.begin_incarnation(server)
             if known is None:
                 self._selector.record_registration(server.service, time.monotonic())
             if known is not None and (
--- a/src/sesameport/platform/callers.py
+++ b/src/sesameport/platform/callers.py
@@ -15,6 +15,9 @@
 Clients keep a request open for at most this time.
 """
 
+MAX_COUNT_DIGITS = 9
+"""Longest number of tokens of a part that is read, in digits."""
+
 
 def extract_key(headers: Iterable[tuple[str, str]]) -> str:
     """Return the API key of a request, or an empty string if it has none."""
@@ -54,6 +57,7 @@
         for option in value_by_name.get("connection", "").split(",")
         if option
     }
+    parts = _parse_prompt_parts(value_by_name)
     removed_names = (
         header_names.ROUTER_HEADERS
         | header_names.HOP_BY_HOP_HEADERS
@@ -74,7 +78,8 @@
             deadline=now + wait_s,
             caller_wait_s=wait_s,
             tokens=tokens,
-            prompt_parts=_parse_prompt_parts(value_by_name),
+            prompt_parts=tuple(name for name, _ in parts),
+            prompt_part_tokens=tuple(count for _, count in parts),
             resume_after=value_by_name.get(header_names.LAST_EVENT_ID, ""),
         )
     )
@@ -89,11 +94,20 @@
         return default
 
 
-def _parse_prompt_parts(value_by_name: Mapping[str, str]) -> tuple[str, ...]:
-    """Return the ids of all parts of a prompt but the last, which is not shared."""
+def _parse_prompt_parts(value_by_name: Mapping[str, str]) -> list[tuple[str, int]]:
+    """Return the ids and tokens of all parts of a prompt but the last.
+
+    The last part belongs to the request. Tokens that are not a number count as 0.
+    """
     text = value_by_name.get(header_names.PROMPT_PREFIX, "")
-    names = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
-    return tuple(name for name in names[:-1] if name)
+    parts = []
+    for entry in text.split(",")[:-1]:
+        name, _, count = entry.partition(":")
+        name, count = name.strip().lower(), count.strip()
+        if name:
+            is_number = count.isdecimal() and len(count) <= MAX_COUNT_DIGITS
+            parts.append((name, int(count) if is_number else 0))
+    return parts
 
 
 def _parse_token_counts(value_by_name: Mapping[str, str]) -> TokenCounts | None:
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -49,6 +49,23 @@
     assert "key-of-w" not in repr(decoded)
 
 
+def test_parts_of_a_prompt_have_ids_and_tokens_whatever_a_caller_sends():
+    # The last part belongs to the request, so no other request has it.
+    def parts(text):
+        headers = (("X-Request-Id", "r1"), ("X-Prompt-Prefix", text))
+        req = callers.decode_request("POST", "/x", headers, b"", 0.0).unwrap()
+        return tuple(zip(req.prompt_parts, req.prompt_part_tokens, strict=True))
+
+    assert parts("A1:1200, b2:30,ff:7") == (("a1", 1_200), ("b2", 30))
+    assert parts("a1:x,b2:-5,c3,:9,d4:" + "9" * 5_000 + ",ff:7") == (
+        ("a1", 0),
+        ("b2", 0),
+        ("c3", 0),
+        ("d4", 0),
+    )
+    assert parts("a1:1200") == parts("") == ()
+
+
 def test_unknown_request_kind_is_not_retried():
     routes = [{**make_configuration()["routes"][0], "kind": "brand-new"}]
     assert decode_with(routes=routes).unwrap().routes[0].kind == RequestKind.UNSAFE
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -123,6 +123,8 @@
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
     _gauge("entry_version", "Version of the configuration in force."),
     _gauge("entry_limited_servers", "Servers that name a limit of requests."),
+    _gauge("entry_unequal_servers", "Servers with a speed unlike their service's."),
+    _gauge("entry_cached_parts", "Parts of prompts that engines may have cached."),
     _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
     _gauge("entry_store_reachable", "1 while the store answers, else 0."),
     _gauge("ready", "1 while the host accepts requests, else 0."),
--- a/src/sesameport/tests/test_external_names.py
+++ b/src/sesameport/tests/test_external_names.py
@@ -18,7 +18,13 @@
 
 import sesameport
 from sesameport.adapters.peer_codec import PeerCodec
-from sesameport.admission import ServerUse, WaitingTokens
+from sesameport.admission import (
+    PrefixReport,
+    ServerUse,
+    SpeedMeasure,
+    SpeedReport,
+    WaitingTokens,
+)
 from sesameport.admission.order_lease import OrderRecord, encode_record
 from sesameport.admission.order_lease import decode_record as decode_order_record
 from sesameport.bench.measures import Measures
@@ -29,8 +35,20 @@
 )
 from sesameport.documents.settings import Settings
 from sesameport.domain import Host, RefusalType, ServiceDocument
-from sesameport.entry.messages import FleetSnapshot, HostReport
-from sesameport.entry.report_codec import decode_report, encode_report
+from sesameport.entry.messages import (
+    FleetSnapshot,
+    HostReport,
+    PrefixReports,
+    SpeedReports,
+)
+from sesameport.entry.report_codec import (
+    decode_prefixes,
+    decode_report,
+    decode_speeds,
+    encode_prefixes,
+    encode_report,
+    encode_speeds,
+)
 from sesameport.entry.settings import EntrySettings
 from sesameport.fleet.leases import LeaseRecord, decode_lease, encode_lease
 from sesameport.fleet.share_messages import (
@@ -149,6 +167,20 @@
     assert (data.hex(), msgspec.msgpack.decode(data)) == snapshot
 
 
+def test_learned_reports_of_entry_hosts(snapshot):
+    speeds = SpeedReports(
+        tuple(
+            SpeedReport("s1", 7, measure, -2.5, 3, 4.0, True)
+            for measure in SpeedMeasure
+        )
+    )
+    prefixes = PrefixReports((PrefixReport("s1", 7, (5, 2**64 - 1), 4.0),))
+    data = encode_speeds(speeds), encode_prefixes(prefixes)
+    assert decode_speeds(data[0]).unwrap() == speeds
+    assert decode_prefixes(data[1]).unwrap() == prefixes
+    assert [(item.hex(), msgspec.msgpack.decode(item)) for item in data] == snapshot
+
+
 @pytest.mark.parametrize(
     "kind",
     [
