Limit the stated parts of a prompt to its tokens

A caller that states more tokens in X-Prompt-Prefix than its prompt has would make the expected prefill time negative and release queue tokens that were never there.

Parts together now have at most the tokens of the prompt.

Result: new test passes; tests of admission, entry and names pass.

--- a/src/sesameport/admission/kept_prefixes.py
+++ b/src/sesameport/admission/kept_prefixes.py
@@ -86,9 +86,14 @@
     age_s: float
 
 
-def prefix_parts(ids: Iterable[str], tokens: Iterable[int]) -> tuple[PrefixPart, ...]:
+def prefix_parts(
+    ids: Iterable[str], tokens: Iterable[int], prompt_tokens: float = math.inf
+) -> tuple[PrefixPart, ...]:
     """Return the parts of a prompt from their ids and tokens, in order.
 
+    Callers may state any number of tokens; parts together have at most those of the
+    prompt.
+
     Examples
     --------
     >>> first, second = prefix_parts(["a1", "b2"], [1_000, 200])
@@ -102,6 +107,8 @@
         if len(parts) == MAX_PARTS:
             break
         digest = hashlib.blake2b(digest + name.encode(), digest_size=8).digest()
+        count = min(count, prompt_tokens)
+        prompt_tokens -= count
         parts.append(PrefixPart(int.from_bytes(digest, "big"), count))
     return tuple(parts)
 
--- a/src/sesameport/admission/tests/test_kept_prefixes.py
+++ b/src/sesameport/admission/tests/test_kept_prefixes.py
@@ -62,6 +62,12 @@
     assert expected(kept, now=1.0) == 0
 
 
+def test_parts_have_no_more_tokens_than_the_prompt():
+    # A caller that states too many would make the prefill time of its prompt negative.
+    parts = prefix_parts(["a1", "b2", "c3"], [900, 10**9, 5], 1_000)
+    assert [part.tokens for part in parts] == [900, 100, 0]
+
+
 def test_failed_run_leaves_doubt_and_a_new_start_leaves_nothing():
     kept = KeptPrefixes()
     kept.begin_run(ENGINE, PARTS, 0.0)
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -163,7 +163,7 @@
                     output,
                     frozenset(progress.excluded),
                     progress.has_source(),
-                    prefix_parts(req.prompt_parts, req.prompt_part_tokens),
+                    prefix_parts(req.prompt_parts, req.prompt_part_tokens, prompt),
                 ),
                 req.workspace,
                 # A request that has run stays charged, so a refusal refunds nothing.
