Add the command where, which asks a host where a request would go

An operator had no way to see why a server gets a request or not, except by sending one.

The metrics listener answers /where with the decision of the admission controller's own functions, each server's prediction and what excludes it. It reads state only: FleetQuota.check decides on a charge without charging it.

--- a/src/sesameport/admission/quota.py
+++ b/src/sesameport/admission/quota.py
@@ -252,6 +252,15 @@
 
         A charge larger than the limit is admitted only if the window is empty.
         """
+        decision = self.check(workspace, tokens, now)
+        window = self._windows.get(workspace)
+        if decision.is_within and window is not None:
+            window.charges.add(tokens, now)
+            self._charged[workspace] = self._charged.get(workspace, 0.0) + tokens
+        return decision
+
+    def check(self, workspace: str, tokens: float, now: float) -> QuotaDecision:
+        """Return the decision on a charge without charging it."""
         window = self._windows.get(workspace)
         if window is None:
             return QuotaDecision(True)
@@ -260,8 +269,6 @@
         if remaining < needed and not window.is_unused(now):
             wait_s = window.wait_s(needed - remaining, now)
             return QuotaDecision(False, wait_s, remaining)
-        window.charges.add(tokens, now)
-        self._charged[workspace] = self._charged.get(workspace, 0.0) + tokens
         return QuotaDecision(True)
 
     def refund(self, workspace: str, tokens: float) -> None:
--- a/src/sesameport/commands/__init__.py
+++ b/src/sesameport/commands/__init__.py
@@ -16,6 +16,7 @@
 from sesameport.commands.report import Report
 from sesameport.commands.serve import Serve
 from sesameport.commands.status import Status
+from sesameport.commands.where import Where
 
 __all__ = ["Sesameport", "main"]
 
@@ -26,7 +27,17 @@
     """Route requests between separate prefill and decode pools."""
 
     command: cappa.Subcommands[
-        Serve | Demo | Check | Put | Get | Status | Report | Bench | Explain | Outcomes
+        Serve
+        | Demo
+        | Check
+        | Put
+        | Get
+        | Status
+        | Report
+        | Bench
+        | Explain
+        | Outcomes
+        | Where
     ]
 
 
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -12,6 +12,7 @@
 from sesameport.entry.host_addresses import HostAddresses
 from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.notice_exchange import NoticeExchange
+from sesameport.entry.placement_explainer import PlacementExplainer
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
@@ -116,8 +117,10 @@
         self._own_request_at = -math.inf
         self._store_reachable = False
         self._had_store_contact = False
+        explainer = PlacementExplainer(admission, learned, settings.data_centre)
         self._handlers = {
             **self._speeds.handlers(),
+            m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
             m.CancelWait: admission.cancel_wait,
             m.ConsumeRetry: admission.consume_retry,
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -22,6 +22,7 @@
     HttpResponseWriter,
 )
 from sesameport.entry.peers import PeerExchange
+from sesameport.entry.placement_query import send_explanation
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.reachability_probe import ReachabilityProbe
 from sesameport.entry.role_controller import RoleChange, RoleController
@@ -388,8 +389,10 @@
 
     def _handle_metrics(self, http: StrictRequest, body: bytes) -> None:
         writer = HttpResponseWriter(http, lambda: True)
-        content_type = [("Content-Type", self.metrics.content_type)]
-        writer.send_complete(200, content_type, self.metrics.render())
+        table, ask = self._routes.table, self._actor.ask
+        if not send_explanation(http.uri.decode(), table, ask, writer):
+            content_type = [("Content-Type", self.metrics.content_type)]
+            writer.send_complete(200, content_type, self.metrics.render())
 
 
 def _log_timer_error(name: str, exc: Exception) -> None:
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -29,6 +29,7 @@
     "GetUsableServers",
     "GetExpiredHosts",
     "ApplyConfiguration",
+    "ExplainPlacement",
     "FleetCounts",
     "HostReport",
     "HostReports",
@@ -118,6 +119,28 @@
     uses_retry_budget: bool = False
 
 
+@attrs.frozen
+class ExplainPlacement:
+    """Ask where a request would go now, without sending it.
+
+    The reply is a dict of JSON types; see ``entry.PlacementExplainer``. ``target_s``
+    and ``patience_s`` are the times until the first event is due and until the caller
+    disconnects without one, seconds. ``charge_tokens`` would be charged to the
+    workspace.
+    """
+
+    service: str
+    workspace: str
+    charge_tokens: float
+    prompt_tokens: int
+    output_tokens: int
+    part_ids: tuple[str, ...]
+    part_tokens: tuple[int, ...]
+    priority: int
+    target_s: float
+    patience_s: float
+
+
 @attrs.frozen
 class Admitted:
     """Return the servers granted to a request.
