Use the typical prefill speed for engines without samples

Where engines differ, an engine without samples counted with the default of 30,000 tokens/s, so a new one looked faster than those that are known. Prefills of cached parts made an engine look faster in the older moving average too.

Other engines now have the typical speed of their service, and the average uses the tokens that were expected to be prefilled.

--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -166,7 +166,11 @@
     predictions : Predictions
         Learned speeds of servers, and what they have cached of the prompt.
     """
-    speeds = predictions.prefill_speeds or speeds
+    if predictions.prefill_speeds:
+        speeds = predictions.prefill_speeds
+        policy = attrs.evolve(
+            policy, prefill_tokens_per_s=predictions.typical_prefill_speed
+        )
     cached = predictions.cached_tokens
     needed = reserved_kv_tokens(req.prompt_tokens, req.output_tokens)
     limit = policy.memory_share * profile.kv_tokens
--- a/src/sesameport/admission/predictions.py
+++ b/src/sesameport/admission/predictions.py
@@ -16,8 +16,9 @@
     Attributes
     ----------
     prefill_speeds : mapping of str to float
-        Prefill speeds of the service's servers, tokens per second; empty if they do not
-        differ.
+        Prefill speeds of servers that differ from the typical one, tokens per second.
+    typical_prefill_speed : float
+        Prefill speed of all others if some differ, tokens per second.
     gap_factors : mapping of str to float
         Time between two events as a multiple of the service's typical time.
     cached_tokens : mapping of str to float
@@ -25,6 +26,7 @@
     """
 
     prefill_speeds: Mapping[str, float] = attrs.field(factory=dict)
+    typical_prefill_speed: float = 0.0
     gap_factors: Mapping[str, float] = attrs.field(factory=dict)
     cached_tokens: Mapping[str, float] = attrs.field(factory=dict)
 
--- a/src/sesameport/admission/server_speeds.py
+++ b/src/sesameport/admission/server_speeds.py
@@ -164,14 +164,6 @@
         """Return the typical time of a service's servers, seconds; 0 if unknown."""
         return self._table(service, measure, now).typical_s
 
-    def known(self, service: str, measure: SpeedMeasure) -> list[str]:
-        """Return the servers of a service that have samples."""
-        return [
-            name
-            for name, estimate in self._estimates[measure].items()
-            if estimate.service == service
-        ]
-
     def _table(self, service: str, measure: SpeedMeasure, now: float) -> _Table:
         key = service, measure
         table = self._tables.get(key)
--- a/src/sesameport/admission/tests/test_predicted_placement.py
+++ b/src/sesameport/admission/tests/test_predicted_placement.py
@@ -96,7 +96,7 @@
     use = FleetUse()
     use.add_local("p2", ServerUse(0, 0, 3_000))
     assert place(servers, use, Predictions()).prefill.name == "p1"
-    slow = Predictions(prefill_speeds={"p1": 12_000.0, "p2": 30_000.0})
+    slow = Predictions({"p1": 12_000.0}, typical_prefill_speed=30_000.0)
     assert place(servers, use, slow).prefill.name == "p2"
     kept = Predictions(cached_tokens={"p2": 2_000.0})
     assert place(servers, use, kept).prefill.name == "p1"
--- a/src/sesameport/entry/engine_measurements.py
+++ b/src/sesameport/entry/engine_measurements.py
@@ -29,14 +29,16 @@
     def record_prefill(self, placement: Placement, seconds: float) -> None:
         """Record the duration of a prefill on a prefill server, seconds."""
         server = placement.prefill
-        speed = placement.prompt_tokens / seconds
+        # Cached parts would make the engine look faster than its queue is.
+        tokens = placement.prompt_tokens - round(placement.cached_tokens)
+        if 2 * tokens < placement.prompt_tokens:
+            return
+        speed = tokens / seconds
         known = self.prefill_speeds.get(server.name, self._default_tokens_per_s)
         self.prefill_speeds[server.name] = known + PREFILL_SPEED_WEIGHT * (
             speed - known
         )
-        self.workload_mix(server.service).record_prefill(
-            placement.prompt_tokens, seconds
-        )
+        self.workload_mix(server.service).record_prefill(tokens, seconds)
 
     def record_decode(self, placement: Placement, seconds: float) -> None:
         """Record the duration of a run that succeeded, seconds."""
--- a/src/sesameport/entry/learned_servers.py
+++ b/src/sesameport/entry/learned_servers.py
@@ -105,8 +105,15 @@
         self, req: GenerationRequest, engine: EngineProfile, use: FleetUse, now: float
     ) -> Predictions:
         """Return what is predicted of the servers of a generation."""
+        slowness = self.speeds.factors(req.service, SpeedMeasure.PREFILL, now)
+        typical = 0.0
+        if slowness:
+            typical = 1.0 / self.speeds.typical_s(
+                req.service, SpeedMeasure.PREFILL, now
+            )
         return Predictions(
-            self._prefill_speeds(req.service, now),
+            {name: typical / factor for name, factor in slowness.items()},
+            typical,
             self.speeds.factors(req.service, SpeedMeasure.EVENT, now),
             self._cached_tokens(req, engine, use, now) if req.prefix else {},
         )
@@ -129,17 +136,6 @@
             )
         return self._cached[key]
 
-    def _prefill_speeds(self, service: str, now: float) -> Mapping[str, float]:
-        measure = SpeedMeasure.PREFILL
-        factors = self.speeds.factors(service, measure, now)
-        if not factors:
-            return factors
-        typical = 1.0 / self.speeds.typical_s(service, measure, now)
-        return {
-            name: typical / factors.get(name, 1.0)
-            for name in self.speeds.known(service, measure)
-        }
-
     def plain_factors(self, service: str, now: float) -> Mapping[str, float]:
         """Return the service times of plain servers that differ from the typical one.
 
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -244,7 +244,9 @@
         excluded = ""
         if server.can_prefill():
             speeds = predictions.prefill_speeds or self._decisions.prefill_speeds
-            speed = speeds.get(server.name, self._policy.prefill_tokens_per_s)
+            usual = predictions.typical_prefill_speed
+            usual = usual or self._policy.prefill_tokens_per_s
+            speed = speeds.get(server.name, usual)
             wait_s = use.prefill_tokens / speed
             tokens = req.prompt_tokens - fields["cached_tokens"]
             fields["wait_s"] = round(wait_s, 3)
--- a/src/sesameport/entry/tests/test_speed_exchange.py
+++ b/src/sesameport/entry/tests/test_speed_exchange.py
@@ -104,7 +104,7 @@
         host.run(m.RunEnded(plain=plain("s0"), seconds=0.001), 1.0)
         far = m.RunEnded(plain=plain("s1", "b"), seconds=0.5, succeeded=True)
         host.run(far, 1.0)
-    assert host.learned.speeds.known("desk", SpeedMeasure.PLAIN) == []
+    assert host.learned.speeds.typical_s("desk", SpeedMeasure.PLAIN, 1.0) == 0.0
 
 
 def test_bytes_to_a_host_are_bounded_in_the_largest_fleet():
--- a/src/sesameport/platform/tests/test_where.py
+++ b/src/sesameport/platform/tests/test_where.py
@@ -42,6 +42,15 @@
     assert "> d1 decode in a: cached_tokens=0 free_tokens=20000" in printed.out
 
 
+def test_parts_of_earlier_requests_are_expected_in_the_caches(host, capsys, cluster):
+    prefix = {"X-Prompt-Prefix": "A1:600,b2:100,ff01:300"}
+    assert cluster.send_generation(headers=prefix).status == 200
+    arguments = ("--route", "draft", "--tokens", "1000,400", "--parts", "a1:600,c3:9")
+    wait_until(lambda: explain(host, capsys, *arguments)[0]["cached_tokens"] > 590)
+    _, candidates = explain(host, capsys, *arguments)
+    assert [candidates[name]["cached_tokens"] for name in ("p1", "d1")] == [600, 600]
+
+
 def test_answer_says_what_excludes_servers_and_what_is_refused(host, cluster, capsys):
     wait_until(lambda: len(host.usable_servers()) == 3)
     decision, candidates = explain(host, capsys, "--route", "look")
