--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -12,12 +12,15 @@
 from sesameport.entry.evacuation_controller import EvacuationController
 from sesameport.entry.fleet_queries import FleetQueries
 from sesameport.entry.host_addresses import HostAddresses, log_hosts
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.missed_configuration import MissedConfiguration
 from sesameport.entry.notice_exchange import NoticeExchange
+from sesameport.entry.placement_explainer import PlacementExplainer
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.speed_exchange import SpeedExchange
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
@@ -93,6 +96,7 @@
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
+        learned = LearnedServers(settings.data_centre)
         self._admission = AdmissionController(
             settings,
             lambda now: self._reports.record_change(self._admission, now),
@@ -101,7 +105,9 @@
             publish=peers.publish,
             started_at=time.monotonic(),
             evacuations=evacuations,
+            learned=learned,
         )
+        self._speeds = SpeedExchange(learned, self._admission, peers.publish, metrics)
         registry, notices = self._admission.registry, limits.notices
         self._notices = NoticeExchange(registry, notices, peers.publish, metrics)
         self._cold = ColdExchange(
@@ -113,18 +119,20 @@
             time.monotonic(),
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
+        admission = self._admission
         self._entries = ServerEntries(
             registry,
-            self._admission.health,
+            admission.health,
             notices,
             self._selector,
             evacuations,
             self._cold,
+            learned,
         )
         self._evacuations = EvacuationController(
             evacuations,
             registry,
-            self._admission.use,
+            admission.use,
             metrics,
             settings.name,
             peers.publish,
@@ -140,13 +148,12 @@
         self._own_request_at = -math.inf
         self._store_reachable = False
         self._had_store_contact = False
-        admission = self._admission
         queries = FleetQueries(settings.name, admission, self._addresses)
+        explainer = PlacementExplainer(admission, learned, settings.data_centre)
         self._handlers = {
-            m.AdmitGeneration: admission.admit_generation,
+            **self._speeds.handlers(),
+            m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
-            m.PrefillEnded: admission.handle_prefill_ended,
-            m.RunEnded: admission.handle_run_ended,
             m.CancelWait: admission.cancel_wait,
             m.MemoryRefused: admission.record_refused_memory,
             m.ConsumeRetry: admission.consume_retry,
@@ -397,7 +404,7 @@
         log_hosts(log.warning, "host silent", silent)
         log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        for exchange in (self._notices, self._cold):
+        for exchange in (self._notices, self._cold, self._speeds):
             exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
         self._admission.permits.expire(now)
         self._new_peers = []
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -36,6 +36,7 @@
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.memory_leases import LeasePlanner
 from sesameport.entry.permit_exchange import PermitExchange
 from sesameport.entry.placement_log import log_placement, log_refusal
@@ -77,6 +78,8 @@
         Monotonic time at which the host started, seconds.
     evacuations : Evacuations
         Data centres whose servers get nothing.
+    learned : LearnedServers
+        What this host learns of servers.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         publish: Callable[[m.PermitRequest | m.PermitReply], None] = lambda _: None,
         started_at: float = -math.inf,
         evacuations: Evacuations | None = None,
+        learned: LearnedServers | None = None,
     ):
         bounds = settings.bounds
         self._on_change = on_change
@@ -101,6 +105,7 @@
         self.evacuations = Evacuations() if evacuations is None else evacuations
         self.limits = limits or RequestLimits(ServerNotices(), ColdServers())
         self.notices = self.limits.notices
+        self._learned = learned or LearnedServers(settings.data_centre)
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng, self.evacuations
         )
@@ -121,6 +126,7 @@
             self.permits,
             self.retry_delay_s,
             wake_at,
+            self._learned.plain_factors,
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
         self._policy = PlacementPolicy()
@@ -248,6 +254,7 @@
             self._policy,
             self._measurements.prefill_speeds,
             self.workload_mix(service).mean_reservation_s,
+            predictions=self._learned.predict(req.generation, engine, self.use, now),
         )
 
     def place_waiting(self, now: float) -> None:
--- a/src/sesameport/entry/candidate_servers.py
+++ b/src/sesameport/entry/candidate_servers.py
@@ -26,7 +26,7 @@
     regions: Mapping[str, str]
 
     def usable(
-        self, req: GenerationRequest | m.AdmitPlain, now: float
+        self, req: GenerationRequest | m.AdmitPlain | m.ExplainPlacement, now: float
     ) -> list[EntryServer]:
         """Return the usable servers in the home regions of a request."""
         servers = self._monitor.usable_servers(req.service, now)
@@ -41,16 +41,16 @@
         if self.decode(req, now):
             return None
         reason = self._monitor.no_decode_server_reason(
-            req.service, lambda server: self._is_home(server, req)
+            req.service, lambda server: self.is_home(server, req)
         )
         if reason != EVACUATED and self._monitor.decode_servers(req.service, now):
             return "no-home-region"
         return reason
 
-    def plain_shortage(self, req: m.AdmitPlain, now: float) -> str:
+    def plain_shortage(self, req: m.AdmitPlain | m.ExplainPlacement, now: float) -> str:
         """Return the reason why no server may run a plain request."""
         reason = self._monitor.no_server_reason(
-            req.service, lambda server: self._is_home(server, req)
+            req.service, lambda server: self.is_home(server, req)
         )
         if reason == EVACUATED or self.usable(req, now):
             return reason
@@ -58,7 +58,10 @@
             return "no-home-region"
         return reason
 
-    def _is_home(
-        self, server: EntryServer, req: GenerationRequest | m.AdmitPlain
+    def is_home(
+        self,
+        server: EntryServer,
+        req: GenerationRequest | m.AdmitPlain | m.ExplainPlacement,
     ) -> bool:
+        """Return whether a server is in the home regions of a request."""
         return bool(filter_by_region([server], req.allowed_regions, self.regions))
--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -90,6 +90,11 @@
         for listener in self._side_listeners:
             listener.set_limits(SIDE_LIMITS)
 
+    @property
+    def metrics_address(self) -> str:
+        """Return the bound ``IP:port`` of the listener for operators."""
+        return self._side_listeners[-1].address
+
     def start(self) -> None:
         """Serve on separate threads."""
         for listener in self._all():
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -5,7 +5,9 @@
 from sesameport.admission import (
     ColdReport,
     NoticeReport,
+    PrefixReport,
     ServerUse,
+    SpeedReport,
     SuspectReport,
     WaitingTokens,
 )
@@ -21,6 +23,8 @@
     "NoticeReports",
     "PermitReply",
     "PermitRequest",
+    "PrefixReports",
+    "SpeedReports",
     "SuspectReports",
 ]
 
@@ -104,6 +108,20 @@
     names: tuple[str, ...]
 
 
+@attrs.frozen
+class SpeedReports:
+    """Report samples of the speeds of servers; see ``admission.ServerSpeeds``."""
+
+    reports: tuple[SpeedReport, ...]
+
+
+@attrs.frozen
+class PrefixReports:
+    """Report cached parts of prompts; see ``admission.KeptPrefixes``."""
+
+    reports: tuple[PrefixReport, ...]
+
+
 @attrs.frozen
 class PermitRequest:
     """Request permits for a limited server from the host that issues them.
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -29,7 +29,9 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
     SnapshotRequested,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.report_codec import (
@@ -37,13 +39,17 @@
     decode_evacuations,
     decode_notices,
     decode_permits,
+    decode_prefixes,
     decode_report,
+    decode_speeds,
     decode_suspects,
     encode_cold,
     encode_evacuations,
     encode_notices,
     encode_permits,
+    encode_prefixes,
     encode_report,
+    encode_speeds,
     encode_suspects,
 )
 from sesameport.telemetry.logs import get_logger
@@ -90,6 +96,8 @@
 _COLD = b"w"
 _COLD_PERMITS = b"k"
 """First byte of the topics of single hosts about permits for cold servers."""
+_SPEEDS = b"v"
+_PREFIXES = b"x"
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -99,6 +107,8 @@
     _NOTICES: decode_notices,
     _EVACUATIONS: decode_evacuations,
     _COLD: decode_cold,
+    _SPEEDS: decode_speeds,
+    _PREFIXES: decode_prefixes,
     _PERMITS: decode_permits,
     _COLD_PERMITS: decode_permits,
 }
@@ -139,6 +149,8 @@
                 | NoticeReports
                 | ColdReports
                 | EvacuationReport
+                | SpeedReports
+                | PrefixReports
                 | PermitRequest
                 | PermitReply
             ],
@@ -175,6 +187,8 @@
         | NoticeReports
         | EvacuationReport
         | ColdReports
+        | SpeedReports
+        | PrefixReports
         | PermitRequest
         | PermitReply,
     ) -> None:
@@ -194,6 +208,12 @@
         if isinstance(message, EvacuationReport):
             self._control.send_multipart([_EVACUATIONS, encode_evacuations(message)])
             return
+        if isinstance(message, SpeedReports):
+            self._control.send_multipart([_SPEEDS, encode_speeds(message)])
+            return
+        if isinstance(message, PrefixReports):
+            self._control.send_multipart([_PREFIXES, encode_prefixes(message)])
+            return
         if isinstance(message, PermitRequest | PermitReply):
             first = _COLD_PERMITS if message.ask_id else _PERMITS
             topic = _permit_topic(message.to_host, first)
@@ -237,6 +257,8 @@
         subscriber.subscribe(_NOTICES)
         subscriber.subscribe(_EVACUATIONS)
         subscriber.subscribe(_COLD)
+        subscriber.subscribe(_SPEEDS)
+        subscriber.subscribe(_PREFIXES)
         for first in (_PERMITS, _COLD_PERMITS):
             subscriber.subscribe(_permit_topic(self._name, first))
         own = msgspec.msgpack.encode((self._name, self.address))
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -11,7 +11,10 @@
 from sesameport.admission import (
     ColdReport,
     NoticeReport,
+    PrefixReport,
     ServerUse,
+    SpeedMeasure,
+    SpeedReport,
     SuspectReport,
     WaitingTokens,
 )
@@ -22,6 +25,8 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.server_notices import ServerNotice
@@ -31,13 +36,17 @@
     "decode_evacuations",
     "decode_notices",
     "decode_permits",
+    "decode_prefixes",
     "decode_report",
+    "decode_speeds",
     "decode_suspects",
     "encode_cold",
     "encode_evacuations",
     "encode_notices",
     "encode_permits",
+    "encode_prefixes",
     "encode_report",
+    "encode_speeds",
     "encode_suspects",
 ]
 
@@ -47,6 +56,8 @@
 _Notice = tuple[str, int, float | None, bool, float]
 _Cold = tuple[str, int, float, float]
 _Evacuations = tuple[str, tuple[str, ...]]
+_Speed = tuple[str, int, int, int, int, int, bool]
+_Prefix = tuple[str, int, tuple[int, ...], int]
 _PermitRequest = tuple[str, str, str, float, int, int]
 _PermitReply = tuple[str, str, tuple[float, ...], float, float]
 _ColdPermitRequest = tuple[str, str, str, float, int, int, int]
@@ -218,6 +229,81 @@
         return Err(str(exc))
 
 
+def encode_speeds(message: SpeedReports) -> bytes:
+    """Return samples of speeds as MessagePack.
+
+    Logarithms are in thousandths, and ages in seconds.
+    """
+    measures = list(SpeedMeasure)
+    return msgspec.msgpack.encode(
+        [
+            (
+                item.server,
+                item.started_at_ms,
+                measures.index(item.measure),
+                round(1_000 * item.log_seconds),
+                item.count,
+                round(item.age_s),
+                item.is_summary,
+            )
+            for item in message.reports
+        ]
+    )
+
+
+def decode_speeds(data: bytes) -> Result[SpeedReports, str]:
+    """Return what `encode_speeds` encoded, or an Err with the reason.
+
+    Samples of a measure that this build does not know are left out.
+    """
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Speed])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    measures, reports = list(SpeedMeasure), []
+    for server, started_at_ms, measure, log_ms, count, age_s, is_summary in fields:
+        if not 0 <= measure < len(measures) or count <= 0:
+            continue
+        reports.append(
+            SpeedReport(
+                server,
+                started_at_ms,
+                measures[measure],
+                log_ms / 1_000,
+                count,
+                max(0, age_s),
+                is_summary,
+            )
+        )
+    return Ok(SpeedReports(tuple(reports)))
+
+
+def encode_prefixes(message: PrefixReports) -> bytes:
+    """Return cached parts as MessagePack, with ages in seconds."""
+    return msgspec.msgpack.encode(
+        [
+            (item.server, item.started_at_ms, item.digests, round(item.age_s))
+            for item in message.reports
+        ]
+    )
+
+
+def decode_prefixes(data: bytes) -> Result[PrefixReports, str]:
+    """Return what `encode_prefixes` encoded, or an Err with the reason."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=list[_Prefix])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    return Ok(
+        PrefixReports(
+            tuple(
+                PrefixReport(server, started_at_ms, digests, max(0, age_s))
+                for server, started_at_ms, digests, age_s in fields
+            )
+        )
+    )
+
+
 def encode_permits(message: PermitRequest | PermitReply) -> bytes:
     """Return a message about permits as MessagePack.
 
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -77,6 +77,8 @@
         Ids of the parts of the prompt that other requests may have too, in order.
     allowed_regions : frozenset of str or None
         Regions of the servers that it may reach, None for all.
+    prompt_part_tokens : tuple of int
+        Tokens of each of these parts; 0 if unknown.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
     """
@@ -95,6 +97,7 @@
     route: EntryRoute | None = None
     prompt_parts: tuple[str, ...] = ()
     allowed_regions: frozenset[str] | None = None
+    prompt_part_tokens: tuple[int, ...] = ()
 
 
 class FailureKind(enum.StrEnum):
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -10,6 +10,7 @@
     ServerRegistry,
 )
 from sesameport.entry.cold_exchange import ColdExchange
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -28,8 +29,8 @@
         Registered servers.
     health : ServerHealth
         Health of each server.
-    notices : ServerNotices
-        What servers say of themselves.
+    notices, learned : ServerNotices, LearnedServers
+        What servers say of themselves, and what this host learns of them.
     selector : RoleChangeSelector
         Learns of lost and new servers.
     evacuations : Evacuations
@@ -46,6 +47,7 @@
         selector: RoleChangeSelector,
         evacuations: Evacuations,
         cold: ColdExchange,
+        learned: LearnedServers,
     ):
         self._registry = registry
         self._health = health
@@ -53,6 +55,7 @@
         self._selector = selector
         self._cold = cold
         self._evacuations = evacuations
+        self._learned = learned
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
@@ -98,6 +101,7 @@
                 continue
             self._evacuations.record_server(server.name, server.data_centre)
             self._notices.begin_incarnation(server.name, server.started_at_ms)
+            self._learned.begin_incarnation(server)
             if known is None:
                 self._selector.record_registration(server.service, time.monotonic())
             if known is not None and (
