--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -17,6 +17,13 @@
 from sesameport.admission.evacuations import Evacuations
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
+from sesameport.admission.home_regions import combine_regions, filter_by_region
+from sesameport.admission.kept_prefixes import (
+    KeptPrefixes,
+    PrefixPart,
+    PrefixReport,
+    prefix_parts,
+)
 from sesameport.admission.memory_leases import LeasePolicy, RefusedMemory, plan_lease
 from sesameport.admission.permits import (
     COLD_PACING,
@@ -28,15 +35,18 @@
 from sesameport.admission.placement import (
     GenerationRequest,
     Placement,
-    PlacementPolicy,
     Shortage,
-    choose_plain_server,
-    expected_output_tokens,
     place_generation,
-    reserved_kv_tokens,
 )
+from sesameport.admission.placement_policy import PlacementPolicy
+from sesameport.admission.plain_placement import choose_plain_server
+from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
 from sesameport.admission.quota import FleetQuota, QuotaDecision
 from sesameport.admission.request_limits import RequestLimits
+from sesameport.admission.request_size import (
+    expected_output_tokens,
+    reserved_kv_tokens,
+)
 from sesameport.admission.retry_budget import WindowedRetryBudget
 from sesameport.admission.retry_pool import RetryPool
 from sesameport.admission.roles import RolePlan, RolePlanner, WorkloadMix
@@ -44,6 +54,8 @@
 from sesameport.admission.server_health import ServerHealth
 from sesameport.admission.server_notices import NoticeReport, ServerNotices
 from sesameport.admission.server_registry import ServerRegistry
+from sesameport.admission.server_speeds import ServerSpeeds
+from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
 from sesameport.admission.trickle import Trickle
 from sesameport.admission.version_lag import VersionLag
 from sesameport.admission.waiting_queue import (
@@ -66,12 +78,17 @@
     "GenerationRequest",
     "Grant",
     "Judgement",
+    "KeptPrefixes",
     "LeasePolicy",
+    "NO_PREDICTIONS",
     "NoticeReport",
     "PermitIssuer",
     "PermitStock",
     "Placement",
     "PlacementPolicy",
+    "Predictions",
+    "PrefixPart",
+    "PrefixReport",
     "QuotaDecision",
     "RefusedMemory",
     "RequestLimits",
@@ -84,8 +101,11 @@
     "ServerRegistry",
     "ServerHealth",
     "ServerNotices",
+    "ServerSpeeds",
     "ServerUse",
     "Shortage",
+    "SpeedMeasure",
+    "SpeedReport",
     "SuspectReport",
     "Trickle",
     "VersionLag",
@@ -98,8 +118,11 @@
     "plan_lease",
     "choose_issuer",
     "choose_plain_server",
+    "combine_regions",
     "expected_output_tokens",
+    "filter_by_region",
     "forecast_fit_s",
     "forecast_wait_s",
+    "prefix_parts",
     "reserved_kv_tokens",
 ]
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -5,18 +5,22 @@
 
 import pykka
 
-from sesameport.admission import Evacuations, RouteTable, ServerNotices
+from sesameport.admission import Evacuations, RequestLimits, RouteTable
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
+from sesameport.entry.cold_exchange import ColdExchange
 from sesameport.entry.evacuation_controller import EvacuationController
 from sesameport.entry.fleet_queries import FleetQueries
 from sesameport.entry.host_addresses import HostAddresses, log_hosts
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.missed_configuration import MissedConfiguration
 from sesameport.entry.notice_exchange import NoticeExchange
+from sesameport.entry.placement_explainer import PlacementExplainer
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.speed_exchange import SpeedExchange
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
@@ -57,8 +61,8 @@
         Called with the number of hosts and whether new ones report.
     on_missed : callable
         Called with what this host should read from the store again; see `Missed`.
-    notices : ServerNotices
-        What servers say of themselves; changed by this actor only.
+    limits : RequestLimits
+        What servers say of themselves and which are cold; changed by this actor only.
     evacuations : Evacuations
         Data centres whose servers get nothing; changed by this actor only.
     """
@@ -76,7 +80,7 @@
         on_probe_targets,
         on_hosts,
         on_missed,
-        notices: ServerNotices,
+        limits: RequestLimits,
         evacuations: Evacuations,
     ):
         super().__init__()
@@ -92,30 +96,43 @@
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
+        learned = LearnedServers(settings.data_centre)
         self._admission = AdmissionController(
             settings,
             lambda now: self._reports.record_change(self._admission, now),
             self._wake_at,
-            notices=notices,
+            limits=limits,
             publish=peers.publish,
             started_at=time.monotonic(),
             evacuations=evacuations,
+            learned=learned,
         )
-        self._notices = NoticeExchange(
-            self._admission.registry, notices, peers.publish, metrics
+        self._speeds = SpeedExchange(learned, self._admission, peers.publish, metrics)
+        registry, notices = self._admission.registry, limits.notices
+        self._notices = NoticeExchange(registry, notices, peers.publish, metrics)
+        self._cold = ColdExchange(
+            registry,
+            limits.cold,
+            peers.publish,
+            self._wake_at,
+            metrics,
+            time.monotonic(),
         )
         self._selector = RoleChangeSelector(settings.name, self._admission)
+        admission = self._admission
         self._entries = ServerEntries(
-            self._admission.registry,
-            self._admission.health,
+            registry,
+            admission.health,
             notices,
             self._selector,
             evacuations,
+            self._cold,
+            learned,
         )
         self._evacuations = EvacuationController(
             evacuations,
-            self._admission.registry,
-            self._admission.use,
+            registry,
+            admission.use,
             metrics,
             settings.name,
             peers.publish,
@@ -131,19 +148,19 @@
         self._own_request_at = -math.inf
         self._store_reachable = False
         self._had_store_contact = False
-        admission = self._admission
         queries = FleetQueries(settings.name, admission, self._addresses)
+        explainer = PlacementExplainer(admission, learned, settings.data_centre)
         self._handlers = {
-            m.AdmitGeneration: admission.admit_generation,
+            **self._speeds.handlers(),
+            m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
-            m.PrefillEnded: admission.handle_prefill_ended,
-            m.RunEnded: admission.handle_run_ended,
             m.CancelWait: admission.cancel_wait,
             m.MemoryRefused: admission.record_refused_memory,
             m.ConsumeRetry: admission.consume_retry,
             m.CallOutcome: admission.monitor.record_outcome,
             m.ServerNoticed: self._record_notice,
             m.NoticeReports: self._apply_notices,
+            m.ColdReports: self._cold.apply_reports,
             m.PermitRequest: admission.permits.handle_request,
             m.PermitReply: self._apply_permits,
             m.ProbeResult: self._handle_probe_result,
@@ -191,6 +208,8 @@
             return refused if isinstance(message, m.AdmitPlain) else None
 
     def _record_notice(self, message: m.ServerNoticed, now: float) -> None:
+        remaining_s = message.notice.cold_remaining_s
+        self._cold.record_answer(message.server, remaining_s, now)
         if self._notices.record(message, now):
             self._admission.place_waiting(now)
 
@@ -299,6 +318,7 @@
             return
         table = RouteTable.from_configuration(configuration)
         self._admission.quota.configure(configuration.workspaces, now)
+        self._admission.limits.cold.configure(configuration.services)
         self._admission.configuration = configuration
         self._routes.table = table
         self._on_config(configuration)
@@ -327,6 +347,7 @@
         self._admission.place_waiting(now)
 
     def _handle_evacuation_ended(self, data_centre: str, now: float) -> None:
+        self._cold.on_evacuation_ended(data_centre, now)
         self._selector.record_return(data_centre, now)
 
     def _add_host(self, message: m.HostAnnounced, now: float) -> None:
@@ -354,6 +375,8 @@
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
         self._admission.quota.change_window(bounds.quota_window_s, now)
+        self._cold.apply_bounds(bounds)
+        self._admission.candidates.regions = message.settings.regions
         if self._addresses.by_name:
             self._connect_hosts()
 
@@ -381,8 +404,9 @@
         log_hosts(log.warning, "host silent", silent)
         log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        self._notices.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
-        self._admission.permits.expire()
+        for exchange in (self._notices, self._cold, self._speeds):
+            exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
+        self._admission.permits.expire(now)
         self._new_peers = []
         self._entries.expire(now)
         self._evacuations.check_progress(now)
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -11,11 +11,13 @@
 from result import Err, Ok, Result
 
 from sesameport.admission import (
+    ColdServers,
     Evacuations,
     FleetQuota,
     FleetUse,
     Placement,
     PlacementPolicy,
+    RequestLimits,
     RetryAfterPolicy,
     ServerHealth,
     ServerNotices,
@@ -30,17 +32,16 @@
     reserved_kv_tokens,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.memory_leases import LeasePlanner
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.placement_log import (
-    log_over_quota,
-    log_placement,
-    log_refusal,
-)
+from sesameport.entry.placement_log import log_placement, log_refusal
 from sesameport.entry.plain_admission import PlainAdmission
+from sesameport.entry.request_charges import charge_request
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import EVACUATED, ServerMonitor
 from sesameport.entry.settings import EntrySettings
@@ -69,14 +70,16 @@
         Schedules a call of `place_waiting` at a monotonic time.
     rng : random.Random
         Spreads the retry times of refused callers and samples servers to probe.
-    notices : ServerNotices
-        What servers say of themselves.
+    limits : RequestLimits
+        Limits of servers; its notices are what servers say of themselves.
     publish : callable
         Sends messages about permits to other hosts.
     started_at : float
         Monotonic time at which the host started, seconds.
     evacuations : Evacuations
         Data centres whose servers get nothing.
+    learned : LearnedServers
+        What this host learns of servers.
     """
 
     def __init__(
@@ -85,10 +88,11 @@
         on_change: Callable[[float], None],
         wake_at: Callable[[float], None],
         rng: random.Random | None = None,
-        notices: ServerNotices | None = None,
+        limits: RequestLimits | None = None,
         publish: Callable[[m.PermitRequest | m.PermitReply], None] = lambda _: None,
         started_at: float = -math.inf,
         evacuations: Evacuations | None = None,
+        learned: LearnedServers | None = None,
     ):
         bounds = settings.bounds
         self._on_change = on_change
@@ -98,13 +102,16 @@
         self.registry = ServerRegistry()
         self.use = FleetUse()
         self.health = ServerHealth()
-        self.notices = ServerNotices() if notices is None else notices
         self.evacuations = Evacuations() if evacuations is None else evacuations
+        self.limits = limits or RequestLimits(ServerNotices(), ColdServers())
+        self.notices = self.limits.notices
+        self._learned = learned or LearnedServers(settings.data_centre)
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng, self.evacuations
         )
+        self.candidates = CandidateServers(self.monitor, settings.regions)
         self.permits = PermitExchange(
-            settings.name, self.notices, self.use, publish, wake_at, rng, started_at
+            settings.name, self.limits, self.use, publish, wake_at, rng, started_at
         )
         self.quota = FleetQuota(bounds.quota_window_s)
         self.budget = WindowedRetryBudget(
@@ -112,13 +119,14 @@
         )
         self._plain = PlainAdmission(
             settings.data_centre,
-            self.monitor,
+            self.candidates,
             self.health,
             self.use,
             self.budget,
             self.permits,
             self.retry_delay_s,
             wake_at,
+            self._learned.plain_factors,
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
         self._policy = PlacementPolicy()
@@ -127,9 +135,7 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._waiting: dict[int, _QueuedRequest] = {}
         self._measurements = EngineMeasurements(self._policy.prefill_tokens_per_s)
-        self._forecast = WaitForecast(
-            self.monitor, self.use, self._measurements, self._policy
-        )
+        self._forecast = WaitForecast(self.use, self._measurements, self._policy)
         self._reported_waiting: dict[str, WaitingTokens] = {}
         self._place_again_at = -math.inf
 
@@ -162,8 +168,8 @@
             reserved_kv_tokens(generation.prompt_tokens, generation.output_tokens),
         )
         queue = self._queues.setdefault(service, WaitingQueue())
-        if not self.monitor.decode_servers(service, now):
-            self._refuse(req, self.monitor.no_decode_server_reason(service), now)
+        if shortage := self.candidates.decode_shortage(generation, now):
+            self._refuse(req, shortage, now)
             return
         if not queue.try_add(waiting_request):
             self._refuse(req, "waiting-room-full", now)
@@ -185,13 +191,7 @@
         self._wake_at(queue.refuse_at(waiting_request))
 
     def _charge(self, req, service: str, now: float) -> m.Refused | None:
-        """Charge a request to its workspace; return a refusal if it is over quota."""
-        decision = self.quota.charge(req.workspace, req.charge_tokens, now)
-        if decision.is_within:
-            self.budget.record_request(service, now)
-            return None
-        log_over_quota(req, decision, self.use, now)
-        return m.Refused("over-quota", decision.retry_after_s, is_over_quota=True)
+        return charge_request(req, service, self.quota, self.budget, self.use, now)
 
     def _engine(self, name: str) -> EngineProfile | None:
         """Return the profile of the engines of a service, None without one."""
@@ -212,7 +212,7 @@
                 break
             queued = self._waiting[waiting_request.key]
             match self._choose(queued.req, now):
-                case Err(Shortage.MEMORY) if not queued.req.generation.excluded:
+                case Err(Shortage.MEMORY) if not queued.req.generation.is_restricted():
                     short.add(Shortage.MEMORY)
                     break
                 case Err(shortage):
@@ -229,7 +229,7 @@
                 self.use.add_local(name, change)
             for name in placement.called_servers():
                 self.permits.take(name, now)
-            placement = self._leases.plan(placement, self._engine(service))
+            placement = self._leases.plan(placement, self._engine(service), now)
             queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
             log_placement(queued.req.request_id, placement, self.use, now)
             placed = True
@@ -244,16 +244,17 @@
         engine = self._engine(service)
         if engine is None:
             return Err(Shortage.MEMORY)
-        servers = self.permits.usable(self.monitor.usable_servers(service, now), now)
+        servers = self.permits.usable(self.candidates.usable(req.generation, now), now)
         return place_generation(
             req.generation,
             engine,
             self._leases.usable(servers, req.generation, now),
             self.use,
-            self.health.cost_factor,
+            self.limits.cost_factor(self.health, now),
             self._policy,
             self._measurements.prefill_speeds,
             self.workload_mix(service).mean_reservation_s,
+            predictions=self._learned.predict(req.generation, engine, self.use, now),
         )
 
     def place_waiting(self, now: float) -> None:
@@ -290,15 +291,20 @@
             self._refuse(waiting.req, "no-decode-memory", now)
 
     def _refuse_unservable(self, service: str, now: float) -> None:
-        """Refuse late requests while no decode server is usable.
+        """Refuse late requests while no decode server is usable for them.
 
         Others wait for a server unless an evacuation is the cause, which lasts longer.
         """
         queue = self._queues[service]
-        if not len(queue) or self.monitor.decode_servers(service, now):
-            return
-        reason = self.monitor.no_decode_server_reason(service)
-        for waiting_request in queue.in_service_order(now):
+        shortages: dict[frozenset[str] | None, str | None] = {}
+        for waiting_request in queue.in_service_order(now) if len(queue) else ():
+            req = self._waiting[waiting_request.key].req.generation
+            regions = req.allowed_regions
+            if regions not in shortages:
+                shortages[regions] = self.candidates.decode_shortage(req, now)
+            reason = shortages[regions]
+            if reason is None:
+                continue
             if reason == EVACUATED or queue.is_late(waiting_request, now):
                 self._refuse_waiting(waiting_request, reason, now)
 
@@ -337,7 +343,7 @@
     def _service_order(self, service: str, now: float) -> list[WaitingRequest]:
         """Return the waiting requests in service order, those with a permit first."""
         order = self._queues[service].in_service_order(now)
-        if not self.permits.has_limits():
+        if not self.permits.has_limits(now):
             return order
         first = [item for item in order if self._waiting[item.key].has_permit]
         rest = [item for item in order if not self._waiting[item.key].has_permit]
@@ -347,8 +353,12 @@
         self, service: str, waiting: WaitingRequest, now: float
     ) -> float | None:
         engine, queue = self._engine(service), self._queues[service]
+        req = self._waiting[waiting.key].req
+        servers = self.candidates.decode(req.generation, now)
         size = engine.kv_tokens if engine else 0
-        return self._forecast.excessive_wait_s(service, size, queue, waiting, now)
+        return self._forecast.excessive_wait_s(
+            service, servers, size, queue, waiting, now
+        )
 
     def _refuse_waiting(
         self, waiting: WaitingRequest, reason: str, now: float, wait_s: float = 0.0
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -8,21 +8,26 @@
 
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
-from sesameport.admission import Evacuations, ServerNotices
+from sesameport.admission import (
+    ColdServers,
+    Evacuations,
+    RequestLimits,
+    ServerNotices,
+)
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
+from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.current_routes import CurrentRoutes
 from sesameport.entry.forwarding import Forwarder
 from sesameport.entry.host_directory import HostDirectory
+from sesameport.entry.host_listeners import HostListeners
 from sesameport.entry.host_registration import HostRegistration
-from sesameport.entry.http_listener import (
-    CallerSocket,
-    HttpListener,
-    HttpResponseWriter,
-)
+from sesameport.entry.http_listener import CallerSocket, HttpResponseWriter
 from sesameport.entry.peers import PeerExchange
+from sesameport.entry.placement_query import send_explanation
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.reachability_probe import ReachabilityProbe
 from sesameport.entry.role_controller import RoleChange, RoleController
@@ -38,12 +43,14 @@
 MIN_THREADS = 24
 MAX_THREADS = 400
 """Initial and maximum number of threads. Each request occupies one thread; further
-requests wait."""
+requests wait. A machine with few descriptors has fewer threads."""
 
-READY_THREADS = 2
 TICK_PERIOD_S = 0.5
 """Period of the actor's tasks and of the thread pool check, seconds."""
 
+LIMIT_PERIOD_S = 0.25
+"""Period at which connections that exceed their time are cut off, seconds."""
+
 MAX_RUN_S = 14.0
 """Longest time until the running requests of an engine that changes its role end,
 seconds. It is the longest timeout of the users' routes."""
@@ -98,14 +105,17 @@
         self._peers = PeerExchange(
             settings.name, settings.ip, settings.peer_port, self._receive
         )
-        self._store = adapter.create_store_client(settings.store_address)
+        bounds = settings.limits
+        account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        self._store = adapter.create_store_client(settings.store_address, account)
         self._guard = CrashGuard(
             self._timers,
             self._tell,
             SuspectStore(self._store, self._closing),
             self.metrics,
         )
-        notices = ServerNotices()
+        cold = ColdServers(cold_bounds(settings.bounds))
+        limits = RequestLimits(ServerNotices(), cold)
         # Without the bound, the deployment has no evacuations that must be known first.
         self._evacuations = Evacuations(settings.bounds.evacuate_s is None)
         self._actor = EntryActor.start(
@@ -118,22 +128,22 @@
             self._reachability_probe.start_round,
             self._guard.record_hosts,
             lambda missed: self._follower.read_again(missed),
-            notices,
+            limits,
             self._evacuations,
         )
         self._calls = calls = NoticedServerClient(
-            notices, self._tell, self.metrics, self._evacuations
+            limits, self._tell, self.metrics, self._evacuations
         )
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
-            calls.wrap(adapter.create_server_client(calls.record_notice)),
+            calls.wrap(adapter.create_server_client(calls.record_notice, account)),
             settings.data_centre,
             self.metrics,
             self._guard,
         )
         self._follower = StoreFollower(
-            lambda: adapter.create_store_client(settings.store_address),
+            lambda: adapter.create_store_client(settings.store_address, account),
             adapter,
             self._actor,
             self.metrics,
@@ -144,14 +154,15 @@
             self._timers,
             lambda: self._actor.ask(m.GetExpiredHosts()),
         )
-        self._caller_listener = HttpListener(
-            settings.caller_listen, self._handle, MIN_THREADS, MAX_THREADS
-        )
-        self._ready_listener = HttpListener(
-            settings.ready_listen, self._handle_ready, READY_THREADS, READY_THREADS
-        )
-        self._metrics_listener = HttpListener(
-            f"{settings.ip}:{settings.metrics_port}", self._handle_metrics, 1, 1
+        self._listeners = HostListeners(
+            settings,
+            account,
+            (MIN_THREADS, min(MAX_THREADS, bounds.max_threads)),
+            self.metrics,
+            adapter.stated_wait_s,
+            self._handle,
+            self._handle_ready,
+            self._handle_metrics,
         )
 
     def start(self) -> "EntryHost":
@@ -163,13 +174,9 @@
         self._guard.start()
         self._timers.subscribe("tick", TICK_PERIOD_S, self._tick)
         self._registration.start()
-        for listener in (
-            self._caller_listener,
-            self._ready_listener,
-            self._metrics_listener,
-        ):
-            listener.start()
-        log.info("started", extra={"listen": self._caller_listener.address})
+        self._timers.subscribe("limits", LIMIT_PERIOD_S, self._enforce_limits)
+        self._listeners.start()
+        log.info("started", extra={"listen": self._listeners.callers.address})
         return self
 
     def reload(self, changed: EntrySettings) -> None:
@@ -179,6 +186,7 @@
             self._settings,
             bounds=changed.bounds,
             seed_addresses=changed.seed_addresses,
+            regions=changed.regions,
         )
         self._role_controller.set_lease_time(changed.bounds.lease_s)
         if changed.bounds.evacuate_s is not None:
@@ -209,7 +217,7 @@
         with self._in_flight_changed:
             while self._in_flight and time.monotonic() < until:
                 self._in_flight_changed.wait(until - time.monotonic())
-        self._caller_listener.stop_accepting()
+        self._listeners.callers.stop_accepting()
         self._finish_accepted(until)
         with self._in_flight_changed:
             left = self._in_flight
@@ -220,7 +228,7 @@
         """Wait for requests that a thread is yet to read and for their responses."""
         read_until = time.monotonic() + LAST_RESPONSES_S
         until = max(until, read_until)
-        while self._caller_listener.has_work():
+        while self._listeners.callers.has_work():
             with self._in_flight_changed:
                 is_running = self._in_flight > 0
                 self._in_flight_changed.wait(DRAIN_CHECK_S)
@@ -233,13 +241,7 @@
         """Stop immediately without draining, for hosts that share a process."""
         self._timers.stop()
         self._closing.set()
-        for listener in (
-            self._caller_listener,
-            self._ready_listener,
-            self._metrics_listener,
-        ):
-            listener.stop_accepting()
-            listener.stop()
+        self._listeners.stop()
 
     @property
     def settings(self) -> EntrySettings:
@@ -249,7 +251,7 @@
     @property
     def caller_address(self) -> str:
         """Return the bound ``IP:port`` for callers."""
-        return self._caller_listener.address
+        return self._listeners.callers.address
 
     @property
     def peer_address(self) -> str:
@@ -342,13 +344,13 @@
     def _tick(self, now: float) -> None:
         self._actor.tell(m.Tick(now))
         self.metrics.set("sesameport_ready", int(self.is_ready()))
-        self._caller_listener.add_threads()
+        self._listeners.add_threads()
+
+    def _enforce_limits(self, now: float) -> None:
+        self._listeners.enforce_limits()
 
     def _apply_limits(self, configuration: EntryConfiguration) -> None:
-        limits = configuration.limits
-        self._caller_listener.set_limits(
-            limits.header_bytes, limits.body_bytes, limits.idle_s
-        )
+        self._listeners.callers.set_limits(configuration.limits)
         self.metrics.set("sesameport_ready", int(self.is_ready()))
 
     def _is_draining(self) -> bool:
@@ -391,8 +393,10 @@
 
     def _handle_metrics(self, http: StrictRequest, body: bytes) -> None:
         writer = HttpResponseWriter(http, lambda: True)
-        content_type = [("Content-Type", self.metrics.content_type)]
-        writer.send_complete(200, content_type, self.metrics.render())
+        table, ask = self._routes.table, self._actor.ask
+        if not send_explanation(http.uri.decode(), table, ask, writer):
+            content_type = [("Content-Type", self.metrics.content_type)]
+            writer.send_complete(200, content_type, self.metrics.render())
 
 
 def _log_timer_error(name: str, exc: Exception) -> None:
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -3,8 +3,11 @@
 import attrs
 
 from sesameport.admission import (
+    ColdReport,
     NoticeReport,
+    PrefixReport,
     ServerUse,
+    SpeedReport,
     SuspectReport,
     WaitingTokens,
 )
@@ -12,6 +15,7 @@
 from sesameport.entry.servers import EntryServer
 
 __all__ = [
+    "ColdReports",
     "EvacuationReport",
     "FleetSnapshot",
     "HostReport",
@@ -19,6 +23,8 @@
     "NoticeReports",
     "PermitReply",
     "PermitRequest",
+    "PrefixReports",
+    "SpeedReports",
     "SuspectReports",
 ]
 
@@ -83,6 +89,13 @@
     reports: tuple[NoticeReport, ...]
 
 
+@attrs.frozen
+class ColdReports:
+    """Report the cold servers that a host knows; see ``admission.ColdServers``."""
+
+    reports: tuple[ColdReport, ...]
+
+
 @attrs.frozen
 class EvacuationReport:
     """Report the evacuated data centres that the store has just stated to a host.
@@ -95,6 +108,20 @@
     names: tuple[str, ...]
 
 
+@attrs.frozen
+class SpeedReports:
+    """Report samples of the speeds of servers; see ``admission.ServerSpeeds``."""
+
+    reports: tuple[SpeedReport, ...]
+
+
+@attrs.frozen
+class PrefixReports:
+    """Report cached parts of prompts; see ``admission.KeptPrefixes``."""
+
+    reports: tuple[PrefixReport, ...]
+
+
 @attrs.frozen
 class PermitRequest:
     """Request permits for a limited server from the host that issues them.
@@ -111,6 +138,9 @@
         Number of requests that wait for a permit.
     unused : int
         Number of earlier permits that expired unused.
+    ask_id : int
+        Identifies a request for permits of a cold server; 0 for other servers. Older
+        hosts do not receive such requests.
     """
 
     to_host: str
@@ -119,17 +149,22 @@
     limit_per_s: float
     count: int
     unused: int
+    ask_id: int = 0
 
 
 @attrs.frozen
 class PermitReply:
-    """Issue permits to the host that requested them; see ``admission.Grant``."""
+    """Issue permits to the host that requested them; see ``admission.Grant``.
+
+    ``ask_id`` is that of the request.
+    """
 
     to_host: str
     server: str
     delays: tuple[float, ...]
     retry_s: float
     wait_s: float
+    ask_id: int = 0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -7,6 +7,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.host_messages import (
+    ColdReports,
     EvacuationReport,
     FleetSnapshot,
     HostReport,
@@ -14,6 +15,8 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.server_notices import ServerNotice
@@ -28,9 +31,11 @@
     "GetUsableServers",
     "GetExpiredHosts",
     "ApplyConfiguration",
+    "ColdReports",
     "EvacuationReport",
     "EvacuationsChanged",
     "EvacuationsListed",
+    "ExplainPlacement",
     "FleetCounts",
     "HostReport",
     "HostReports",
@@ -42,6 +47,7 @@
     "PermitReply",
     "PermitRequest",
     "PlainReply",
+    "PrefixReports",
     "GetNextRoleChange",
     "PrefillEnded",
     "ProbeResult",
@@ -53,6 +59,7 @@
     "CallOutcome",
     "ServerNoticed",
     "ServersChanged",
+    "SpeedReports",
     "ServersListed",
     "SnapshotRequested",
     "ConsumeRetry",
@@ -107,7 +114,8 @@
     """Request admission and a server for a plain request.
 
     The reply is a `PlainReply`. ``is_first_attempt`` and
-    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`.
+    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`, and
+    ``allowed_regions`` as in ``admission.GenerationRequest``.
     """
 
     request_id: str
@@ -117,6 +125,31 @@
     excluded: frozenset[str] = frozenset()
     is_first_attempt: bool = True
     uses_retry_budget: bool = False
+    allowed_regions: frozenset[str] | None = None
+
+
+@attrs.frozen
+class ExplainPlacement:
+    """Ask where a request would go now, without sending it.
+
+    The reply is a dict of JSON types; see ``entry.PlacementExplainer``. ``target_s``
+    and ``patience_s`` are the times until the first event is due and until the caller
+    disconnects without one, seconds. ``charge_tokens`` would be charged to the
+    workspace. ``allowed_regions`` are the regions of the servers that the request may
+    reach, None for all.
+    """
+
+    service: str
+    workspace: str
+    charge_tokens: float
+    prompt_tokens: int
+    output_tokens: int
+    part_ids: tuple[str, ...]
+    part_tokens: tuple[int, ...]
+    priority: int
+    target_s: float
+    patience_s: float
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -180,12 +213,18 @@
 
 @attrs.frozen
 class RunEnded:
-    """Report that a request no longer uses its decode server or plain server."""
+    """Report that a request no longer uses its decode server or plain server.
+
+    ``events`` is the number of reads with events of a run on a decode server, and
+    ``events_s`` the time from the first to the last of them, seconds.
+    """
 
     placement: Placement | None = None
     plain: EntryServer | None = None
     seconds: float = 0.0
     succeeded: bool = False
+    events: int = 0
+    events_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -20,6 +20,7 @@
 
 from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
+    ColdReports,
     EvacuationReport,
     FleetSnapshot,
     HostAnnounced,
@@ -28,19 +29,27 @@
     NoticeReports,
     PermitReply,
     PermitRequest,
+    PrefixReports,
     SnapshotRequested,
+    SpeedReports,
     SuspectReports,
 )
 from sesameport.entry.report_codec import (
+    decode_cold,
     decode_evacuations,
     decode_notices,
     decode_permits,
+    decode_prefixes,
     decode_report,
+    decode_speeds,
     decode_suspects,
+    encode_cold,
     encode_evacuations,
     encode_notices,
     encode_permits,
+    encode_prefixes,
     encode_report,
+    encode_speeds,
     encode_suspects,
 )
 from sesameport.telemetry.logs import get_logger
@@ -84,6 +93,11 @@
 _EVACUATIONS = b"e"
 _PERMITS = b"g"
 """First byte of the topics of single hosts; see `_permit_topic`."""
+_COLD = b"w"
+_COLD_PERMITS = b"k"
+"""First byte of the topics of single hosts about permits for cold servers."""
+_SPEEDS = b"v"
+_PREFIXES = b"x"
 _ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
@@ -92,7 +106,11 @@
     _SUSPECTS: decode_suspects,
     _NOTICES: decode_notices,
     _EVACUATIONS: decode_evacuations,
+    _COLD: decode_cold,
+    _SPEEDS: decode_speeds,
+    _PREFIXES: decode_prefixes,
     _PERMITS: decode_permits,
+    _COLD_PERMITS: decode_permits,
 }
 
 log = get_logger("peers")
@@ -129,7 +147,10 @@
                 | HostAnnounced
                 | SuspectReports
                 | NoticeReports
+                | ColdReports
                 | EvacuationReport
+                | SpeedReports
+                | PrefixReports
                 | PermitRequest
                 | PermitReply
             ],
@@ -165,6 +186,9 @@
         | SuspectReports
         | NoticeReports
         | EvacuationReport
+        | ColdReports
+        | SpeedReports
+        | PrefixReports
         | PermitRequest
         | PermitReply,
     ) -> None:
@@ -178,11 +202,21 @@
         if isinstance(message, NoticeReports):
             self._control.send_multipart([_NOTICES, encode_notices(message)])
             return
+        if isinstance(message, ColdReports):
+            self._control.send_multipart([_COLD, encode_cold(message)])
+            return
         if isinstance(message, EvacuationReport):
             self._control.send_multipart([_EVACUATIONS, encode_evacuations(message)])
             return
+        if isinstance(message, SpeedReports):
+            self._control.send_multipart([_SPEEDS, encode_speeds(message)])
+            return
+        if isinstance(message, PrefixReports):
+            self._control.send_multipart([_PREFIXES, encode_prefixes(message)])
+            return
         if isinstance(message, PermitRequest | PermitReply):
-            topic = _permit_topic(message.to_host)
+            first = _COLD_PERMITS if message.ask_id else _PERMITS
+            topic = _permit_topic(message.to_host, first)
             self._control.send_multipart([topic, encode_permits(message)])
             return
         if isinstance(message, HostReport):
@@ -222,7 +256,11 @@
         subscriber.subscribe(_SUSPECTS)
         subscriber.subscribe(_NOTICES)
         subscriber.subscribe(_EVACUATIONS)
-        subscriber.subscribe(_permit_topic(self._name))
+        subscriber.subscribe(_COLD)
+        subscriber.subscribe(_SPEEDS)
+        subscriber.subscribe(_PREFIXES)
+        for first in (_PERMITS, _COLD_PERMITS):
+            subscriber.subscribe(_permit_topic(self._name, first))
         own = msgspec.msgpack.encode((self._name, self.address))
         subscriber.subscribe(_ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
@@ -387,9 +425,9 @@
         self._receive(_decode_snapshot(data))
 
 
-def _permit_topic(host: str) -> bytes:
+def _permit_topic(host: str, first: bytes) -> bytes:
     """Return the topic of one host; subscriptions match by prefix, so it has an end."""
-    return _PERMITS + host.encode() + b"\0"
+    return first + host.encode() + b"\0"
 
 
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -4,7 +4,12 @@
 from sesameport.entry import messages as m
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["fleet_view_fields", "log_over_quota", "log_placement", "log_refusal"]
+__all__ = [
+    "fleet_view_fields",
+    "log_over_quota",
+    "log_placement",
+    "log_refusal",
+]
 
 log = get_logger("entry")
 
@@ -29,6 +34,7 @@
             "decode": decode.name,
             "prefill": prefill.name if prefill else "",
             "kv_tokens": placement.kv_tokens,
+            "cached_tokens": round(placement.cached_tokens),
             "decode_reserved": round(use.total_for(decode.name).kv_tokens),
             **fleet_view_fields(use, now),
         },
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -4,7 +4,7 @@
 limit and no other host has said yet when there is one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import pykka
@@ -17,8 +17,8 @@
     choose_plain_server,
 )
 from sesameport.entry import messages as m
+from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.permit_exchange import PermitExchange
-from sesameport.entry.server_monitor import ServerMonitor
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
 
@@ -47,7 +47,7 @@
     ----------
     data_centre : str
         Data centre of this host.
-    monitor, health, use, budget
+    candidates, health, use, budget
         Usable servers, their health and use, and the budget of retries.
     permits : PermitExchange
         Permits for servers that name a limit.
@@ -55,27 +55,32 @@
         Returns the Retry-After where no server is usable, seconds.
     wake_at : callable
         Schedules a call of `place_waiting` at a monotonic time.
+    time_factors : callable
+        Returns the service times of a service's servers that differ from the typical
+        one, as multiples of it.
     """
 
     def __init__(
         self,
         data_centre: str,
-        monitor: ServerMonitor,
+        candidates: CandidateServers,
         health: ServerHealth,
         use: FleetUse,
         budget: WindowedRetryBudget,
         permits: PermitExchange,
         retry_delay_s: Callable[[], float],
         wake_at: Callable[[float], None],
+        time_factors: Callable[[str, float], Mapping[str, float]],
     ):
         self._data_centre = data_centre
-        self._monitor = monitor
+        self._candidates = candidates
         self._health = health
         self._use = use
         self._budget = budget
         self._permits = permits
         self._retry_delay_s = retry_delay_s
         self._wake_at = wake_at
+        self._time_factors = time_factors
         self._waiting: list[_Waiting] = []
 
     def admit(self, req: m.AdmitPlain, now: float) -> m.PlainReply:
@@ -109,13 +114,13 @@
         req = waiting.req
         candidates = [
             server
-            for server in self._monitor.usable_servers(req.service, now)
+            for server in self._candidates.usable(req, now)
             if server.name not in req.excluded
         ]
-        server = self._choose(candidates, now)
+        server = self._choose(req.service, candidates, now)
         self._ask(candidates, server, now)
         if server is None:
-            server = self._choose(candidates, now)
+            server = self._choose(req.service, candidates, now)
         if server is None:
             return self._refuse_or_wait(waiting, candidates, now, rank)
         if req.uses_retry_budget and not self._budget.spend(req.service, now):
@@ -124,12 +129,25 @@
         self._use.add_local(server.name, ServerUse(0.0, 1, 0.0))
         return m.Admitted(plain=server)
 
-    def _choose(self, candidates, now: float) -> EntryServer | None:
+    def _choose(self, service: str, candidates, now: float) -> EntryServer | None:
+        """Return a server, a cold one only if the others are full."""
+        usable = self._permits.usable(candidates, now)
+        warm = [item for item in usable if not self._permits.is_cold(item.name, now)]
+        factors = self._time_factors(service, now)
+        server = self._choose_among(warm, factors)
+        if len(warm) == len(usable) or (server and not self._is_full(server)):
+            return server
+        return self._choose_among(usable, factors)
+
+    def _choose_among(
+        self, servers: list[EntryServer], time_factors: Mapping[str, float]
+    ) -> EntryServer | None:
         return choose_plain_server(
             self._data_centre,
-            self._permits.usable(candidates, now),
+            servers,
             self._use,
             self._health.cost_factor,
+            time_factors=time_factors,
         )
 
     def _ask(
@@ -139,7 +157,9 @@
         need = len(self._waiting) + 1
         if server is None or self._is_full(server):
             limited = [
-                item.name for item in candidates if self._permits.is_limited(item.name)
+                item.name
+                for item in candidates
+                if self._permits.is_limited(item.name, now)
             ]
             self._permits.ask_limited(limited, need, now)
             return
@@ -156,7 +176,7 @@
         rank: int,
     ) -> m.Refused | None:
         if not candidates:
-            reason = self._monitor.no_server_reason(waiting.req.service)
+            reason = self._candidates.plain_shortage(waiting.req, now)
             return m.Refused(reason, self._retry_delay_s())
         wait = self._permits.wait_for(candidates, rank, now)
         ends_at = now if wait is None else now + wait.seconds
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -69,6 +69,7 @@
                 frozenset(progress.excluded),
                 is_first_attempt=progress.sends == 0,
                 uses_retry_budget=uses_budget,
+                allowed_regions=progress.req.allowed_regions,
             )
             reply = self._guard.refusal(progress) or self._actor.ask(admit)
             if isinstance(reply, pykka.Future):
@@ -83,11 +84,13 @@
             progress.sends += 1
             progress.begin_run(server)
             progress.excluded.add(server.name)
-            started = time.monotonic()
+            started, succeeded = time.monotonic(), False
             try:
                 outcome = self._run_attempt(progress, server, caller)
+                succeeded = outcome.is_ok() and outcome.unwrap()[0] < 500
             finally:
-                ended = m.RunEnded(plain=server, seconds=time.monotonic() - started)
+                seconds = time.monotonic() - started
+                ended = m.RunEnded(plain=server, seconds=seconds, succeeded=succeeded)
                 self._actor.tell(ended)
             match outcome:
                 case Ok((status, headers, body, rest)) if not self._may_retry_status(
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -5,7 +5,7 @@
 
 from result import Err
 
-from sesameport.admission import Evacuations, ServerNotices
+from sesameport.admission import Evacuations, RequestLimits
 from sesameport.entry import messages as m
 from sesameport.entry.requests import (
     CallFailure,
@@ -19,6 +19,7 @@
 __all__ = ["EvacuationOrderClient", "NoticedServerClient"]
 
 EVACUATED = CallFailure(FailureKind.NOT_SENT, "the data centre is evacuated")
+LIMITED = CallFailure(FailureKind.NOT_SENT, "the server has a limit of requests")
 PAUSED = CallFailure(FailureKind.NOT_SENT, "the server wants nothing now")
 
 
@@ -29,25 +30,26 @@
 
     Parameters
     ----------
-    notices : ServerNotices
-        Known notices of servers.
+    limits : RequestLimits
+        Known notices and limits of servers.
     tell : callable
         Sends `ServerNoticed` to the entry actor.
     metrics : Metrics
-        Counts the calls of servers that name a limit, and those that were not sent to
-        an evacuated data centre.
+        Counts the calls of servers that name a limit or are cold, and those that were
+        not sent to an evacuated data centre.
     evacuations : Evacuations
         Data centres whose servers get nothing.
     """
 
     def __init__(
         self,
-        notices: ServerNotices,
+        limits: RequestLimits,
         tell: Callable[[m.ServerNoticed], None],
         metrics,
         evacuations: Evacuations,
     ):
-        self._notices = notices
+        self._limits = limits
+        self._notices = limits.notices
         self._tell = tell
         self._metrics = metrics
         self._evacuations = evacuations
@@ -92,7 +94,12 @@
         )
 
     def lease_memory(self, address, server, tokens, seconds):
-        """Lease memory of an engine; see ``ServerClient``."""
+        """Lease memory of an engine; see ``ServerClient``.
+
+        A server that has a limit gets no such call, which would count against it.
+        """
+        if self._has_limit(server):
+            return Err(LIMITED)
         refusal = self._find_refusal(server, "lease")
         if refusal is not None:
             return Err(refusal)
@@ -101,18 +108,20 @@
     def release_memory(self, lease):
         """Release a lease; see ``ServerClient``.
 
-        A server that wants nothing releases it at its expiry.
+        A server that has a limit or wants nothing releases it at its expiry.
         """
+        if self._has_limit(lease.server):
+            return
         if self._find_refusal(lease.server, "release") is None:
             self._calls.release_memory(lease)
 
     def free(self, source: KvSource):
         """Release the KV cache of a prefill; see ``ServerClient``.
 
-        A server that names a limit or wants nothing releases it at its expiry.
+        A server that has a limit or wants nothing releases it at its expiry.
         """
-        if self._notices.limit_of(source.server) is not None:
-            return Err("the server names a limit of requests")
+        if self._has_limit(source.server):
+            return Err(LIMITED.detail)
         refusal = self._find_refusal(source.server, "free")
         if refusal is not None:
             return Err(refusal.detail)
@@ -131,10 +140,15 @@
             return PAUSED
         return None
 
+    def _has_limit(self, server: str) -> bool:
+        return self._limits.limit_of(server, time.monotonic()) is not None
+
     def _record_call(self, server: str, call: str) -> None:
         self._evacuations.record_send(server, time.monotonic())
         if self._notices.limit_of(server) is not None:
             self._metrics.count("sesameport_entry_limited_calls_total", call=call)
+        if self._limits.is_cold(server, time.monotonic()):
+            self._metrics.count("sesameport_entry_cold_calls_total", call=call)
 
 
 class EvacuationOrderClient:
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -9,6 +9,8 @@
     ServerNotices,
     ServerRegistry,
 )
+from sesameport.entry.cold_exchange import ColdExchange
+from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.servers import EntryServer
 from sesameport.telemetry.logs import get_logger
@@ -27,12 +29,14 @@
         Registered servers.
     health : ServerHealth
         Health of each server.
-    notices : ServerNotices
-        What servers say of themselves.
+    notices, learned : ServerNotices, LearnedServers
+        What servers say of themselves, and what this host learns of them.
     selector : RoleChangeSelector
         Learns of lost and new servers.
     evacuations : Evacuations
         Learns the data centre of each server.
+    cold : ColdExchange
+        Learns which servers are cold.
     """
 
     def __init__(
@@ -42,18 +46,22 @@
         notices: ServerNotices,
         selector: RoleChangeSelector,
         evacuations: Evacuations,
+        cold: ColdExchange,
+        learned: LearnedServers,
     ):
         self._registry = registry
         self._health = health
         self._notices = notices
         self._selector = selector
+        self._cold = cold
         self._evacuations = evacuations
+        self._learned = learned
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
     ) -> None:
         """Apply changed entries, then remove the named ones."""
-        self._record_new_entries(changed)
+        self._record_new_entries(changed, now)
         for server in changed:
             self._registry.put(server)
         for name in removed:
@@ -64,7 +72,8 @@
 
     def replace(self, servers: Iterable[EntryServer], now: float) -> None:
         """Apply a complete listing."""
-        self._record_new_entries(servers)
+        self._record_new_entries(servers, now)
+        self._cold.record_listing()
         before = {server.name for server in self._registry.all()}
         self._registry.replace(servers, now)
         remaining = {server.name for server in self._registry.all()}
@@ -83,14 +92,16 @@
         if server is not None:
             self._selector.record_loss(server.service, now)
 
-    def _record_new_entries(self, servers: Iterable[EntryServer]) -> None:
+    def _record_new_entries(self, servers: Iterable[EntryServer], now: float) -> None:
         """Log new and changed entries and update what depends on them."""
         for server in servers:
+            self._cold.record_entry(server, now)
             known = self._registry.get(server.name)
             if known == server:
                 continue
             self._evacuations.record_server(server.name, server.data_centre)
             self._notices.begin_incarnation(server.name, server.started_at_ms)
+            self._learned.begin_incarnation(server)
             if known is None:
                 self._selector.record_registration(server.service, time.monotonic())
             if known is not None and (
--- a/src/sesameport/entry/tests/test_evacuations.py
+++ b/src/sesameport/entry/tests/test_evacuations.py
@@ -170,7 +170,7 @@
 def test_request_that_was_placed_before_the_evacuation_is_not_sent():
     host, calls = Host.create("a-d0", "b-d0"), Calls()
     client = NoticedServerClient(
-        host.admission.notices, lambda message: None, Metrics(), host.evacuations
+        host.admission.limits, lambda message: None, Metrics(), host.evacuations
     ).wrap(calls)
     host.controller.apply(m.EvacuationsListed(("a",)), 1.0)
     host.admission.registry.remove("a-d0", 1.0)  # its address may still answer
--- a/src/sesameport/tests/test_recorded_encodings.py
+++ b/src/sesameport/tests/test_recorded_encodings.py
@@ -28,6 +28,7 @@
     (pathlib.Path(__file__).parent / "recorded/encoded_by_3141af3.json").read_text()
 )
 ADDED_FIELDS = {
+    "allowed_regions",
     "cold_per_s",
     "cold_remaining_s",
     "cold_start_s",
