--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 import attrs
 
@@ -50,6 +51,8 @@
         Number of hosts that share the slack.
     pool : RetryPool
         What the hosts of a large fleet took from their common part of the budget.
+    on_pooled : callable
+        Called with the current time after each retry from the pool.
     """
 
     ratio: float
@@ -61,6 +64,8 @@
         default=attrs.Factory(lambda self: RetryPool(self.window_s), takes_self=True)
     )
 
+    on_pooled: Callable[[float], None] = lambda now: None
+
     def update_limits(self, ratio: float, window_s: float, slack: float) -> None:
         """Change the budget; retries that were already made still count."""
         self.ratio, self.window_s, self.slack = ratio, window_s, slack
@@ -96,4 +101,7 @@
         if not self.has_pool():
             return False
         pooled = USABLE_FRACTION * POOL_SHARE * self.slack
-        return self.pool.try_take(service, pooled, now)
+        if not self.pool.try_take(service, pooled, now):
+            return False
+        self.on_pooled(now)
+        return True
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -17,6 +17,7 @@
 from sesameport.entry.notice_exchange import NoticeExchange
 from sesameport.entry.placement_explainer import PlacementExplainer
 from sesameport.entry.report_sender import ReportSender
+from sesameport.entry.retry_exchange import RetryExchange
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
@@ -148,6 +149,9 @@
         self._own_request_at = -math.inf
         self._store_reachable = False
         self._had_store_contact = False
+        self._retries = RetryExchange(
+            settings.name, admission.budget, admission.use, peers.publish
+        )
         queries = FleetQueries(settings.name, admission, self._addresses)
         explainer = PlacementExplainer(admission, learned, settings.data_centre)
         self._handlers = {
@@ -161,6 +165,7 @@
             m.ServerNoticed: self._record_notice,
             m.NoticeReports: self._apply_notices,
             m.ColdReports: self._cold.apply_reports,
+            m.RetryReport: self._retries.apply,
             m.PermitRequest: admission.permits.handle_request,
             m.PermitReply: self._apply_permits,
             m.ProbeResult: self._handle_probe_result,
@@ -404,7 +409,7 @@
         log_hosts(log.warning, "host silent", silent)
         log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        for exchange in (self._notices, self._cold, self._speeds):
+        for exchange in (self._notices, self._cold, self._speeds, self._retries):
             exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
         self._admission.permits.expire(now)
         self._new_peers = []
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -24,6 +24,7 @@
     "PermitReply",
     "PermitRequest",
     "PrefixReports",
+    "RetryReport",
     "SpeedReports",
     "SuspectReports",
 ]
@@ -82,6 +83,17 @@
     reports: tuple[SuspectReport, ...]
 
 
+@attrs.frozen
+class RetryReport:
+    """Report the retries that a host took from the pool in the last window.
+
+    ``taken`` has them by service; see ``admission.RetryPool``.
+    """
+
+    host: str
+    taken: dict[str, int]
+
+
 @attrs.frozen
 class NoticeReports:
     """Report what servers said of themselves; see ``admission.ServerNotices``."""
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -16,6 +16,7 @@
     PermitReply,
     PermitRequest,
     PrefixReports,
+    RetryReport,
     SpeedReports,
     SuspectReports,
 )
@@ -59,6 +60,7 @@
     "CallOutcome",
     "ServerNoticed",
     "ServersChanged",
+    "RetryReport",
     "SpeedReports",
     "ServersListed",
     "SnapshotRequested",
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -20,38 +20,25 @@
 
 from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
-    ColdReports,
-    EvacuationReport,
     FleetSnapshot,
     HostAnnounced,
     HostReport,
     HostReports,
-    NoticeReports,
-    PermitReply,
-    PermitRequest,
-    PrefixReports,
     SnapshotRequested,
-    SpeedReports,
-    SuspectReports,
 )
-from sesameport.entry.report_codec import (
-    decode_cold,
-    decode_evacuations,
-    decode_notices,
-    decode_permits,
-    decode_prefixes,
-    decode_report,
-    decode_speeds,
-    decode_suspects,
-    encode_cold,
-    encode_evacuations,
-    encode_notices,
-    encode_permits,
-    encode_prefixes,
-    encode_report,
-    encode_speeds,
-    encode_suspects,
+from sesameport.entry.peer_topics import (
+    ANNOUNCEMENT,
+    COLD_PERMITS,
+    DECODERS,
+    PERMITS,
+    REPORT,
+    SHARED_TOPICS,
+    SNAPSHOT,
+    PublishedMessage,
+    encode_message,
+    permit_topic,
 )
+from sesameport.entry.report_codec import decode_report
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["PeerExchange"]
@@ -85,34 +72,9 @@
 
 FAILURE_PAUSE_S = 0.1  # after an unexpected exception
 
-_REPORT = b"r"
-_PARTIAL_REPORT = b"p"
-_SNAPSHOT = b"s"
-_SUSPECTS = b"c"
-_NOTICES = b"n"
-_EVACUATIONS = b"e"
-_PERMITS = b"g"
-"""First byte of the topics of single hosts; see `_permit_topic`."""
-_COLD = b"w"
-_COLD_PERMITS = b"k"
-"""First byte of the topics of single hosts about permits for cold servers."""
-_SPEEDS = b"v"
-_PREFIXES = b"x"
-_ANNOUNCEMENT = b"h"
 _CONNECT = b"connect"
 _REQUEST = b"ask"
 
-_DECODERS = {
-    _SUSPECTS: decode_suspects,
-    _NOTICES: decode_notices,
-    _EVACUATIONS: decode_evacuations,
-    _COLD: decode_cold,
-    _SPEEDS: decode_speeds,
-    _PREFIXES: decode_prefixes,
-    _PERMITS: decode_permits,
-    _COLD_PERMITS: decode_permits,
-}
-
 log = get_logger("peers")
 
 
@@ -140,20 +102,7 @@
         ip: str,
         port: int,
         on_message: Callable[
-            [
-                HostReports
-                | FleetSnapshot
-                | SnapshotRequested
-                | HostAnnounced
-                | SuspectReports
-                | NoticeReports
-                | ColdReports
-                | EvacuationReport
-                | SpeedReports
-                | PrefixReports
-                | PermitRequest
-                | PermitReply
-            ],
+            [HostReports | SnapshotRequested | HostAnnounced | PublishedMessage],
             None,
         ],
     ):
@@ -181,49 +130,13 @@
 
     def publish(
         self,
-        message: HostReport
-        | FleetSnapshot
-        | SuspectReports
-        | NoticeReports
-        | EvacuationReport
-        | ColdReports
-        | SpeedReports
-        | PrefixReports
-        | PermitRequest
-        | PermitReply,
+        message: PublishedMessage,
     ) -> None:
         """Send a message to all hosts that have subscribed to its type.
 
         Messages about permits reach only the host that they name.
         """
-        if isinstance(message, SuspectReports):
-            self._control.send_multipart([_SUSPECTS, encode_suspects(message)])
-            return
-        if isinstance(message, NoticeReports):
-            self._control.send_multipart([_NOTICES, encode_notices(message)])
-            return
-        if isinstance(message, ColdReports):
-            self._control.send_multipart([_COLD, encode_cold(message)])
-            return
-        if isinstance(message, EvacuationReport):
-            self._control.send_multipart([_EVACUATIONS, encode_evacuations(message)])
-            return
-        if isinstance(message, SpeedReports):
-            self._control.send_multipart([_SPEEDS, encode_speeds(message)])
-            return
-        if isinstance(message, PrefixReports):
-            self._control.send_multipart([_PREFIXES, encode_prefixes(message)])
-            return
-        if isinstance(message, PermitRequest | PermitReply):
-            first = _COLD_PERMITS if message.ask_id else _PERMITS
-            topic = _permit_topic(message.to_host, first)
-            self._control.send_multipart([topic, encode_permits(message)])
-            return
-        if isinstance(message, HostReport):
-            topic = _REPORT if message.is_complete else _PARTIAL_REPORT
-            self._control.send_multipart([topic, encode_report(message)])
-            return
-        self._control.send_multipart([_SNAPSHOT, msgspec.msgpack.encode(message)])
+        self._control.send_multipart(encode_message(message))
 
     def connect(self, addresses: set[str]) -> None:
         """Receive only from the hosts at these addresses."""
@@ -251,20 +164,14 @@
         control = self._context.socket(zmq.PAIR)
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
-        subscriber.subscribe(_REPORT)
-        subscriber.subscribe(_PARTIAL_REPORT)
-        subscriber.subscribe(_SUSPECTS)
-        subscriber.subscribe(_NOTICES)
-        subscriber.subscribe(_EVACUATIONS)
-        subscriber.subscribe(_COLD)
-        subscriber.subscribe(_SPEEDS)
-        subscriber.subscribe(_PREFIXES)
-        for first in (_PERMITS, _COLD_PERMITS):
-            subscriber.subscribe(_permit_topic(self._name, first))
+        for topic in SHARED_TOPICS:
+            subscriber.subscribe(topic)
+        for first in (PERMITS, COLD_PERMITS):
+            subscriber.subscribe(permit_topic(self._name, first))
         own = msgspec.msgpack.encode((self._name, self.address))
-        subscriber.subscribe(_ANNOUNCEMENT + own)
+        subscriber.subscribe(ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
-        snapshots.subscribe(_SNAPSHOT)
+        snapshots.subscribe(SNAPSHOT)
         urgent, poller = zmq.Poller(), zmq.Poller()
         for sock in (control, snapshots, self._publisher):
             urgent.register(sock, zmq.POLLIN)
@@ -316,10 +223,10 @@
         is_new, topic = message[:1] == b"\x01", message[1:]
         if not is_new:
             return
-        if topic == _SNAPSHOT:
+        if topic == SNAPSHOT:
             self._on_message(SnapshotRequested())
             return
-        if not topic.startswith(_ANNOUNCEMENT):
+        if not topic.startswith(ANNOUNCEMENT):
             return
         try:
             fields = msgspec.msgpack.decode(topic[1:], type=tuple[str, str])
@@ -359,7 +266,7 @@
         """
         while addresses and subscriber.poll(0):
             topic, data = subscriber.recv_multipart()
-            if topic == _SNAPSHOT:
+            if topic == SNAPSHOT:
                 self._receive_snapshot(data)
             else:
                 self._deliver([self._decode_report(topic, data)])
@@ -391,13 +298,13 @@
 
     def _decode_report(self, topic: bytes, data: bytes) -> HostReport | None:
         """Return a report of a host; handle messages of other types at once."""
-        decode = _DECODERS.get(topic[:1])
+        decode = DECODERS.get(topic[:1])
         if decode is not None:
             self._receive(decode(data))
             return None
         match decode_report(data):
             case Ok(report):
-                return attrs.evolve(report, is_complete=topic == _REPORT)
+                return attrs.evolve(report, is_complete=topic == REPORT)
             case Err(reason):
                 log.warning("peer message unreadable", extra={"reason": reason})
                 return None
@@ -425,11 +332,6 @@
         self._receive(_decode_snapshot(data))
 
 
-def _permit_topic(host: str, first: bytes) -> bytes:
-    """Return the topic of one host; subscriptions match by prefix, so it has an end."""
-    return first + host.encode() + b"\0"
-
-
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
     try:
         return Ok(msgspec.msgpack.decode(data, type=FleetSnapshot))
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -26,6 +26,7 @@
     PermitReply,
     PermitRequest,
     PrefixReports,
+    RetryReport,
     SpeedReports,
     SuspectReports,
 )
@@ -38,6 +39,7 @@
     "decode_permits",
     "decode_prefixes",
     "decode_report",
+    "decode_retries",
     "decode_speeds",
     "decode_suspects",
     "encode_cold",
@@ -46,6 +48,7 @@
     "encode_permits",
     "encode_prefixes",
     "encode_report",
+    "encode_retries",
     "encode_speeds",
     "encode_suspects",
 ]
@@ -192,6 +195,20 @@
     )
 
 
+def encode_retries(message: RetryReport) -> bytes:
+    """Return the retries that a host took from the pool as MessagePack."""
+    return msgspec.msgpack.encode((message.host, message.taken))
+
+
+def decode_retries(data: bytes) -> Result[RetryReport, str]:
+    """Return what `encode_retries` encoded, or an Err with the reason."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=tuple[str, dict[str, int]])
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    return Ok(RetryReport(*fields))
+
+
 def encode_cold(message: ColdReports) -> bytes:
     """Return reports of cold servers as MessagePack."""
     return msgspec.msgpack.encode(
