Read the stated bounds of clients from a table of their own

Cause: the platform writes limits in the settings file and adds fields over time. A field of the same name with another meaning would have changed a bound or stopped the start.

Change: memoryMb and maxFds are read from limits, all other bounds from callerBounds.

--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -50,7 +50,10 @@
     "body_s": "bodyTimeoutMs",
     "min_body_rate": "minBodyBytesPerS",
 }
-"""Names, in the ``limits`` of the settings file, of the fields of ``CallerBounds``."""
+"""Names, in ``callerBounds`` of the settings file, of the fields of ``CallerBounds``.
+
+The platform may add fields to ``limits``, so they have a table of their own.
+"""
 
 _POSITIVE_BOUNDS = frozenset({"retryWindowS", "quotaWindowS"})
 """Bounds that must not be 0, because rates are counted over these times."""
@@ -91,7 +94,7 @@
         findings.append(Finding(file, "internalPorts", "expected two port numbers"))
     bounds, bound_findings = _parse_bounds(data.get("bounds", {}), file)
     findings.extend(bound_findings)
-    limits, limit_findings = _parse_limits(data.get("limits", {}), file)
+    limits, limit_findings = _parse_limits(data, file)
     findings.extend(limit_findings)
     if findings:
         return None, findings
@@ -146,24 +149,32 @@
     return FleetBounds(**values), findings
 
 
-def _parse_limits(table, file: str) -> tuple[CallerBounds, list[Finding]]:
+def _parse_limits(data: dict, file: str) -> tuple[CallerBounds, list[Finding]]:
+    """Return the bounds that follow from the machine and from stated ones."""
     findings, values = [], {}
-    if not isinstance(table, dict):
-        return CallerBounds.for_machine(), [Finding(file, "limits", "expected a table")]
-    for name, platform_name in (_MACHINE_LIMIT_NAMES | _CALLER_BOUND_NAMES).items():
-        if platform_name not in table:
-            continue
-        value = table[platform_name]
-        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if not is_number or not 0 < value < math.inf:
-            message = f"expected a number above 0, got {value!r}"
-            findings.append(Finding(file, f"limits.{platform_name}", message))
+    for table_name, names in (
+        ("limits", _MACHINE_LIMIT_NAMES),
+        ("callerBounds", _CALLER_BOUND_NAMES),
+    ):
+        table = data.get(table_name, {})
+        if not isinstance(table, dict):
+            findings.append(Finding(file, table_name, "expected a table"))
             continue
-        if platform_name.endswith(("Ms", "PerS")):
-            seconds = 1000.0 if platform_name.endswith("Ms") else 1.0
-            values[name] = value / seconds
-        else:
-            values[name] = max(1, int(value))
+        for name, platform_name in names.items():
+            if platform_name not in table:
+                continue
+            value = table[platform_name]
+            is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+            if not is_number or not 0 < value < math.inf:
+                message = f"expected a number above 0, got {value!r}"
+                findings.append(Finding(file, f"{table_name}.{platform_name}", message))
+                continue
+            if platform_name.endswith("Ms"):
+                values[name] = value / 1000.0
+            elif platform_name.endswith("PerS"):
+                values[name] = float(value)
+            else:
+                values[name] = max(1, int(value))
     return CallerBounds.for_machine(**values), findings
 
 
