Let small bodies right behind their head pass as arrived

Cause: many clients send head and body in two packets. Such a body had a holder, and got 503 while too many slow bodies of its address were in progress.

Change: a body of up to 8 KiB, or a chunked one, has 50 ms to arrive before it counts as one that arrives in several reads.

--- a/src/sesameport/entry/caller_limits/body_reader.py
+++ b/src/sesameport/entry/caller_limits/body_reader.py
@@ -1,11 +1,12 @@
 """Read the bodies of requests within the bounds of the process.
 
-A body that arrived together with its head is read at once and costs one charge to the
-account. Any other body has a `Holder`, by which it can be held back or closed.
+A small body that arrived together with its head, or right behind it, costs one charge
+to the account. Any other body has a `Holder`, by which it can be held back or closed.
 """
 
 import contextlib
 import io
+import select
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -39,6 +40,12 @@
 """After several small reads in succession, bytes are left to collect in the socket for
 this time, seconds. Each read costs as much as a small request."""
 
+PROMPT_BYTES = 8_192
+PROMPT_MS = 50
+"""Size of a body, bytes, and time, milliseconds, within which it counts as arrived with
+its head. Many clients send both in two packets, and such a body must not be refused
+because slow ones from its address are in progress."""
+
 MAX_CLOSED_FOR_REQUEST = 4
 """Stalled bodies that are closed for one small request if the account is full."""
 
@@ -104,14 +111,19 @@
         rfile = req.conn.rfile
         if not req.chunked_read:
             length = int(req.inheaders.get(b"Content-Length", 0))
-            if length > len(rfile._read_buf) - rfile._read_pos:
-                return self._read_slowly(req, _LengthParser(length))
+            if length > _buffered_bytes(rfile):
+                if length <= PROMPT_BYTES and _has_prompt_data(req.conn):
+                    rfile.peek(length)
+                if length > _buffered_bytes(rfile):
+                    return self._read_slowly(req, _LengthParser(length))
             size = length + REQUEST_BYTES
             if not self._account.charge(size):
                 self._make_room(size)
             return (req.rfile.read(length) if length else b""), size
         parser = ChunkedParser(self._bounds, req.server.max_request_body_size)
         parser.feed(_take_buffered(rfile))
+        if not parser.is_complete and _has_prompt_data(req.conn):
+            parser.feed(req.conn.socket.recv(READ_BYTES))
         if not parser.is_complete:
             return self._read_slowly(req, parser)
         _put_back(rfile, parser.rest)
@@ -239,6 +251,17 @@
         return self._out.getvalue()
 
 
+def _has_prompt_data(conn) -> bool:
+    """Return whether more of a request arrives at once."""
+    poller = select.poll()
+    poller.register(conn.socket, select.POLLIN)
+    return bool(poller.poll(PROMPT_MS))
+
+
+def _buffered_bytes(rfile) -> int:
+    return len(rfile._read_buf) - rfile._read_pos
+
+
 def _take_buffered(rfile) -> bytes:
     """Return and remove what cheroot's reader has read ahead."""
     data = bytes(rfile._read_buf[rfile._read_pos :])
--- a/src/sesameport/entry/caller_limits/tests/test_body_reader.py
+++ b/src/sesameport/entry/caller_limits/tests/test_body_reader.py
@@ -3,6 +3,7 @@
 import math
 import socket
 import threading
+import time
 import types
 
 import pytest
@@ -11,7 +12,11 @@
 from sesameport.adapters.strict_http import FramingError
 from sesameport.entry.caller_limits.body_reader import HOLDER_BYTES, BodyReader
 from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
-from sesameport.entry.caller_limits.memory_account import STEP_BYTES, MemoryAccount
+from sesameport.entry.caller_limits.memory_account import (
+    STEP_BYTES,
+    Holder,
+    MemoryAccount,
+)
 from sesameport.entry.caller_limits.open_bodies import OpenBodies
 from sesameport.platform.tests.conftest import wait_until
 
@@ -92,6 +97,18 @@
     assert (refused.status, refused.bound) == (413, "body-bytes")
 
 
+def test_small_body_behind_its_head_is_served_among_too_many_bodies(reader):
+    # Guards against callers that are refused for the slow bodies of their address.
+    slow = [Holder("10.0.0.1", now, math.inf) for now in [time.monotonic()] * 200]
+    for holder in slow:
+        reader.bodies.add(holder, None)
+    assert reader.read(send([b"small"]), 5) == b"small"
+    assert reader.read(send([b"5\r\nsmall\r\n0\r\n\r\n"])) == b"small"
+    assert reader.read(send([b"x" * 9_000]), 9_000).bound == "bodies-per-address"
+    for holder in slow:
+        reader.bodies.remove(holder)
+
+
 def test_stalled_bodies_give_way_to_others(reader):
     # Guards against bodies that stop short and keep all others from being read.
     pairs = [socket.socketpair() for _ in range(3)]
