--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -215,7 +215,8 @@
 
 
 def test_limits_of_the_machine_give_the_bounds_and_invalid_ones_are_found():
-    text = SETTINGS + "\n[limits]\nmemoryMb = 552\nmaxBodies = 7\nbodyTimeoutMs = 500\n"
+    text = SETTINGS + "\n[limits]\nmemoryMb = 552\n[callerBounds]\n"
+    text += "maxBodies = 7\nbodyTimeoutMs = 500\n"
     limits = load_platform_settings(text, "node.toml")[0].limits
     assert (limits.account_bytes, limits.max_bodies, limits.body_s) == (342e6, 7, 0.5)
     text = SETTINGS + "\n[limits]\nmemoryMb = 0\nmaxFds = true\n"
