Keep a server out of use that said it leaves

An answer without Server-Leaving that arrived after one with it withdrew the notice, and every host sent requests to the server again. Such an answer is one that was overtaken: a server that stops does not stay.

The notice now lasts until the next start of the server, at the host that got it and in the reports of other hosts; a newer report without it differs and is answered. Where the entry states no start time, the removal of the entry ends it.

--- a/src/sesameport/admission/server_notices.py
+++ b/src/sesameport/admission/server_notices.py
@@ -84,7 +84,8 @@
     ) -> bool:
         """Record the notice of an answer; return whether other hosts must know.
 
-        A pause concerns this host only.
+        A pause concerns this host only. A server that leaves does so until its next
+        start: a later answer without that notice may be one that was overtaken.
         """
         if notice.pause_s > 0:
             until = now + min(MAX_PAUSE_S, notice.pause_s)
@@ -95,6 +96,8 @@
         before = known.notice if known else NO_NOTICE
         if known is None and notice == NO_NOTICE:
             return False
+        if before.is_leaving:
+            notice = attrs.evolve(notice, is_leaving=True)
         self._known[server] = _Known(started_at_ms, notice, now)
         return _differs(before, notice)
 
@@ -114,10 +117,12 @@
         known = self._known.get(report.server)
         at = now - report.age_s
         before = known.notice if known else NO_NOTICE
+        leaves = before.is_leaving or report.notice.is_leaving
         if known is not None and at <= known.at:
-            return _differs(before, report.notice)
-        if known is not None or report.notice != NO_NOTICE:
-            self._known[report.server] = _Known(started_at_ms, report.notice, at)
+            known.notice = attrs.evolve(known.notice, is_leaving=leaves)
+        elif known is not None or report.notice != NO_NOTICE:
+            notice = attrs.evolve(report.notice, is_leaving=leaves)
+            self._known[report.server] = _Known(started_at_ms, notice, at)
         return _differs(before, report.notice)
 
     def reports(self, now: float) -> list[NoticeReport]:
@@ -163,7 +168,7 @@
         """Forget what a server said before its present start.
 
         What it said is kept when its entry is removed, because entries also expire
-        while the store is away.
+        while the store is away; see `end_entry` for servers without a start time.
         """
         known = self._known.get(server)
         if known is not None and known.started_at_ms != started_at_ms:
@@ -171,6 +176,15 @@
         if self._pauses.get(server, (started_at_ms, 0.0))[0] != started_at_ms:
             del self._pauses[server]
 
+    def end_entry(self, server: str) -> None:
+        """Forget what a server said whose entry is removed, if its start is unknown.
+
+        Its next start could not be told from this one.
+        """
+        known = self._known.get(server)
+        if known is not None and known.started_at_ms == 0:
+            del self._known[server]
+
     def expire(self, now: float) -> None:
         """Forget notices that are too old, and pauses that have ended."""
         for name, (_, until) in list(self._pauses.items()):
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -59,6 +59,8 @@
         for name in removed:
             self._record_loss(name, now)
             self._registry.remove(name, now)
+            if self._registry.get(name) is None:
+                self._notices.end_entry(name)
             log.info("server entry removed", extra={"server": name})
             self._health.remove_server(name)
 
@@ -70,12 +72,14 @@
         remaining = {server.name for server in self._registry.all()}
         for name in sorted(before - remaining):
             log.info("server not listed any more", extra={"server": name})
+            self._notices.end_entry(name)
             self._health.remove_server(name)
 
     def expire(self, now: float) -> None:
         """Remove servers whose grace period has ended."""
         for name in self._registry.expire(now):
             log.info("server entry expired", extra={"server": name})
+            self._notices.end_entry(name)
             self._health.remove_server(name)
 
     def _record_loss(self, name: str, now: float) -> None:
