Survive SIGHUP during the imports

The handler was installed after the imports, so a signal in about the first third of a second ended the process by default.

The signal is handled after the start. A daemon on the project's own interface, which reloads nothing, removes the handler again, so the signal ends it as before. Until the interpreter runs the first line of the program the signal still ends it.

--- a/src/sesameport/commands/serve.py
+++ b/src/sesameport/commands/serve.py
@@ -16,6 +16,7 @@
     is_platform_settings,
     load_platform_settings,
 )
+from sesameport.reload_signal import remove_reload_signal
 from sesameport.telemetry.logs import JsonLineHandler
 
 __all__ = ["Serve"]
@@ -40,6 +41,9 @@
 def _serve_daemon(path: pathlib.Path) -> int:
     from sesameport.daemon import Daemon
 
+    # Only entry hosts on a platform reload their settings.
+    remove_reload_signal()
+
     cfg, findings = load_settings(path.read_text(), str(path))
     if cfg is None:
         print(format_findings(findings), file=sys.stderr)
--- a/src/sesameport/entry/process.py
+++ b/src/sesameport/entry/process.py
@@ -13,6 +13,7 @@
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.settings import EntrySettings
 from sesameport.entry.settings_reloader import SettingsReloader
+from sesameport.reload_signal import install_reload_signal
 from sesameport.telemetry.log_buffer import LogBuffer
 from sesameport.telemetry.logs import JsonLineHandler, get_logger
 
@@ -52,8 +53,7 @@
     handler = JsonLineHandler(settings.name, settings.data_centre, buffer)
     handler.push_application()
     threading.excepthook = _log_thread_error
-    signalled, stopped = threading.Event(), threading.Event()
-    signal.signal(signal.SIGHUP, lambda number, frame: signalled.set())
+    signalled, stopped = install_reload_signal(), threading.Event()
     host = EntryHost(settings, adapter).start()
     reloader = SettingsReloader(path, load_settings, host.reload, text)
     threading.Thread(
--- a/tools/binary/sesameport_start.py
+++ b/tools/binary/sesameport_start.py
@@ -73,6 +73,6 @@
     """Install the finder and run the command line."""
     sys.meta_path.insert(0, ArchiveFinder())
     sys.argv[0] = "sesameport"
-    from sesameport.commands import main
+    from sesameport.__main__ import main
 
     main()
