--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -263,7 +263,7 @@
     def _unready_reasons(self) -> list[str]:
         reasons = self._follower.failures()
         if self._routes.table is None or not self._evacuations.is_known:
-            reasons.append("no configuration yet")
+            reasons.append("configuration or evacuations not known yet")
         if self._is_draining():
             reasons.append("draining")
         return reasons
--- a/src/sesameport/entry/host_directory.py
+++ b/src/sesameport/entry/host_directory.py
@@ -94,7 +94,9 @@
                 return False
             case Ok(listing):
                 pass
-        self._registrations = {stored.name: stored for stored in listing.objects}
+        # An object whose name cannot be read is no host.
+        named = [stored for stored in listing.objects if stored.name]
+        self._registrations = {stored.name: stored for stored in named}
         own = self._registrations.get(self._name)
         if own is not None and _decode_address(own.value) != self._address:
             match self._update(own):
--- a/src/sesameport/entry/suspect_store.py
+++ b/src/sesameport/entry/suspect_store.py
@@ -112,6 +112,8 @@
                     extra={"object": stored.name, "reason": str(exc)},
                 )
                 continue
+            if not stored.name:
+                continue
             if time.time() - record.saved_at >= RECORD_LIFETIME_S:
                 self._platform.delete(SUSPECT_KIND, stored.name, stored.version)
                 continue
--- a/src/sesameport/entry/tests/test_evacuations.py
+++ b/src/sesameport/entry/tests/test_evacuations.py
@@ -108,6 +108,16 @@
     assert reason == "data-centre-evacuated"
 
 
+def test_demand_goes_to_all_other_data_centres_by_their_free_capacity():
+    # Guards against sending all of it to the nearest one.
+    host = Host.create("a-s0", "a-s1", "b-s0", "c-s0", "c-s1", "c-s2")
+    host.controller.apply(m.EvacuationsListed(("a",)), 1.0)
+    for _ in range(80):
+        host.admit_plain()
+    used = {name: use.active_requests for name, use in host.admission.use.local.items()}
+    assert used == {"b-s0": 20, "c-s0": 20, "c-s1": 20, "c-s2": 20}
+
+
 def test_nothing_is_sent_until_the_evacuations_are_known():
     # A host that starts during an evacuation may learn the servers first.
     host = Host.create("a-s0", "b-s0", is_known=False)
--- a/src/sesameport/platform/tests/test_evacuations.py
+++ b/src/sesameport/platform/tests/test_evacuations.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 
+import attrs
 import pytest
 
 from sesameport.entry.settings import FleetBounds
@@ -136,3 +137,13 @@
     cluster.store.put("evacuations", "a", {})
     wait_until(lambda: not any(uses(host, ["s1"]) for host in hosts), 4.0)
     assert lost
+
+
+def test_bound_that_is_added_to_the_settings_takes_effect_at_once(cluster, send):
+    # The host serves meanwhile: it may have no store to read the evacuations from.
+    host = cluster.start_host()
+    wait_until(lambda: host.is_ready() and host.server_count() >= 6)
+    cluster.store.put("evacuations", "a", {})
+    host.reload(attrs.evolve(host.settings, bounds=BOUNDS))
+    assert host.is_ready()
+    wait_until(lambda: not uses(host, ["s1"]), 1.0)
