Keep following the store when a failure cannot be logged

An exception of the log or of a metric in the handling of an exception would have ended the thread. The thread waits for the longest delay then and continues.

test_store_watch passes.

--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -5,6 +5,7 @@
 thread of a host tries to reach it.
 """
 
+import contextlib
 import math
 import random
 import threading
@@ -179,7 +180,10 @@
                     return
                 self._version = None
                 self._health.release_turn(self._kind)
-                self._closing.wait(self._record_failure(exc))
+                delay_s = MAX_RESTART_S
+                with contextlib.suppress(Exception):
+                    delay_s = self._record_failure(exc)
+                self._closing.wait(delay_s)
 
     def _is_current(self, generation: int) -> bool:
         return generation == self._generation and not self._closing.is_set()
