--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -235,6 +235,7 @@
                     self._record_source_failure(progress)
                     self._release_source(progress)
                 elif not failure.kind.has_not_run():
+                    progress.runs += 1
                     progress.source = None
                 return failure, has_started
             case Ok(response):
@@ -337,7 +338,7 @@
         return (
             progress.route.is_resumable
             and failure.kind == FailureKind.BROKEN
-            and max(progress.runs, 1) < progress.route.max_attempts
+            and progress.runs < progress.route.max_attempts
         )
 
     def _release_source(self, progress) -> None:
