Charge each arrival after the first to the retry budget

Change: RequestProgress knows whether a call has arrived and whether a prefill was accepted; an attempt is charged for its decode and for its repeated prefill before it is placed. The first accepted prefill is no arrival. An attempt that is sent only in part, or to a server that cannot be connected, stays charged as a whole.

--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -57,12 +57,23 @@
         window.expire(now - self.window_s)
         window.requests.append(now)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Spend one retry; return False if the budget is exhausted."""
+    def spend(self, service: str, now: float, count: int = 1) -> bool:
+        """Spend some retries; return False, and spend none, if they exceed the budget.
+
+        Examples
+        --------
+        >>> budget = WindowedRetryBudget(ratio=0.2, window_s=10.0, slack=5.0)
+        >>> budget.spend("desk", 0.0, 3), budget.spend("desk", 0.0, 2)
+        (True, False)
+        >>> budget.spend("desk", 0.0, 1), budget.spend("desk", 0.0, 0)
+        (True, True)
+        """
+        if count == 0:
+            return True
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self.window_s)
         allowed = self.ratio * len(window.requests) + self.slack / max(1, self.hosts)
-        if len(window.retries) + 1 > USABLE_FRACTION * allowed:
+        if len(window.retries) + count > USABLE_FRACTION * allowed:
             return False
-        window.retries.append(now)
+        window.retries.extend([now] * count)
         return True
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -142,7 +142,7 @@
             if refused is not None:
                 req.future.set(refused)
                 return
-        elif req.uses_retry_budget and not self.budget.spend(service, now):
+        elif not self.budget.spend(service, now, req.repeats):
             req.future.set(m.Refused("no-retry-budget", self.retry_delay_s()))
             return
         generation = req.generation
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -91,11 +91,9 @@
 
     def _run(self, progress, service, priority, charge, writer, caller) -> None:
         events = EventBuffer() if progress.route.is_resumable else None
-        uses_budget, has_started = False, False
+        has_started = False
         while True:
-            admitted = self._admit(
-                progress, service, priority, charge, uses_budget, caller
-            )
+            admitted = self._admit(progress, service, priority, charge, caller)
             if isinstance(admitted, m.Refused):
                 if has_started:
                     progress.set_outcome("broken-off", admitted.reason)
@@ -130,11 +128,10 @@
                 else:
                     self._outcomes.fail(progress, writer, failure)
                 return
-            uses_budget = uses_budget or failure.kind.has_arrived()
             if events is not None and events.last_id:
                 progress.req = attrs.evolve(progress.req, resume_after=events.last_id)
 
-    def _admit(self, progress, service, priority, charge, uses_budget, caller):
+    def _admit(self, progress, service, priority, charge, caller):
         refused = self._guard.refusal(progress)
         if refused is not None:
             return refused
@@ -145,6 +142,7 @@
             prompt = tokens.prompt
             output = expected_output_tokens(tokens.max_output, tokens.expected_output)
         key = next(self._keys)
+        has_source = progress.has_source()
         future = pykka.ThreadingFuture()
         self._actor.tell(
             m.AdmitGeneration(
@@ -156,7 +154,7 @@
                     prompt,
                     output,
                     frozenset(progress.excluded),
-                    progress.has_source(),
+                    has_source,
                     req.allowed_regions,
                 ),
                 req.workspace,
@@ -168,7 +166,7 @@
                 priority,
                 future,
                 is_first_attempt=progress.sends == 0,
-                uses_retry_budget=uses_budget,
+                repeats=progress.repeats(has_prefill=not has_source),
             )
         )
         while True:
@@ -230,6 +228,7 @@
         match result:
             case Err(failure):
                 self._outcomes.record_failure(progress, decode, failure, "decode")
+                progress.has_arrived |= failure.kind.has_arrived()
                 progress.excluded.add(decode.name)
                 if failure.kind == FailureKind.REFUSED and source is not None:
                     self._record_source_failure(progress)
@@ -241,7 +240,7 @@
             case Ok(response):
                 pass
         progress.source = None
-        progress.has_run = True
+        progress.has_arrived = progress.has_run = True
         progress.runs += 1
         try:
             return self._stream_response(
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -81,9 +81,9 @@
         Set to `Admitted` or `Refused`, at once or as soon as memory is released.
     is_first_attempt : bool
         False if the request was admitted before.
-    uses_retry_budget : bool
-        Whether a server has received the request before, so that this attempt counts
-        against the retry budget.
+    repeats : int
+        Calls of this attempt that reach a server after the request has reached one
+        before; they are charged to the retry budget.
     """
 
     key: int
@@ -97,16 +97,15 @@
     priority: int
     future: pykka.Future
     is_first_attempt: bool = True
-    uses_retry_budget: bool = False
+    repeats: int = 0
 
 
 @attrs.frozen
 class AdmitPlain:
     """Request admission and a server for a plain request.
 
-    The reply is a `PlainReply`. ``is_first_attempt`` and
-    ``uses_retry_budget`` have the same meaning as in `AdmitGeneration`, and
-    ``allowed_regions`` as in ``admission.GenerationRequest``.
+    The reply is a `PlainReply`. ``is_first_attempt`` and ``repeats`` have the same
+    meaning as in `AdmitGeneration`, ``allowed_regions`` as in ``GenerationRequest``.
     """
 
     request_id: str
@@ -115,7 +114,7 @@
     charge_tokens: float
     excluded: frozenset[str] = frozenset()
     is_first_attempt: bool = True
-    uses_retry_budget: bool = False
+    repeats: int = 0
     allowed_regions: frozenset[str] | None = None
 
 
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -80,6 +80,11 @@
         Number of servers to which the request was sent.
     runs : int
         Number of servers that ran the request or may have run it.
+    has_arrived : bool
+        Whether a call that counts as an arrival has reached a server. The first prefill
+        that a server accepts does not count.
+    has_prefilled : bool
+        Whether a server has accepted a prefill.
     excluded : set of str
         Servers that get no further attempt.
     source : KvSource or None
@@ -103,6 +108,8 @@
     is_trial: bool = False
     sends: int = 0
     runs: int = 0
+    has_arrived: bool = False
+    has_prefilled: bool = False
     excluded: set[str] = attrs.field(factory=set)
     servers: list[str] = attrs.field(factory=list)
     server: EntryServer | None = None
@@ -151,6 +158,14 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self._last_event_at)
         self._last_event_at = now
 
+    def repeats(self, has_prefill: bool) -> int:
+        """Return how many calls of a further attempt repeat an earlier one.
+
+        ``has_prefill`` is true if the attempt begins with a prefill. The attempt is
+        counted as a whole, so that it is not sent only in part.
+        """
+        return int(self.has_arrived) + int(self.has_prefilled and has_prefill)
+
     def has_source(self) -> bool:
         """Return whether a KV cache of the prompt can still be fetched."""
         return self.source is not None and time.monotonic() < self.source_expires_at
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -118,7 +118,7 @@
             server = self._choose(candidates, now)
         if server is None:
             return self._refuse_or_wait(waiting, candidates, now, rank)
-        if req.uses_retry_budget and not self._budget.spend(req.service, now):
+        if not self._budget.spend(req.service, now, req.repeats):
             return m.Refused("no-retry-budget", self._retry_delay_s())
         self._permits.take(server.name, now)
         self._use.add_local(server.name, ServerUse(0.0, 1, 0.0))
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -59,7 +59,7 @@
 
     def handle(self, progress, service, charge, writer, caller) -> None:
         """Send a request to servers until one answers, and respond to the caller."""
-        uses_budget, fallback = False, None
+        fallback = None
         while True:
             admit = m.AdmitPlain(
                 progress.req.request_id,
@@ -68,7 +68,7 @@
                 charge,
                 frozenset(progress.excluded),
                 is_first_attempt=progress.sends == 0,
-                uses_retry_budget=uses_budget,
+                repeats=progress.repeats(has_prefill=False),
                 allowed_regions=progress.req.allowed_regions,
             )
             reply = self._guard.refusal(progress) or self._actor.ask(admit)
@@ -99,7 +99,7 @@
                     )
                     return
                 case Ok(response):
-                    fallback, uses_budget = response, True
+                    fallback = response
                     continue
                 case Err(failure):
                     pass
@@ -111,7 +111,6 @@
                 else:
                     self._outcomes.fail(progress, writer, failure)
                 return
-            uses_budget = uses_budget or failure.kind.has_arrived()
 
     def _run_attempt(self, progress, server, caller):
         result = self._calls.run(
@@ -124,13 +123,14 @@
         match result:
             case Err(failure):
                 self._outcomes.record_failure(progress, server, failure)
+                progress.has_arrived |= failure.kind.has_arrived()
                 if not failure.kind.has_not_run():
                     progress.has_run = True
                     progress.runs += 1
                 return result
             case Ok(response):
                 pass
-        progress.has_run = True
+        progress.has_arrived = progress.has_run = True
         progress.runs += 1
         chunks = response.chunks()
         match read_response(response, chunks):
--- a/src/sesameport/entry/prefill_handler.py
+++ b/src/sesameport/entry/prefill_handler.py
@@ -58,6 +58,8 @@
         )
         match result:
             case Ok(prefilled):
+                progress.has_arrived |= progress.has_prefilled
+                progress.has_prefilled = True
                 progress.servers.append(server.name)
                 progress.source = KvSource(
                     prefilled.address, prefilled.handle, server.name
@@ -90,6 +92,7 @@
             if result.is_ok():
                 return result
             failure = result.unwrap_err()
+            progress.has_arrived |= failure.kind.has_arrived()
             will_retry = failure.kind in LOST_RESPONSE_KINDS and retries > 0
             if will_retry:
                 retry = m.ConsumeRetry(server.service, server.name)
--- a/src/sesameport/entry/tests/test_attempts.py
+++ b/src/sesameport/entry/tests/test_attempts.py
@@ -36,13 +36,15 @@
 class ScriptedServers:
     """End each call as scripted, the last end again and again.
 
-    ``arrivals`` has the calls that reached a server, ``runs`` those that may have run.
+    ``arrivals`` has the calls that reached a server, ``runs`` those that may have run,
+    and ``unsent`` counts those that could not be sent or whose decode was not.
     """
 
     def __init__(self, **scripts):
         self._scripts = {name: list(ends) for name, ends in scripts.items()}
         self.arrivals, self.runs = [], []
         self._has_prefilled = False
+        self.unsent = 0
 
     def _next(self, call):
         script = self._scripts[call]
@@ -54,6 +56,7 @@
         if end != "no connection" and (end != "whole" or self._has_prefilled):
             self.arrivals.append(server)
         if end in FAILURES:
+            self.unsent += self._has_prefilled or end == "no connection"
             return Err(CallFailure(FAILURES[end]))
         self._has_prefilled = True
         return Ok(PrefillResult("a", "handle", 1))
@@ -64,6 +67,7 @@
             self.arrivals.append(server)
         if end not in ("no connection", "refused"):
             self.runs.append(server)
+        self.unsent += end == "no connection"
         if end in FAILURES:
             return Err(CallFailure(FAILURES[end]))
         return Ok(ScriptedResponse(end))
@@ -108,7 +112,7 @@
         return self._admit(message)
 
     def _admit(self, message):
-        self.charged += getattr(message, "repeats", int(message.uses_retry_budget))
+        self.charged += message.repeats
         self._number += 1
         prefill, decode, plain = (
             EntryServer(f"{role}{self._number}", "s", "a", "a", role)
@@ -166,7 +170,7 @@
 STREAMS = [
     (RequestKind.STREAM, {"prefill": [prefill, *then], "run": [end, *end_then]})
     for prefill in ("whole", *FAILURES)
-    for then in ([], ["whole"])
+    for then in ([], ["whole"], ["whole", "refused", "whole"])
     for end in [*FAILURES, *ENDS]
     for end_then in ([], ["whole"], ["broken midway"])
 ]
@@ -188,3 +192,20 @@
     progress, _ = run_request(kind, servers)
     assert len(servers.runs) <= MAX_ATTEMPTS
     assert progress.runs == len(servers.runs)
+
+
+@ATTEMPTS
+def test_each_arrival_after_the_first_is_charged_to_the_budget(kind, ends):
+    # Guards against a further attempt whose prefill and decode are charged as one.
+    servers = ScriptedServers(**ends)
+    _, actor = run_request(kind, servers)
+    extra = max(0, len(servers.arrivals) - 1)
+    # A further attempt is charged as a whole, also if it is sent only in part.
+    assert extra <= actor.charged <= extra + servers.unsent
+
+
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.STREAM])
+def test_attempts_before_the_first_arrival_are_free(kind):
+    for prefill, run in (("whole", "no connection"), ("no connection", "whole")):
+        servers = ScriptedServers(prefill=[prefill], run=[run])
+        assert run_request(kind, servers)[1].charged == 0
