--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -262,7 +262,7 @@
                 self._settings.name,
                 self._store_reachable,
                 self._admission.configuration,
-                tuple(self._admission.registry.all()),
+                self._cold.current_entries(now),
                 dict(self._addresses.by_name),
             )
         )
--- a/src/sesameport/entry/cold_exchange.py
+++ b/src/sesameport/entry/cold_exchange.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from sesameport.admission import ColdBounds, ColdServers, ServerRegistry, Trickle
 from sesameport.entry import messages as m
 from sesameport.entry.servers import EntryServer
@@ -124,6 +126,21 @@
             self._trickle.record_equal()
         self._log_changes("host", now)
 
+    def current_entries(self, now: float) -> tuple[EntryServer, ...]:
+        """Return the registered servers with their present cold times.
+
+        The time in an entry is that of its writing. A host that got it again and again
+        in snapshots would never count the server as warm.
+        """
+        return tuple(
+            attrs.evolve(
+                server, cold_remaining_s=self._cold.remaining_s(server.name, now)
+            )
+            if server.cold_remaining_s > 0.0 or server.name in self._logged
+            else server
+            for server in self._registry.all()
+        )
+
     def apply_bounds(self, bounds: FleetBounds) -> None:
         """Apply changed bounds."""
         self._cold.bounds = cold_bounds(bounds)
--- a/src/sesameport/entry/tests/test_cold_rates.py
+++ b/src/sesameport/entry/tests/test_cold_rates.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import hypothesis.strategies as st
 import pytest
 from hypothesis import HealthCheck, settings
@@ -13,14 +14,17 @@
     FleetUse,
     RequestLimits,
     ServerNotices,
+    ServerRegistry,
     choose_issuer,
 )
 from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
+from sesameport.entry.cold_exchange import ColdExchange
 from sesameport.entry.configuration import EntryService
 from sesameport.entry.issue_shares import SETTLING_S, IssueShares
 from sesameport.entry.permit_exchange import PermitExchange
 from sesameport.entry.servers import EntryServer
+from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
 
 SERVER = EntryServer("s1", "desk", "1.2.3.4:80", "a", ServerRole.PLAIN, slots=8)
 OVERSHOOT, SLACK, WINDOW_S = 1.5, 5.0, 1.0
@@ -255,3 +259,23 @@
     assert shares.share_of("s1", 20.0).allowed(early) == 0.25
     shares.record(["h1"], 0, 30.0)  # the fleet is not known
     assert shares.share_of("s1", 40.0).allowed(early) == 0.0
+
+
+def test_snapshot_has_the_cold_time_that_is_left():
+    # Guards against a cold time that begins anew with each snapshot of an old entry.
+    registry, cold = ServerRegistry(), ColdServers(ColdBounds(OVERSHOOT, SLACK))
+    cold.configure([EntryService("desk", None, 15.0, 2.0)])
+    exchange = ColdExchange(
+        registry,
+        cold,
+        lambda _: None,
+        lambda _: None,
+        Metrics("h", "a", ENTRY_METRICS),
+        0,
+    )
+    server = attrs.evolve(SERVER, cold_remaining_s=4.0)
+    exchange.record_entry(server, 10.0)
+    registry.put(server)
+    assert exchange.current_entries(13.0)[0].cold_remaining_s == pytest.approx(1.0)
+    assert exchange.current_entries(15.0)[0].cold_remaining_s == 0.0
+    assert exchange.current_entries(13.0) == (SERVER,)
