--- a/src/sesameport/admission/cold_servers.py
+++ b/src/sesameport/admission/cold_servers.py
@@ -31,6 +31,10 @@
 """Share of the cold rate that is issued. The rest covers requests that are delayed
 between the use of their permit and their arrival."""
 
+PREFILL_S = 1.0
+"""Longest time between the placement of a generation, when its permits are used, and
+its arrival at the decode engine, seconds. A prefill that takes longer has timed out."""
+
 MAX_STARTS = 4_096
 """Number of servers whose last start is remembered, also after their removal."""
 
@@ -50,21 +54,25 @@
     overshoot: float
     slack: float
 
-    def issue_rate(self, per_s: float) -> float:
+    def issue_rate(self, per_s: float, delay_s: float = 0.0) -> float:
         """Return the permits per second to issue for a cold rate.
 
-        A permit is used within its lifetime, so a window of one second holds at most
-        the permits of a second and a lifetime, and one more for rounding.
+        A permit is used within its lifetime, and its request arrives up to ``delay_s``
+        seconds later. So a window of one second holds at most the permits of a second,
+        a lifetime and a delay, and one more for rounding.
 
         Examples
         --------
         >>> ColdBounds(1.5, 5.0).issue_rate(10.0)
         9.5
+        >>> round(ColdBounds(1.5, 5.0).issue_rate(10.0, delay_s=1.0), 2)
+        8.44
         >>> ColdBounds(1.0, 0.0).issue_rate(1.0)
         0.0
         """
         allowed = max(0.0, self.overshoot * per_s + self.slack - 1.0)
-        return min(FILL_SHARE * per_s, allowed / (1.0 + COLD_PACING.lifetime_s))
+        window_s = 1.0 + COLD_PACING.lifetime_s + delay_s
+        return min(FILL_SHARE * per_s, allowed / window_s)
 
     def early_share(self) -> float:
         """Return the part of a new share that may be issued before others know of it.
@@ -206,6 +214,14 @@
         service = self._service_of(server)
         return service.cold_per_s if service is not None else None
 
+    def issue_rate(self, server: str, per_s: float) -> float:
+        """Return the permits per second to issue for a server with a cold rate."""
+        if self.bounds is None:
+            return 0.0
+        service = self._service_of(server)
+        has_prefill = service is not None and service.engine is not None
+        return self.bounds.issue_rate(per_s, PREFILL_S if has_prefill else 0.0)
+
     def remaining_s(self, server: str, now: float) -> float:
         """Return the time for which a server stays cold, 0 for others, seconds."""
         if self.rate_of(server, now) is None:
--- a/src/sesameport/entry/permit_exchange.py
+++ b/src/sesameport/entry/permit_exchange.py
@@ -313,7 +313,7 @@
             request.server,
             request.from_host,
             request.count,
-            bounds.issue_rate(per_s) * allowed,
+            self._limits.cold.issue_rate(request.server, per_s) * allowed,
             now,
             pacing=COLD_PACING,
             phase=self._rng.random() if share.present < 1.0 else 0.0,
--- a/src/sesameport/entry/tests/test_cold_rates.py
+++ b/src/sesameport/entry/tests/test_cold_rates.py
@@ -4,6 +4,7 @@
 
 import attrs
 import hypothesis.strategies as st
+import pykka
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -12,6 +13,7 @@
     ColdBounds,
     ColdServers,
     FleetUse,
+    GenerationRequest,
     RequestLimits,
     ServerNotices,
     ServerRegistry,
@@ -19,11 +21,18 @@
 )
 from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
+from sesameport.entry.admission_controller import AdmissionController
 from sesameport.entry.cold_exchange import ColdExchange
-from sesameport.entry.configuration import EntryService
+from sesameport.entry.configuration import (
+    EngineProfile,
+    EntryConfiguration,
+    EntryService,
+)
 from sesameport.entry.issue_shares import SETTLING_S, IssueShares
 from sesameport.entry.permit_exchange import PermitExchange
+from sesameport.entry.server_notices import ServerNotice
 from sesameport.entry.servers import EntryServer
+from sesameport.entry.settings import EntrySettings
 from sesameport.telemetry.metrics import ENTRY_METRICS, Metrics
 
 SERVER = EntryServer("s1", "desk", "1.2.3.4:80", "a", ServerRole.PLAIN, slots=8)
@@ -279,3 +288,49 @@
     assert exchange.current_entries(13.0)[0].cold_remaining_s == pytest.approx(1.0)
     assert exchange.current_entries(15.0)[0].cold_remaining_s == 0.0
     assert exchange.current_entries(13.0) == (SERVER,)
+
+
+@pytest.mark.parametrize("is_stated", [False, True])
+def test_request_does_not_wait_for_cold_servers_while_others_have_room(is_stated):
+    # Guards against latency by permits, also where cold servers state limits as well.
+    cold = ColdServers(ColdBounds(OVERSHOOT, SLACK))
+    limits = RequestLimits(ServerNotices(), cold)
+    services = [EntryService("desk", None, 600.0, 2.0)]
+    services.append(EntryService("llm", EngineProfile(8, 30_000), 600.0, 2.0))
+    cold.configure(services)
+    asked = []
+    host = AdmissionController(
+        EntrySettings("h1", "a", "127.0.0.1", "", "", 0, ""),
+        lambda now: None,
+        lambda at: None,
+        limits=limits,
+        publish=asked.append,
+    )
+    host.configuration = EntryConfiguration(1, services=tuple(services))
+    host.use.apply_report("h2", {}, 0.0)
+    roles = [("desk", ServerRole.PLAIN), ("llm", ServerRole.PREFILL)]
+    for service, role in [*roles, ("llm", ServerRole.DECODE)]:
+        for name in ("cold", "warm"):
+            server = EntryServer(f"{role}-{name}", service, "", "a", role, slots=4)
+            host.registry.put(server)
+            cold.track(server.name, service, 1)
+            if name == "cold":
+                cold.assume_started(server.name, 0.0)
+                if is_stated:
+                    notice = ServerNotice(limit_per_s=5.0)
+                    limits.notices.record(server.name, 1, notice, 0.0)
+    for number in range(4):
+        reply = host.admit_plain(m.AdmitPlain("r", "desk", "w", 0.0), 1.0)
+        assert reply.plain.name.endswith("warm")
+        generation = GenerationRequest("llm", "a", 3_000, 700)
+        future = pykka.ThreadingFuture()
+        host.admit_generation(
+            m.AdmitGeneration(
+                number, "r", generation, "w", 0.0, 2.0, 4.0, False, 1, future
+            ),
+            1.0,
+        )
+        placement = future.get(timeout=0).placement
+        assert placement.decode.name.endswith("warm")
+        assert placement.prefill.name.endswith("warm")
+    assert asked == []
