--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -81,27 +81,38 @@
         window.expire(now - self.window_s)
         window.requests.append(now)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Spend one retry; return False if the budget is exhausted."""
+    def spend(self, service: str, now: float, count: int = 1) -> bool:
+        """Spend some retries; return False, and spend none, if they exceed the budget.
+
+        Examples
+        --------
+        >>> budget = WindowedRetryBudget(ratio=0.2, window_s=10.0, slack=5.0)
+        >>> budget.spend("desk", 0.0, 3), budget.spend("desk", 0.0, 2)
+        (True, False)
+        >>> budget.spend("desk", 0.0, 1), budget.spend("desk", 0.0, 0)
+        (True, True)
+        """
+        if count == 0:
+            return True
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self.window_s)
         allowed = self.ratio * len(window.requests) + self.slack / max(1, self.hosts)
         if self.has_pool():
             allowed *= 1.0 - POOL_SHARE
-        if len(window.retries) + 1 > USABLE_FRACTION * allowed:
-            return self._take_pooled(service, now)
-        window.retries.append(now)
+        if len(window.retries) + count > USABLE_FRACTION * allowed:
+            return self._take_pooled(service, count, now)
+        window.retries.extend([now] * count)
         return True
 
-    def _take_pooled(self, service: str, now: float) -> bool:
-        """Take a retry from the pool, which is a part of the slack only.
+    def _take_pooled(self, service: str, count: int, now: float) -> bool:
+        """Take retries from the pool, which is a part of the slack only.
 
         The requests of other hosts are not known here.
         """
         if not self.has_pool():
             return False
         pooled = USABLE_FRACTION * POOL_SHARE * self.slack
-        if not self.pool.try_take(service, pooled, now):
+        if not self.pool.try_take(service, pooled, now, count):
             return False
         self.on_pooled(now)
         return True
--- a/src/sesameport/admission/retry_pool.py
+++ b/src/sesameport/admission/retry_pool.py
@@ -56,12 +56,13 @@
         """Set the number of other hosts that report to this one."""
         self._heard = hosts
 
-    def try_take(self, service: str, pooled: float, now: float) -> bool:
-        """Take one retry; return False if the pool of ``pooled`` retries is used up."""
+    def try_take(self, service: str, pooled: float, now: float, count: int = 1) -> bool:
+        """Take retries; return False if the pool of ``pooled`` retries lacks them."""
         known = (self._heard + 1) / max(self._heard + 1, self.fleet_size)
-        if self.taken(service, now) + 1 > USED_POOL_SHARE * known * pooled:
+        if self.taken(service, now) + count > USED_POOL_SHARE * known * pooled:
             return False
-        self._own.setdefault(service, collections.deque()).append(now)
+        taken = self._own.setdefault(service, collections.deque())
+        taken.extend([now] * count)
         return True
 
     def taken(self, service: str, now: float) -> int:
--- a/src/sesameport/admission/server_notices.py
+++ b/src/sesameport/admission/server_notices.py
@@ -84,9 +84,9 @@
     ) -> bool:
         """Record the notice of an answer; return whether other hosts must know.
 
-        A pause concerns this host only. `ColdServers` keeps the cold time. A server that
-        leaves does so until its next start: a later answer without that notice may be
-        one that was overtaken.
+        A pause concerns this host only. `ColdServers` keeps the cold time. A server
+        that leaves does so until its next start: a later answer without that notice may
+        be one that was overtaken.
         """
         notice = attrs.evolve(notice, cold_remaining_s=0.0)
         if notice.pause_s > 0:
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -97,11 +97,9 @@
 
     def _run(self, progress, service, priority, charge, writer, caller) -> None:
         events = EventBuffer() if progress.route.is_resumable else None
-        uses_budget, has_started = False, False
+        has_started = False
         while True:
-            admitted = self._admit(
-                progress, service, priority, charge, uses_budget, caller
-            )
+            admitted = self._admit(progress, service, priority, charge, caller)
             if isinstance(admitted, m.Refused):
                 if has_started:
                     progress.set_outcome("broken-off", admitted.reason)
@@ -139,11 +137,10 @@
                 else:
                     self._outcomes.fail(progress, writer, failure)
                 return
-            uses_budget = uses_budget or failure.kind.has_arrived()
             if events is not None and events.last_id:
                 progress.req = attrs.evolve(progress.req, resume_after=events.last_id)
 
-    def _admit(self, progress, service, priority, charge, uses_budget, caller):
+    def _admit(self, progress, service, priority, charge, caller):
         refused = self._guard.refusal(progress)
         if refused is not None:
             return refused
@@ -154,6 +151,7 @@
             prompt = tokens.prompt
             output = expected_output_tokens(tokens.max_output, tokens.expected_output)
         key = next(self._keys)
+        has_source = progress.has_source()
         future = pykka.ThreadingFuture()
         self._actor.tell(
             m.AdmitGeneration(
@@ -165,7 +163,7 @@
                     prompt,
                     output,
                     frozenset(progress.excluded),
-                    progress.has_source(),
+                    has_source,
                     req.allowed_regions,
                     prefix_parts(req.prompt_parts, req.prompt_part_tokens, prompt),
                 ),
@@ -178,7 +176,7 @@
                 priority,
                 future,
                 is_first_attempt=progress.sends == 0,
-                uses_retry_budget=uses_budget,
+                repeats=progress.repeats(has_prefill=not has_source),
             )
         )
         while True:
@@ -245,17 +243,19 @@
         match result:
             case Err(failure):
                 self._outcomes.record_failure(progress, decode, failure, "decode")
+                progress.has_arrived |= failure.kind.has_arrived()
                 progress.excluded.add(decode.name)
                 if failure.kind == FailureKind.REFUSED and source is not None:
                     self._record_source_failure(progress)
                     self._release_source(progress)
                 elif not failure.kind.has_not_run():
+                    progress.runs += 1
                     progress.source = None
                 return failure, has_started
             case Ok(response):
                 pass
         progress.source = None
-        progress.has_run = True
+        progress.has_arrived = progress.has_run = True
         progress.runs += 1
         try:
             return self._stream_response(
@@ -355,7 +355,7 @@
         return (
             progress.route.is_resumable
             and failure.kind == FailureKind.BROKEN
-            and max(progress.runs, 1) < progress.route.max_attempts
+            and progress.runs < progress.route.max_attempts
         )
 
     def _release_source(self, progress) -> None:
