--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -90,6 +90,11 @@
         for listener in self._side_listeners:
             listener.set_limits(SIDE_LIMITS)
 
+    @property
+    def readiness_address(self) -> str:
+        """Return the bound ``IP:port`` of the listener for readiness checks."""
+        return self._side_listeners[0].address
+
     @property
     def metrics_address(self) -> str:
         """Return the bound ``IP:port`` of the listener for operators."""
--- a/src/sesameport/platform/tests/test_malformed_entries.py
+++ b/src/sesameport/platform/tests/test_malformed_entries.py
@@ -183,7 +183,8 @@
     monkeypatch.setattr(watcher._handler, "handle_changes", fail)
     cluster.store.put("servers", "s1", cluster.replicas["s1"].registration("desk"))
     wait_until(lambda: not host.is_ready())
-    connection = http.client.HTTPConnection(host._ready_listener.address, timeout=5)
+    address = host._listeners.readiness_address
+    connection = http.client.HTTPConnection(address, timeout=5)
     connection.request("GET", "/v1/ready")
     response = connection.getresponse()
     text = response.read()
