Share the pool of retries in fleets of any size that need it

A further attempt of a stream is charged for its prefill and its decode, so an equal part of the slack serves half as many attempts as before. The pool is used below eight retries for each host, and a host that hears no other takes its own part of it only.

--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -21,9 +21,10 @@
 """Fraction of the budget that is used. The limit is checked against arrivals at the
 servers, and a retry may arrive in a later window than its first attempt."""
 
-MIN_EQUAL_SLACK = 4.0
+MIN_EQUAL_SLACK = 8.0
 """Part of the slack, in retries, below which hosts share a pool. The failure of a
-server breaks off about as many requests of one host."""
+server breaks off about four requests of one host, and a further attempt of a stream
+takes two retries."""
 
 
 @attrs.define
@@ -112,7 +113,7 @@
         if not self.has_pool():
             return False
         pooled = USABLE_FRACTION * POOL_SHARE * self.slack
-        if not self.pool.try_take(service, pooled, now, count):
+        if not self.pool.try_take(service, pooled, self.hosts, now, count):
             return False
         self.on_pooled(now)
         return True
--- a/src/sesameport/admission/retry_pool.py
+++ b/src/sesameport/admission/retry_pool.py
@@ -33,21 +33,19 @@
     ----------
     window_s : float
         Time for which a retry counts, seconds.
-    fleet_size : int
-        Number of hosts of the fleet, including this one.
 
     Examples
     --------
-    >>> pool = RetryPool(window_s=10.0, fleet_size=2)
+    >>> pool = RetryPool(window_s=10.0)
+    >>> pool.set_heard(1)
     >>> pool.apply_report("h2", {"llm": 3}, now=0.0)
-    >>> pool.try_take("llm", pooled=10.0, now=1.0)
+    >>> pool.try_take("llm", pooled=10.0, hosts=2, now=1.0)
     True
-    >>> pool.taken("llm", now=1.0), pool.try_take("llm", pooled=4.0, now=1.0)
+    >>> pool.taken("llm", now=1.0), pool.try_take("llm", 4.0, hosts=2, now=1.0)
     (4, False)
     """
 
     window_s: float
-    fleet_size: int = 1
     _own: dict[str, collections.deque] = attrs.field(factory=dict)
     _reports: dict[str, tuple[float, Mapping[str, int]]] = attrs.field(factory=dict)
     _heard: int = 0
@@ -56,9 +54,14 @@
         """Set the number of other hosts that report to this one."""
         self._heard = hosts
 
-    def try_take(self, service: str, pooled: float, now: float, count: int = 1) -> bool:
-        """Take retries; return False if the pool of ``pooled`` retries lacks them."""
-        known = (self._heard + 1) / max(self._heard + 1, self.fleet_size)
+    def try_take(
+        self, service: str, pooled: float, hosts: int, now: float, count: int = 1
+    ) -> bool:
+        """Take retries; return False if the pool of ``pooled`` retries lacks them.
+
+        ``hosts`` is the number of hosts of the fleet, including this one.
+        """
+        known = (self._heard + 1) / max(self._heard + 1, hosts)
         if self.taken(service, now) + count > USED_POOL_SHARE * known * pooled:
             return False
         taken = self._own.setdefault(service, collections.deque())
--- a/src/sesameport/entry/retry_exchange.py
+++ b/src/sesameport/entry/retry_exchange.py
@@ -45,9 +45,8 @@
         self._budget.pool.apply_report(message.host, message.taken, now)
 
     def repeat(self, hosts: int, are_new: bool, now: float) -> None:
-        """Update the size of the fleet, and report a count that has changed."""
+        """Count the hosts that report, and report a count that has changed."""
         pool = self._budget.pool
-        pool.fleet_size = max(1, hosts)
         pool.set_heard(len(self._use.hosts()))
         pool.expire(now)
         if pool.own(now) != self._reported:
