Tell engines the rank of a generation

Engines admit and preempt by X-Request-Priority, and were never told it. Within an engine a less urgent request was treated like an urgent one.

EntryRequest carries the rank of a generation, and prefill and decode calls state it where the callers of the service have different ranks. Values of callers are still not forwarded.

test_engines_get_the_rank_of_a_request_where_ranks_differ fails without the header.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -57,6 +57,7 @@
 from sesameport.admission.server_speeds import ServerSpeeds
 from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
 from sesameport.admission.trickle import Trickle
+from sesameport.admission.urgency import clamp_rank, ranked_services
 from sesameport.admission.version_lag import VersionLag
 from sesameport.admission.waiting_queue import (
     RetryAfterPolicy,
@@ -119,10 +120,12 @@
     "choose_issuer",
     "choose_plain_server",
     "combine_regions",
+    "clamp_rank",
     "expected_output_tokens",
     "filter_by_region",
     "forecast_fit_s",
     "forecast_wait_s",
     "prefix_parts",
+    "ranked_services",
     "reserved_kv_tokens",
 ]
--- a/src/sesameport/admission/routes.py
+++ b/src/sesameport/admission/routes.py
@@ -4,10 +4,12 @@
 
 import attrs
 
+from sesameport.admission.urgency import clamp_rank, ranked_services
 from sesameport.entry.configuration import (
     EntryConfiguration,
     EntryRoute,
     EntryWorkspace,
+    RequestKind,
 )
 
 __all__ = ["RouteTable"]
@@ -28,6 +30,7 @@
     configuration: EntryConfiguration
     _by_host: dict[str, list[EntryRoute]]
     _by_key: dict[str, EntryWorkspace]
+    _ranked: frozenset[str] = frozenset()
 
     @classmethod
     def from_configuration(cls, configuration: EntryConfiguration) -> "RouteTable":
@@ -42,7 +45,7 @@
             for workspace in configuration.workspaces
             for digest in workspace.key_digests
         }
-        return cls(configuration, by_host, by_key)
+        return cls(configuration, by_host, by_key, ranked_services(configuration))
 
     def find_route(self, host: str, target: str) -> EntryRoute | None:
         """Return the route with the longest matching path prefix, or None."""
@@ -62,6 +65,16 @@
         """Return whether callers of a route must present a key."""
         return bool(self.configuration.workspaces) and not route.is_open
 
+    def rank(self, route: EntryRoute, service: str, priority: int) -> int | None:
+        """Return the rank that engines are told of a request, or None.
+
+        Engines are told of ranks only where the callers of a service have different
+        ones.
+        """
+        if route.kind != RequestKind.STREAM or service not in self._ranked:
+            return None
+        return clamp_rank(priority)
+
     def choose_service(self, route: EntryRoute, request_id: str) -> str:
         """Choose the service of a request by the weights of the route.
 
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -110,14 +110,15 @@
             charge = float(
                 req.tokens.total() if req.tokens else caller_workspace.plain_tokens
             )
+        service = table.choose_service(route, req.request_id)
         req = attrs.evolve(
             req,
             route=route,
             workspace=workspace,
             deadline=min(req.deadline, req.received_at + route.timeout_s),
             allowed_regions=combine_regions(route.allowed_regions, workspace_regions),
+            rank=table.rank(route, service, priority),
         )
-        service = table.choose_service(route, req.request_id)
         progress = RequestProgress(req, route, table.configuration.version, service)
         try:
             if route.kind == RequestKind.STREAM:
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -81,6 +81,9 @@
         Tokens of each of these parts; 0 if unknown.
     resume_after : str
         Id of the last event that the caller received; empty for a new stream.
+    rank : int or None
+        Rank by which engines admit a generation, 0 to 9 with 0 first; None if all
+        callers of its service have the same.
     """
 
     request_id: str
@@ -98,6 +101,7 @@
     prompt_parts: tuple[str, ...] = ()
     allowed_regions: frozenset[str] | None = None
     prompt_part_tokens: tuple[int, ...] = ()
+    rank: int | None = None
 
 
 class FailureKind(enum.StrEnum):
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -333,6 +333,8 @@
             headers[header_names.LAST_EVENT_ID] = req.resume_after
         if req.workspace:
             headers[header_names.TENANT] = req.workspace
+        if req.rank is not None:
+            headers[header_names.REQUEST_PRIORITY] = str(req.rank)
         headers[header_names.EXPECT_INSTANCE] = server
         # Rounding down keeps a replica from working past the caller's deadline.
         headers[header_names.DEADLINE_MS] = str(
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -14,6 +14,7 @@
     "NOT_EXECUTED",
     "PROMPT_PREFIX",
     "REQUEST_ID",
+    "REQUEST_PRIORITY",
     "RESPONSE_SEAL",
     "RETRY_AFTER",
     "ROUTER_HEADERS",
@@ -25,6 +26,7 @@
 ]
 
 REQUEST_ID = "x-request-id"
+REQUEST_PRIORITY = "x-request-priority"
 DEADLINE_MS = "x-deadline-ms"
 API_KEY = "x-key"
 TENANT = "x-tenant"
@@ -53,12 +55,12 @@
         KV_LEASE,
         KV_SOURCE,
         LAST_EVENT_ID,
+        REQUEST_PRIORITY,
         STAGE,
         TENANT,
         "kv-fetch",
         "x-kv-backup",
         "x-pin-ms",
-        "x-request-priority",
     }
 )
 """Headers whose values only the router decides; callers' values are not forwarded."""
--- a/src/sesameport/platform/tests/test_requests.py
+++ b/src/sesameport/platform/tests/test_requests.py
@@ -49,6 +49,32 @@
     assert "x-secret" not in headers
 
 
+def test_engines_get_the_rank_of_a_request_where_ranks_differ(cluster, host):
+    # Engines admit and preempt by the header. Guards against a caller that sets it, and
+    # against its use where all callers have the same rank.
+    def priorities():
+        cluster.send_generation("draft", headers={"X-Request-Priority": "0"})
+        found = []
+        for name in ("p1", "d1"):
+            requests = cluster.replicas[name].received_requests
+            found.append(requests[-1][2].get("x-request-priority"))
+        return found
+
+    assert priorities() == [None, None]
+    routes = make_configuration()["routes"]
+    grade = next(route for route in routes if route["name"] == "grade")
+    grade["priority"] = 0
+    cluster.configure(2, routes=routes)
+    wait_until(lambda: priorities() == ["1", "1"])
+    assert cluster.send_request("/look/x").status == 200
+    _, _, headers, _ = cluster.replicas["s1"].received_requests[0]
+    assert "x-request-priority" not in headers
+    tenant = {**make_configuration()["tenants"][0], "priority": 7}
+    other = {**tenant, "name": "v", "apiKeys": ["other"], "priority": 11}
+    cluster.configure(3, tenants=[tenant, other])
+    wait_until(lambda: priorities() == ["7", "7"])
+
+
 def test_unknown_route_returns_404_and_unknown_key_401(cluster, host):
     assert cluster.send_request("/none/x").status == 404
     assert cluster.send_request("/look/x", key="wrong").status == 401
