--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -63,7 +63,7 @@
         ----------
         sock : socket.socket
             Connected socket, which is detached and must not be used afterwards.
-        caller : CallerConnection
+        caller : CallerConnection or None
             Connection of the caller that waits for the response.
         deadline : float
             Monotonic time at which reads time out, seconds.
@@ -134,8 +134,9 @@
     def _wait(self) -> None:
         poller = select.poll()
         poller.register(self, select.POLLIN)
-        caller_fd = self._caller.fileno()
-        poller.register(caller_fd, select.POLLIN)
+        caller_fd = -1 if self._caller is None else self._caller.fileno()
+        if self._caller is not None:
+            poller.register(caller_fd, select.POLLIN)
         while True:
             remaining_s = self._deadline - time.monotonic()
             if remaining_s <= 0:
--- a/src/sesameport/platform/memory_leases.py
+++ b/src/sesameport/platform/memory_leases.py
@@ -1,11 +1,13 @@
 """Lease memory of replicas in advance, and release leases that are not used."""
 
 import http.client
+import time
 
 import msgspec
 import urllib3
 from result import Err, Ok, Result
 
+from sesameport.adapters.cancellable_socket import CancellableSocket
 from sesameport.adapters.strict_responses import StrictClientConnection
 from sesameport.entry.requests import CallFailure, FailureKind, MemoryLease
 from sesameport.platform import header_names
@@ -16,6 +18,12 @@
 """Timeout of a call about a lease, seconds. A replica answers it in a round trip, also
 while it is busy, and the request waits meanwhile."""
 
+MAX_ANSWER_BYTES = 16_384
+"""Largest answer with its head, bytes. It contains the id of a lease."""
+
+READ_SIZE_BYTES = 4_096
+"""Largest part of an answer that is read at once, bytes."""
+
 _HTTP_ERRORS = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -69,10 +77,32 @@
         host, int(port), timeout=LEASE_TIMEOUT_S, socket_options=socket_options
     )
     try:
-        conn.request(method, path, body=body, headers=headers)
+        conn.connect()
+        deadline = time.monotonic() + LEASE_TIMEOUT_S
+        conn.sock = sock = CancellableSocket.wrap(conn.sock, None, deadline)
+        sock.allow_bytes(MAX_ANSWER_BYTES)
+        conn.request(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
         response = conn.getresponse()
-        return Ok((response.status, response.data))
+        return Ok((response.status, _read_body(response)))
     except _HTTP_ERRORS as exc:
         return Err(repr(exc))
     finally:
         conn.close()
+
+
+def _read_body(response: urllib3.response.HTTPResponse) -> bytes:
+    """Return a body that is read in small parts, because a length may be any number."""
+    if response.chunked:
+        parts = response.read_chunked(READ_SIZE_BYTES, decode_content=False)
+        return b"".join(parts)
+    parts = []
+    while part := response.read1(READ_SIZE_BYTES, decode_content=False):
+        parts.append(part)
+    return b"".join(parts)
--- a/src/sesameport/platform/tests/test_memory_leases.py
+++ b/src/sesameport/platform/tests/test_memory_leases.py
@@ -1,8 +1,12 @@
 """Test that decode memory is leased from replicas before a prompt is prefilled."""
 
+import time
+
 import pytest
 
+from sesameport.platform.memory_leases import lease_memory
 from sesameport.platform.tests.conftest import make_configuration, wait_until
+from sesameport.platform.tests.test_endless_bytes import FLOODS, FloodingServer
 
 
 @pytest.fixture
@@ -72,3 +76,18 @@
     for name in ("d1", "d2"):
         scarce.replicas[name].lease_room = None
     assert scarce.send_generation().status == 200
+
+
+@pytest.mark.parametrize("part", list(FLOODS))
+def test_endless_answer_to_a_lease_ends_the_call(part):
+    # Guards against a faulty replica that fills the memory of a host, or keeps a
+    # request waiting, with an answer without an end.
+    server = FloodingServer(*FLOODS[part])
+    try:
+        began_at = time.monotonic()
+        result = lease_memory(server.address, "d1", 1_000, 1.0, [])
+        assert result.is_err()
+        assert time.monotonic() - began_at < 5.0
+        wait_until(lambda: server.open == 0)
+    finally:
+        server.stop()
