Read the answers to orders and reports of replicas with bounds

A report or the answer to an order was read whole, whatever its length. Calls about leases and orders share one client now, which reads at most 64 KiB within its time-out in small parts. The floods of test_endless_answer_to_a_lease_ends_the_call play it.

--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -225,11 +225,11 @@
         self, address: str, server: str, tokens: int, seconds: float
     ) -> Result[MemoryLease, CallFailure]:
         """Lease memory and a slot of a replica for a request that is sent later."""
-        return lease_memory(address, server, tokens, seconds, _SOCKET_OPTIONS)
+        return lease_memory(address, server, tokens, seconds)
 
     def release_memory(self, lease: MemoryLease) -> None:
         """Release a lease; if the call fails, it ends at its expiry."""
-        release_memory(lease, _SOCKET_OPTIONS)
+        release_memory(lease)
 
     def free(self, source: KvSource) -> Result[None, str]:
         """Free the KV cache of a prefill.
--- a/src/sesameport/platform/orders.py
+++ b/src/sesameport/platform/orders.py
@@ -3,20 +3,16 @@
 ``ReplicaOrderClient`` implements ``EngineOrderClient`` of ``sesameport.entry``.
 """
 
-import socket
-
 import msgspec
-import urllib3
 from result import Err, Ok, Result
 
-from sesameport.adapters.sockets import SERVER_KEEPALIVE_OPTIONS
-from sesameport.adapters.strict_responses import StrictConnectionPool
 from sesameport.entry.role_controller import EngineState, RoleChange
 from sesameport.entry.server_notices import OnNotice
 from sesameport.entry.servers import EntryServer
 from sesameport.platform import header_names
 from sesameport.platform.notices import report_notice
 from sesameport.platform.servers import ROLES, STAGES
+from sesameport.platform.short_calls import make_short_call
 
 __all__ = ["ReplicaOrderClient"]
 
@@ -26,10 +22,6 @@
 An order is valid only for a short time after the write of the lease.
 """
 
-_SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    *SERVER_KEEPALIVE_OPTIONS,
-]
 _OUTCOME_BY_STATUS = {200: "holds", 202: "accepted", 409: "conflict", 412: "fenced"}
 
 
@@ -86,26 +78,15 @@
             )
         )
 
-    def _request(self, method, server, path, headers, body=None):
-        host, _, port = server.address.rpartition(":")
-        pool = StrictConnectionPool(
-            host, int(port), retries=False, socket_options=_SOCKET_OPTIONS
-        )
-        try:
-            response = pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers,
-                timeout=CALL_TIMEOUT_S,
-                retries=False,
-                redirect=False,
-            )
-            report_notice(
-                self._on_notice, server.name, response.status, response.headers
-            )
-            return Ok((response.status, response.data))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(repr(exc))
-        finally:
-            pool.close()
+    def _request(
+        self, method: str, server: EntryServer, path: str, headers, body=None
+    ) -> Result[tuple[int, bytes], str]:
+        match make_short_call(
+            server.address, method, path, headers, CALL_TIMEOUT_S, body
+        ):
+            case Err(reason):
+                return Err(reason)
+            case Ok(answer):
+                pass
+        report_notice(self._on_notice, server.name, answer.status, answer.headers)
+        return Ok((answer.status, answer.body))
--- a/src/sesameport/platform/tests/test_memory_leases.py
+++ b/src/sesameport/platform/tests/test_memory_leases.py
@@ -85,7 +85,7 @@
     server = FloodingServer(*FLOODS[part])
     try:
         began_at = time.monotonic()
-        result = lease_memory(server.address, "d1", 1_000, 1.0, [])
+        result = lease_memory(server.address, "d1", 1_000, 1.0)
         assert result.is_err()
         assert time.monotonic() - began_at < 5.0
         wait_until(lambda: server.open == 0)
