--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -3,8 +3,6 @@
 ``ReplicaClient`` implements the protocol ``ServerClient`` of ``sesameport.entry``.
 """
 
-import http.client
-import socket
 import time
 from collections.abc import Iterator
 
@@ -19,7 +17,6 @@
     ReadLimitExceeded,
 )
 from sesameport.adapters.sockets import (
-    SERVER_KEEPALIVE_OPTIONS,
     refuses_connections,
 )
 from sesameport.adapters.strict_responses import (
@@ -44,6 +41,11 @@
 from sesameport.platform.memory_leases import lease_memory, release_memory
 from sesameport.platform.notices import report_notice
 from sesameport.platform.second_answers import SecondAnswerCheck
+from sesameport.platform.short_calls import (
+    HTTP_ERRORS,
+    SOCKET_OPTIONS,
+    make_short_call,
+)
 
 __all__ = ["ReplicaClient"]
 
@@ -79,17 +81,6 @@
 MAX_BODY_BYTES = 67_108_864
 """Largest body of a response, bytes. A faulty server may send a body without an end."""
 
-_HTTP_ERRORS = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
-_SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    *SERVER_KEEPALIVE_OPTIONS,
-]
-
 
 @attrs.define
 class _ReplicaResponse:
@@ -114,7 +105,7 @@
                     raise ReadLimitExceeded(f"body exceeds {MAX_BODY_BYTES} bytes")
                 self._second_answers.feed(chunk)
                 yield chunk
-        except _HTTP_ERRORS as exc:
+        except HTTP_ERRORS as exc:
             if self._sock.caller_disconnected:
                 raise CallerDisconnected from exc
             if self._sock.timed_out:
@@ -236,20 +227,13 @@
 
         If the call fails, the replica frees the cache when its handle expires.
         """
-        host, _, port = source.address.rpartition(":")
-        conn = StrictClientConnection(
-            host, int(port), timeout=FREE_TIMEOUT_S, socket_options=_SOCKET_OPTIONS
-        )
-        try:
-            conn.request("DELETE", f"/v1/kv-handle/{source.handle}")
-            response = conn.getresponse()
-            report_notice(
-                self._on_notice, source.server, response.status, response.headers
-            )
-        except _HTTP_ERRORS as exc:
-            return Err(repr(exc))
-        finally:
-            conn.close()
+        path = f"/v1/kv-handle/{source.handle}"
+        match make_short_call(source.address, "DELETE", path, {}, FREE_TIMEOUT_S):
+            case Err(reason):
+                return Err(reason)
+            case Ok(answer):
+                pass
+        report_notice(self._on_notice, source.server, answer.status, answer.headers)
         return Ok(None)
 
     def refuses_connections(self, address: str) -> bool:
@@ -271,11 +255,11 @@
             host,
             int(port),
             timeout=min(CONNECT_TIMEOUT_S, remaining_s),
-            socket_options=_SOCKET_OPTIONS,
+            socket_options=SOCKET_OPTIONS,
         )
         try:
             conn.connect()
-        except _HTTP_ERRORS as exc:
+        except HTTP_ERRORS as exc:
             conn.close()
             return Err(CallFailure(FailureKind.UNREACHABLE, repr(exc)))
         if caller.is_disconnected():
@@ -289,7 +273,7 @@
         try:
             self._send_request(conn, server, req, extra_headers)
             response = conn.getresponse()
-        except _HTTP_ERRORS as exc:
+        except HTTP_ERRORS as exc:
             sock.stop_charging()
             conn.close()
             return Err(_to_call_failure(sock, exc))
--- a/src/sesameport/platform/short_calls.py
+++ b/src/sesameport/platform/short_calls.py
@@ -13,7 +13,7 @@
 from sesameport.adapters.sockets import SERVER_KEEPALIVE_OPTIONS
 from sesameport.adapters.strict_responses import StrictClientConnection
 
-__all__ = ["ShortAnswer", "make_short_call"]
+__all__ = ["HTTP_ERRORS", "SOCKET_OPTIONS", "ShortAnswer", "make_short_call"]
 
 MAX_ANSWER_BYTES = 65_536
 """Largest answer with its head, bytes. The largest is the report of a replica, which
@@ -22,13 +22,15 @@
 READ_SIZE_BYTES = 4_096
 """Largest part of an answer that is read at once, bytes."""
 
-_HTTP_ERRORS = (
+HTTP_ERRORS = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
     OSError,
     ValueError,
 )
-_SOCKET_OPTIONS = [
+"""Errors of a call to a replica, whether it was sent or not."""
+
+SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     *SERVER_KEEPALIVE_OPTIONS,
 ]
@@ -58,7 +60,7 @@
     """
     host, _, port = address.rpartition(":")
     conn = StrictClientConnection(
-        host, int(port), timeout=timeout_s, socket_options=_SOCKET_OPTIONS
+        host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
     )
     try:
         conn.connect()
@@ -75,7 +77,7 @@
         )
         response = conn.getresponse()
         return Ok(ShortAnswer(response.status, response.headers, _read_body(response)))
-    except _HTTP_ERRORS as exc:
+    except HTTP_ERRORS as exc:
         return Err(repr(exc))
     finally:
         conn.close()
