--- a/deploy/sesameport.py
+++ b/deploy/sesameport.py
@@ -1,8 +1,8 @@
 """Start an entry host from a checkout, with the dependencies on Python's path.
 
 The command line is not imported: its modules would take a fifth of the memory of the
-host and a third of its start time. SIGHUP ends a process without a handler, so that of
-the reload is installed before the imports.
+host and a third of its start time. SIGHUP ends a process without a handler, so the
+handler that reloads the settings is installed before the imports.
 """
 
 import os
--- a/src/sesameport/admission/kept_prefixes.py
+++ b/src/sesameport/admission/kept_prefixes.py
@@ -4,7 +4,8 @@
 requests need the memory, and evicts the least recently used parts first. A host does
 not see the evictions. It estimates them from the tokens that have passed through the
 engine since the part was last used: while they fit twice into the memory that running
-requests leave free, the part is there, and once they fill that memory it is gone.
+requests leave free, the part counts as cached, and once they fill that memory as
+evicted.
 
 A part is identified by its own id and those of all parts before it, because an engine
 can use a cached part only after the same beginning.
--- a/src/sesameport/admission/routes.py
+++ b/src/sesameport/admission/routes.py
@@ -66,9 +66,9 @@
         return bool(self.configuration.workspaces) and not route.is_open
 
     def rank(self, route: EntryRoute, service: str, priority: int) -> int | None:
-        """Return the rank that engines are told of a request, or None.
+        """Return the rank that calls to engines state, or None.
 
-        Engines are told of ranks only where the callers of a service have different
+        Calls state ranks only where the callers of a service have different
         ones.
         """
         if route.kind != RequestKind.STREAM or service not in self._ranked:
--- a/src/sesameport/admission/server_notices.py
+++ b/src/sesameport/admission/server_notices.py
@@ -181,7 +181,7 @@
     def end_entry(self, server: str) -> None:
         """Forget what a server said whose entry is removed, if its start is unknown.
 
-        Its next start could not be told from this one.
+        Its next start could not be distinguished from this one.
         """
         known = self._known.get(server)
         if known is not None and known.started_at_ms == 0:
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -1,6 +1,5 @@
 """Handle the messages of one entry host and exchange state with the other hosts."""
 
-import math
 import time
 
 import pykka
@@ -21,21 +20,12 @@
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.snapshot_schedule import SnapshotSchedule
 from sesameport.entry.speed_exchange import SpeedExchange
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
 
-MIN_SNAPSHOT_INTERVAL_S = 0.5
-"""Shortest time between two snapshots of a host, seconds."""
-
-SNAPSHOT_PERIOD_S = 2.0
-"""Period at which a host that cannot reach the store requests snapshots, seconds. Hosts
-that started later did not receive its earlier requests."""
-
-SNAPSHOT_REQUEST_LIFETIME_S = 5.0
-"""Time after a request for which changes are published as snapshots, seconds."""
-
 log = get_logger("entry")
 
 
@@ -143,10 +133,7 @@
         self._addresses = HostAddresses(settings.name)
         self._new_peers: list[str] = []
         self._peer_sequences: dict[str, tuple[int, int]] = {}
-        self._snapshot_at = 0.0
-        self._snapshot_due = False
-        self._peer_request_at = -math.inf
-        self._own_request_at = -math.inf
+        self._snapshots = SnapshotSchedule()
         self._store_reachable = False
         self._had_store_contact = False
         self._retries = RetryExchange(
@@ -262,19 +249,16 @@
         )
 
     def _serve_snapshot(self, message: m.SnapshotRequested, now: float) -> None:
-        self._snapshot_due = True
-        self._peer_request_at = now
+        self._snapshots.record_peer_request(now)
         self._publish_snapshot(now)
 
     def _publish_snapshot(self, now: float) -> None:
-        if not self._snapshot_due or self._admission.configuration is None:
-            return
-        if not self._admission.evacuations.is_known:
-            return
-        if now - self._snapshot_at < MIN_SNAPSHOT_INTERVAL_S:
+        is_complete = (
+            self._admission.configuration is not None
+            and self._admission.evacuations.is_known
+        )
+        if not is_complete or not self._snapshots.take_send(now):
             return
-        self._snapshot_due = False
-        self._snapshot_at = now
         self._peers.publish(
             m.FleetSnapshot(
                 self._settings.name,
@@ -288,8 +272,7 @@
 
     def _publish_change(self, now: float) -> None:
         """Publish a snapshot of a change if a host requested snapshots recently."""
-        if now - self._peer_request_at < SNAPSHOT_REQUEST_LIFETIME_S:
-            self._snapshot_due = True
+        if self._snapshots.record_change(now):
             self._publish_snapshot(now)
 
     def _apply_snapshot(self, snapshot: m.FleetSnapshot, now: float) -> None:
@@ -307,10 +290,8 @@
 
     def _request_snapshots(self, now: float) -> None:
         """Request snapshots from other hosts while the store is unreachable."""
-        if self._store_reachable or now - self._own_request_at < SNAPSHOT_PERIOD_S:
-            return
-        self._own_request_at = now
-        self._peers.request_snapshots(True)
+        if not self._store_reachable and self._snapshots.take_request(now):
+            self._peers.request_snapshots(True)
 
     def _configure(self, message: m.ApplyConfiguration, now: float) -> None:
         configuration = message.configuration
