Handle late responses to a watch, and tell when a repeated read is answered

Cause: ListWatcher.restart discarded every response of the earlier call, also one that arrived before the new call's. With a store or a thread slower than the time between two restarts nothing was ever applied. The new watch waited 25 s for a change, so that a host could not tell a lost response from a wrong report of another host.

Change: a response is handled if none was handled since its call, whichever thread it is of. The first watch after a restart has a timeout of 0.1 s, and on_read tells its result, with the revision of the newest change. Restarts within 0.4 s of each other are one.

A restart costs two calls where it cost one.

--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -14,12 +14,18 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+import attrs
 from result import Err, Ok
 
-from sesameport.interfaces import Platform, PlatformErrorKind, StoredObject
+from sesameport.interfaces import (
+    Platform,
+    PlatformErrorKind,
+    StoredObject,
+    WatchBatch,
+)
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["ListWatcher", "StoreHealth"]
+__all__ = ["ListWatcher", "ReadResult", "StoreHealth"]
 
 WATCH_TIMEOUT_S = 25.0
 """Timeout of a watch call, seconds. Each call costs money, and TCP keep-alive detects a
@@ -27,7 +33,17 @@
 
 RETRY_WATCH_TIMEOUT_S = 0.1
 """Timeout of a watch call after a failed one, seconds. Its response shows that the
-store can be reached again. A long watch would respond only at the next change."""
+store can be reached again. A long watch would respond only at the next change. The
+first watch after `ListWatcher.restart` has it too: its response shows whether the store
+has a change at all."""
+
+MIN_RESTART_INTERVAL_S = 0.4
+"""Shortest time between two restarts, seconds. Several parts of a host may notice the
+same missed change."""
+
+WAITED_S = 0.5
+"""Time without a response after which a watch has waited for a change, seconds. The
+revision of its response is then that of the change."""
 
 WATCH_INTERVAL_S = 0.4
 """Shortest time between two watch calls of one kind, seconds. A single change is read
@@ -92,6 +108,27 @@
                 self._changed.wait(TURN_CHECK_S)
 
 
+@attrs.frozen
+class ReadResult:
+    """Describe a response that was handled.
+
+    Attributes
+    ----------
+    changed : int
+        Revision of the newest change in it, 0 without one. The change exists, so
+        another host that has read up to an earlier revision has missed it.
+    revision : int
+        Revision up to which the kind has been read. It advances also without changes,
+        and differs between hosts that know the same objects.
+    is_repeat : bool
+        Whether it is the first response after `ListWatcher.restart`.
+    """
+
+    changed: int
+    revision: int
+    is_repeat: bool
+
+
 class ObjectHandler(Protocol):
     """Handle the objects that a `ListWatcher` reads."""
 
@@ -121,6 +158,9 @@
         Counts calls.
     closing : threading.Event
         Stops the watcher after its current call.
+    on_read : callable
+        Called with a `ReadResult` after each listing, each change and each first
+        response after a restart has been handled.
 
     Attributes
     ----------
@@ -136,7 +176,9 @@
         health: StoreHealth,
         metrics,
         closing: threading.Event,
+        on_read: Callable[[ReadResult], None] = lambda result: None,
     ):
+        self._on_read = on_read
         self._connect = connect
         self._kind = kind
         self._handler = handler
@@ -148,6 +190,7 @@
         self._generation = 0
         self._version: int | None = None
         self._restarts = 0
+        self._restarted_at = -math.inf
         self._failed_at = -math.inf
         self.failure = ""
 
@@ -164,8 +207,14 @@
     def restart(self) -> None:
         """Watch again on a new connection, because the answer to a watch may be lost.
 
-        The thread of the pending call ends when the call does, without an effect.
+        The thread of the pending call ends when the call does. Its response is handled
+        unless another one was handled meanwhile: if the store is slow, it is the first
+        to arrive.
         """
+        now = time.monotonic()
+        if now < self._restarted_at + MIN_RESTART_INTERVAL_S:
+            return
+        self._restarted_at = now
         with self._lock:
             self._generation += 1
         self.start()
@@ -211,7 +260,7 @@
         return delay_s
 
     def _follow(self, generation: int, store: Platform) -> None:
-        failures = 0
+        failures, is_repeat = 0, generation > 0
         while self._is_current(generation):
             self._health.wait_for_turn(self._kind, self._closing)
             called_at = time.monotonic()
@@ -219,7 +268,8 @@
             if version is None:
                 result = store.list(self._kind)
             else:
-                timeout_s = RETRY_WATCH_TIMEOUT_S if failures else WATCH_TIMEOUT_S
+                is_short = failures or is_repeat
+                timeout_s = RETRY_WATCH_TIMEOUT_S if is_short else WATCH_TIMEOUT_S
                 result = store.watch(self._kind, version, timeout_s)
             operation = "list" if version is None else "watch"
             match result:
@@ -227,7 +277,11 @@
                     self._count(operation, "ok")
                     self._health.record(self._kind, True)
                     failures = 0
-                    if not self._handle(generation, version is None, batch):
+                    has_waited = time.monotonic() - called_at >= WAITED_S
+                    if not self._handle(version, batch, has_waited, is_repeat):
+                        continue
+                    is_repeat = False
+                    if not self._is_current(generation):
                         return
                     self._closing.wait(called_at + WATCH_INTERVAL_S - time.monotonic())
                 case Err(error):
@@ -245,16 +299,23 @@
                     self._log_failure(operation, error, failures)
                     self._back_off(failures)
 
-    def _handle(self, generation: int, is_listing: bool, batch) -> bool:
-        """Handle an answer; return False if the thread was replaced meanwhile."""
+    def _handle(
+        self, since: int | None, batch, has_waited: bool, is_repeat: bool
+    ) -> bool:
+        """Handle a response; return False if another one was handled meanwhile."""
         with self._lock:
-            if generation != self._generation:
+            if since != self._version:
                 return False
-            if is_listing:
+            if since is None:
                 self._handler.handle_listing(batch.objects)
-            elif batch.changes:
-                self._handler.handle_changes(batch.changes)
+                changed = max((stored.version for stored in batch.objects), default=0)
+            else:
+                changed = _newest_change(batch, since, has_waited)
+                if batch.changes:
+                    self._handler.handle_changes(batch.changes)
             self._version, self.failure = batch.version, ""
+            if since is None or batch.changes or is_repeat:
+                self._on_read(ReadResult(changed, batch.version, is_repeat))
             return True
 
     def _log_failure(self, operation: str, error, failures: int) -> None:
@@ -279,3 +340,12 @@
         self._metrics.count(
             "sesameport_platform_calls_total", operation=operation, result=result
         )
+
+
+def _newest_change(batch: WatchBatch, since: int, has_waited: bool) -> int:
+    """Return the revision of the newest change of a response to a watch, or 0."""
+    newest = max((stored.version for stored in batch.changes), default=0)
+    # The event of a deletion may name the revision of the object's last write.
+    if any(stored.deleted and stored.version <= since for stored in batch.changes):
+        newest = max(newest, batch.version if has_waited else since + 1)
+    return newest
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -7,6 +7,7 @@
 import pytest
 from result import Err, Ok
 
+from sesameport.entry import store_watch
 from sesameport.entry.store_watch import WATCH_INTERVAL_S, ListWatcher, StoreHealth
 from sesameport.interfaces import (
     ObjectList,
@@ -247,3 +248,82 @@
     finally:
         closing.set()
         store.set_down(True)
+
+
+@pytest.fixture
+def lossy():
+    """Return a store, a client that loses answers, a watcher and what it handled."""
+    store, closing, handler, reads = Store(), threading.Event(), Handler(), []
+    client = LossyStore(store)
+    clients = [client]
+    watcher = ListWatcher(
+        lambda: clients.pop(0) if clients else store,
+        "config",
+        handler,
+        StoreHealth(lambda is_reachable: None),
+        Metrics(),
+        closing,
+        reads.append,
+    ).start()
+    wait_until(lambda: len(store.calls) == 2)
+    yield store, client, clients, watcher, handler, reads
+    closing.set()
+    client.found.set()
+    store.set_down(True)
+
+
+def test_late_answer_is_handled_although_the_store_is_asked_again(lossy):
+    # Answers later than the time between two reads were all discarded, so a store that
+    # was slow, or a thread that woke late, brought nothing.
+    store, client, clients, watcher, handler, _ = lossy
+    store.change("config", "v2")
+    second = LossyStore(store)
+    clients.append(second)
+    watcher.restart()
+    wait_until(lambda: len(store.calls) == 3)
+    client.found.set()
+    try:
+        wait_until(lambda: handler.seen, 1.0)
+    finally:
+        second.found.set()
+    # The answer to the second call, from the same revision, is not handled again.
+    store.change("config", "v3")
+    wait_until(lambda: len(handler.seen) == 2, 1.0)
+    assert [name for _, name in handler.seen] == ["v2", "v3"]
+
+
+def test_read_that_finds_nothing_new_is_answered_at_once(lossy):
+    # Otherwise a wrong report of another host would look like one more lost answer.
+    store, client, _, watcher, _, reads = lossy
+    watcher.restart()
+    wait_until(lambda: len(reads) == 2, 1.0)
+    assert (reads[1].is_repeat, reads[1].changed) == (True, 0)
+
+
+def test_restarts_at_the_same_time_cost_one_read(lossy):
+    store, _, _, watcher, _, _ = lossy
+    for _ in range(3):
+        watcher.restart()
+    wait_until(lambda: len(store.calls) == 4)  # list, lost watch, short watch, watch
+    time.sleep(0.2)
+    assert len(store.calls) == 4
+
+
+@pytest.mark.parametrize(
+    "events, has_waited, changed",
+    [
+        ([], True, 0),
+        ([(12, False), (14, False)], False, 14),
+        ([(16, True)], True, 16),  # the event of a deletion has its own revision
+        ([(3, True)], True, 20),  # or that of the last write of the object
+        ([(3, True)], False, 11),
+        ([(3, True), (14, False)], False, 14),
+    ],
+)
+def test_newest_change_is_at_most_the_revision_of_a_real_one(
+    events, has_waited, changed
+):
+    # A revision without a change would make other hosts read again for nothing.
+    changes = [StoredObject("servers", "s", rev, b"", gone) for rev, gone in events]
+    batch = WatchBatch(tuple(changes), 20)
+    assert store_watch._newest_change(batch, 10, has_waited) == changed
