Add a message with the revisions that a host has read

Cause: hosts report the version of their configuration and the evacuations they know, but nothing about the servers, and no layout may change.

Change: AppliedRevisions on the topic a, which older builds do not subscribe to; StoreRead from the threads of the store to the actor; a counter of repeated reads and a gauge of the silence of other hosts.

--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -15,6 +15,7 @@
 from sesameport.entry.servers import EntryServer
 
 __all__ = [
+    "AppliedRevisions",
     "ColdReports",
     "EvacuationReport",
     "FleetSnapshot",
@@ -120,6 +121,19 @@
     names: tuple[str, ...]
 
 
+@attrs.frozen
+class AppliedRevisions:
+    """Report the revisions of the newest changes that a host has read from the store.
+
+    There is one for each kind in the order of ``messages.REVISION_KINDS``, 0 without a
+    change. A host that has read up to an earlier revision reads the store again; the
+    report itself changes nothing.
+    """
+
+    host: str
+    revisions: tuple[int, ...]
+
+
 @attrs.frozen
 class SpeedReports:
     """Report samples of the speeds of servers; see ``admission.ServerSpeeds``."""
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -7,6 +7,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.host_messages import (
+    AppliedRevisions,
     ColdReports,
     EvacuationReport,
     FleetSnapshot,
@@ -20,6 +21,7 @@
     SpeedReports,
     SuspectReports,
 )
+from sesameport.entry.missed_configuration import Missed
 from sesameport.entry.query_messages import (
     ExplainPlacement,
     FleetCounts,
@@ -38,6 +40,7 @@
     "GetFleetCounts",
     "GetUsableServers",
     "GetExpiredHosts",
+    "AppliedRevisions",
     "ApplyConfiguration",
     "ColdReports",
     "EvacuationReport",
@@ -72,12 +75,18 @@
     "ServersListed",
     "SnapshotRequested",
     "ConsumeRetry",
+    "REVISION_KINDS",
     "StoreConnectivity",
+    "StoreRead",
     "SuspectReports",
     "Tick",
     "CancelWait",
 ]
 
+REVISION_KINDS = (Missed.CONFIGURATION, Missed.SERVERS, Missed.EVACUATIONS)
+"""Order of the kinds in `AppliedRevisions`. New kinds go to the end, so that older
+builds ignore them."""
+
 
 @attrs.frozen
 class AdmitGeneration:
@@ -332,6 +341,19 @@
     is_reachable: bool
 
 
+@attrs.frozen
+class StoreRead:
+    """Report a response of the store, after the changes in it.
+
+    The fields are those of ``store_watch.ReadResult``.
+    """
+
+    kind: Missed
+    changed: int
+    revision: int
+    is_repeat: bool
+
+
 @attrs.frozen
 class SnapshotRequested:
     """Report that a host that cannot reach the store requested a snapshot."""
--- a/src/sesameport/entry/missed_configuration.py
+++ b/src/sesameport/entry/missed_configuration.py
@@ -14,10 +14,15 @@
 
 
 class Missed(enum.StrEnum):
-    """Name what other hosts know from the store and this host does not."""
+    """Name what other hosts know from the store and this host does not.
+
+    It is ``UNKNOWN`` while no other host reports.
+    """
 
     CONFIGURATION = "configuration"
     EVACUATIONS = "evacuations"
+    SERVERS = "servers"
+    UNKNOWN = "unknown"
 
 
 class MissedConfiguration:
--- a/src/sesameport/entry/peer_topics.py
+++ b/src/sesameport/entry/peer_topics.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sesameport.entry.host_messages import (
+    AppliedRevisions,
     ColdReports,
     EvacuationReport,
     FleetSnapshot,
@@ -26,6 +27,7 @@
     decode_permits,
     decode_prefixes,
     decode_retries,
+    decode_revisions,
     decode_speeds,
     decode_suspects,
     encode_cold,
@@ -35,6 +37,7 @@
     encode_prefixes,
     encode_report,
     encode_retries,
+    encode_revisions,
     encode_speeds,
     encode_suspects,
 )
@@ -63,6 +66,7 @@
     | SpeedReports
     | PrefixReports
     | RetryReport
+    | AppliedRevisions
     | PermitRequest
     | PermitReply
 )
@@ -83,6 +87,7 @@
 _SPEEDS = b"v"
 _PREFIXES = b"x"
 _RETRIES = b"b"
+_REVISIONS = b"a"
 
 _ENCODERS = {
     SuspectReports: (_SUSPECTS, encode_suspects),
@@ -92,6 +97,7 @@
     SpeedReports: (_SPEEDS, encode_speeds),
     PrefixReports: (_PREFIXES, encode_prefixes),
     RetryReport: (_RETRIES, encode_retries),
+    AppliedRevisions: (_REVISIONS, encode_revisions),
 }
 
 DECODERS = {
@@ -102,6 +108,7 @@
     _SPEEDS: decode_speeds,
     _PREFIXES: decode_prefixes,
     _RETRIES: decode_retries,
+    _REVISIONS: decode_revisions,
     PERMITS: decode_permits,
     COLD_PERMITS: decode_permits,
 }
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -19,6 +19,7 @@
     WaitingTokens,
 )
 from sesameport.entry.host_messages import (
+    AppliedRevisions,
     ColdReports,
     EvacuationReport,
     HostReport,
@@ -40,6 +41,7 @@
     "decode_prefixes",
     "decode_report",
     "decode_retries",
+    "decode_revisions",
     "decode_speeds",
     "decode_suspects",
     "encode_cold",
@@ -49,6 +51,7 @@
     "encode_prefixes",
     "encode_report",
     "encode_retries",
+    "encode_revisions",
     "encode_speeds",
     "encode_suspects",
 ]
@@ -59,6 +62,7 @@
 _Notice = tuple[str, int, float | None, bool, float]
 _Cold = tuple[str, int, float, float]
 _Evacuations = tuple[str, tuple[str, ...]]
+_Revisions = tuple[str, tuple[int, ...]]
 _Speed = tuple[str, int, int, int, int, int, bool]
 _Prefix = tuple[str, int, tuple[int, ...], int]
 _PermitRequest = tuple[str, str, str, float, int, int]
@@ -246,6 +250,19 @@
         return Err(str(exc))
 
 
+def encode_revisions(message: AppliedRevisions) -> bytes:
+    """Return the revisions of the newest changes as MessagePack."""
+    return msgspec.msgpack.encode(attrs.astuple(message))
+
+
+def decode_revisions(data: bytes) -> Result[AppliedRevisions, str]:
+    """Return what `encode_revisions` encoded, or an Err with the reason."""
+    try:
+        return Ok(AppliedRevisions(*msgspec.msgpack.decode(data, type=_Revisions)))
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+
+
 def encode_speeds(message: SpeedReports) -> bytes:
     """Return samples of speeds as MessagePack.
 
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -137,6 +137,8 @@
     _counter("entry_limit_refusals", "Clients refused or cut off.", "bound"),
     _gauge("entry_account_bytes", "Memory held for callers and servers."),
     _gauge("entry_caller_connections", "Open connections of callers."),
+    _counter("entry_missed_reads", "Reads of what other hosts know.", "kind"),
+    _gauge("entry_hears_no_host", "1 while no other host reports, else 0."),
     _gauge("entry_version", "Version of the configuration in force."),
     _gauge("entry_limited_servers", "Servers that name a limit of requests."),
     _gauge("entry_cold_servers", "Servers that are cold."),
