Read again what other hosts have read from the store

A host that hears no other had no bound at all, and a configuration in quick succession could stay behind.

Change: the entry actor uses RevisionExchange for the configuration, the servers and the evacuations. ListWatcher.watch_closely uses watches of 0.8 s and restarts one without a response after 1.1 s, while no other host reports.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -12,11 +12,11 @@
 from sesameport.entry.fleet_queries import FleetQueries
 from sesameport.entry.host_addresses import HostAddresses, log_hosts
 from sesameport.entry.learned_servers import LearnedServers
-from sesameport.entry.missed_configuration import MissedConfiguration
 from sesameport.entry.notice_exchange import NoticeExchange
 from sesameport.entry.placement_explainer import PlacementExplainer
 from sesameport.entry.report_sender import ReportSender
 from sesameport.entry.retry_exchange import RetryExchange
+from sesameport.entry.revision_exchange import RevisionExchange
 from sesameport.entry.role_change_selector import RoleChangeSelector
 from sesameport.entry.server_entries import ServerEntries
 from sesameport.entry.settings import EntrySettings
@@ -83,7 +83,13 @@
         self._on_config = on_config
         self._on_probe_targets = on_probe_targets
         self._on_hosts = on_hosts
-        self._missed = MissedConfiguration(on_missed)
+        self._revisions = RevisionExchange(
+            settings.name,
+            peers.publish,
+            on_missed,
+            lambda: self._admission.configuration,
+            metrics,
+        )
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
         )
@@ -139,10 +145,18 @@
         self._retries = RetryExchange(
             settings.name, admission.budget, admission.use, peers.publish
         )
+        self._exchanges = (
+            self._notices,
+            self._cold,
+            self._speeds,
+            self._retries,
+            self._revisions,
+        )
         queries = FleetQueries(settings.name, admission, self._addresses)
         explainer = PlacementExplainer(admission, learned, settings.data_centre)
         self._handlers = {
             **self._speeds.handlers(),
+            **self._revisions.handlers(),
             m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
             m.CancelWait: admission.cancel_wait,
@@ -230,7 +244,7 @@
         for report in message.reports:
             self._apply_report(report, now)
         # Ticks may be late on a busy host, and what it misses is due in 2 s.
-        self._check_missed(now)
+        self._revisions.check(self._store_reachable, now)
         self._admission.place_waiting(now)
 
     def _apply_report(self, report: m.HostReport, now: float) -> None:
@@ -240,7 +254,7 @@
         elif known >= (report.incarnation, report.sequence):
             return
         self._peer_sequences[report.host] = (report.incarnation, report.sequence)
-        self._missed.record(report, now)
+        self._revisions.record(report, now)
         self._addresses.record_report(report.host, now)
         self._admission.use.apply_report(report.host, report.uses, now, report.waiting)
         self._admission.quota.apply_report(
@@ -392,7 +406,7 @@
         log_hosts(log.warning, "host silent", silent)
         log_hosts(log.info, "host heard", self._new_peers)
         self._on_hosts(len(self._addresses.by_name), bool(self._new_peers))
-        for exchange in (self._notices, self._cold, self._speeds, self._retries):
+        for exchange in self._exchanges:
             exchange.repeat(len(self._addresses.by_name), bool(self._new_peers), now)
         self._admission.permits.expire(now)
         self._new_peers = []
@@ -404,12 +418,9 @@
         targets = self._admission.monitor.probe_targets(now)
         if targets:
             self._on_probe_targets(targets)
-        self._check_missed(now)
+        self._revisions.check(self._store_reachable, now)
         self._reports.send_periodic(self._admission, now)
 
-    def _check_missed(self, now: float) -> None:
-        self._missed.check(self._admission.configuration, self._store_reachable, now)
-
     def _handle_probe_result(self, message: m.ProbeResult, now: float) -> None:
         self._admission.monitor.record_probe_result(message, now)
         self._admission.place_waiting(now)
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 
+import attrs
 import pykka
 
 from sesameport.entry import messages as m
@@ -14,7 +15,12 @@
     MalformedObjects,
     ServerEntryHandler,
 )
-from sesameport.entry.store_watch import ListWatcher, ObjectHandler, StoreHealth
+from sesameport.entry.store_watch import (
+    ListWatcher,
+    ObjectHandler,
+    ReadResult,
+    StoreHealth,
+)
 from sesameport.interfaces import Platform
 
 __all__ = ["StoreFollower"]
@@ -51,7 +57,7 @@
         self._metrics = metrics
         self._closing = closing
         self._health = StoreHealth(lambda ok: actor.tell(m.StoreConnectivity(ok)))
-        self._watchers: dict[str, ListWatcher] = {}
+        self._watchers: dict[Missed, ListWatcher] = {}
         self._malformed = MalformedObjects(metrics)
 
     def start(self) -> "StoreFollower":
@@ -63,28 +69,32 @@
             adapter.decode_configuration,
             self._malformed,
         )
-        self._follow(adapter.configuration_kind, configurations)
+        self._follow(Missed.CONFIGURATION, configurations)
         servers = ServerEntryHandler(
             self._actor, adapter.decode_server, self._malformed
         )
-        self._follow(adapter.server_kind, servers)
+        self._follow(Missed.SERVERS, servers)
         return self
 
     def follow_evacuations(self) -> None:
         """Follow the evacuations of data centres, unless they are followed already."""
-        kind = self._adapter.evacuation_kind
-        if kind not in self._watchers:
+        if Missed.EVACUATIONS not in self._watchers:
             handler = EvacuationHandler(
                 self._actor, self._adapter.decode_evacuation, self._malformed
             )
-            self._follow(kind, handler)
+            self._follow(Missed.EVACUATIONS, handler)
 
     def read_again(self, missed: Missed) -> None:
-        """Watch objects on a new connection, if they are followed."""
-        kind = self._adapter.configuration_kind
-        if missed == Missed.EVACUATIONS:
-            kind = self._adapter.evacuation_kind
-        watcher = self._watchers.get(kind)
+        """Watch objects on a new connection, if they are followed.
+
+        While no other host reports, `Missed.UNKNOWN` is passed at least every
+        `store_watch.CLOSELY_S`.
+        """
+        if missed == Missed.UNKNOWN:
+            for watcher in list(self._watchers.values()):
+                watcher.watch_closely()
+            return
+        watcher = self._watchers.get(missed)
         if watcher is not None:
             watcher.restart()
 
@@ -93,7 +103,22 @@
         failures = [watcher.failure for watcher in list(self._watchers.values())]
         return [failure for failure in failures if failure]
 
-    def _follow(self, kind: str, handler: ObjectHandler) -> None:
-        self._watchers[kind] = ListWatcher(
-            self._connect, kind, handler, self._health, self._metrics, self._closing
+    def _follow(self, followed: Missed, handler: ObjectHandler) -> None:
+        kinds = {
+            Missed.CONFIGURATION: self._adapter.configuration_kind,
+            Missed.SERVERS: self._adapter.server_kind,
+            Missed.EVACUATIONS: self._adapter.evacuation_kind,
+        }
+
+        def tell(result: ReadResult) -> None:
+            self._actor.tell(m.StoreRead(followed, *attrs.astuple(result)))
+
+        self._watchers[followed] = ListWatcher(
+            self._connect,
+            kinds[followed],
+            handler,
+            self._health,
+            self._metrics,
+            self._closing,
+            tell,
         ).start()
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -37,6 +37,15 @@
 first watch after `ListWatcher.restart` has it too: its response shows whether the store
 has a change at all."""
 
+CLOSE_WATCH_TIMEOUT_S = 0.8
+CLOSE_ANSWER_S = 0.3
+"""Timeout of a watch that must show a lost response by itself, and the time after it at
+which the response counts as lost, seconds. With the ticks of the host, 0.5 s apart, a
+change is asked for again within 1.6 s."""
+
+CLOSELY_S = 2.0
+"""Time for which `ListWatcher.watch_closely` applies, seconds."""
+
 MIN_RESTART_INTERVAL_S = 0.4
 """Shortest time between two restarts, seconds. Several parts of a host may notice the
 same missed change."""
@@ -191,6 +200,8 @@
         self._version: int | None = None
         self._restarts = 0
         self._restarted_at = -math.inf
+        self._closely_until = -math.inf
+        self._watching_since: float | None = None
         self._failed_at = -math.inf
         self.failure = ""
 
@@ -217,8 +228,17 @@
         self._restarted_at = now
         with self._lock:
             self._generation += 1
+            self._watching_since = None
         self.start()
 
+    def watch_closely(self) -> None:
+        """Use short watches for `CLOSELY_S`, and restart one without a response."""
+        now = time.monotonic()
+        self._closely_until = now + CLOSELY_S
+        since = self._watching_since
+        if since is not None and now > since + CLOSE_WATCH_TIMEOUT_S + CLOSE_ANSWER_S:
+            self.restart()
+
     def _run(self, generation: int) -> None:
         """Follow the kind until the host closes, from a new listing after a fault."""
         while self._is_current(generation):
@@ -268,9 +288,11 @@
             if version is None:
                 result = store.list(self._kind)
             else:
-                is_short = failures or is_repeat
-                timeout_s = RETRY_WATCH_TIMEOUT_S if is_short else WATCH_TIMEOUT_S
+                self._watching_since = called_at
+                timeout_s = self._watch_timeout_s(bool(failures or is_repeat))
                 result = store.watch(self._kind, version, timeout_s)
+                if self._is_current(generation):
+                    self._watching_since = None
             operation = "list" if version is None else "watch"
             match result:
                 case Ok(batch):
@@ -299,6 +321,13 @@
                     self._log_failure(operation, error, failures)
                     self._back_off(failures)
 
+    def _watch_timeout_s(self, is_retry: bool) -> float:
+        if is_retry:
+            return RETRY_WATCH_TIMEOUT_S
+        if time.monotonic() < self._closely_until:
+            return CLOSE_WATCH_TIMEOUT_S
+        return WATCH_TIMEOUT_S
+
     def _handle(
         self, since: int | None, batch, has_waited: bool, is_repeat: bool
     ) -> bool:
