Test a host's versions with lost responses and late wake-ups

Guards against the sum of the delays, which no single test shows: versions 0.2 to 1.5 s apart, half of the responses lost (two in a row at most), reports 0.05 to 0.3 s late and wake-ups every 0.05 to 0.3 s.

--- a/src/sesameport/admission/tests/test_version_lag.py
+++ b/src/sesameport/admission/tests/test_version_lag.py
@@ -1,5 +1,7 @@
 """Test when a host reads a version again that others report."""
 
+import random
+
 import pytest
 
 from sesameport.admission import VersionLag
@@ -60,3 +62,50 @@
     reports = [(0.1 * n, 29 + n, "h") for n in range(300)]
     assert len(read_times(VersionLag(), 28, 60.0, reports[:1])) <= 8
     assert len(read_times(VersionLag(), 28, 30.0, reports)) <= 60
+
+
+def delays_in_force(lag, seed, count=20):
+    """Return when a host has each version, seconds after its publication.
+
+    Versions follow each other after 0.2 to 1.5 s, as on the recorded day. Half of the
+    responses are lost, two in a row at most. The host wakes up every 0.05 to 0.3 s.
+    """
+    rng, now, version, run = random.Random(seed), 0.0, 28, 0
+    published, reports, responses, delays = {}, {}, [], []
+    next_at, pending = 0.0, True
+
+    def ask():
+        nonlocal run
+        run = run + 1 if run < 2 and rng.random() < 0.5 else 0
+        if run == 0:
+            responses.append((now + rng.uniform(0.05, 0.3), max(published)))
+
+    while len(delays) < count:
+        now += rng.uniform(0.05, 0.3)
+        if now >= next_at and len(published) < count:
+            new = 29 + len(published)
+            published[new], next_at = now, now + rng.uniform(0.2, 1.5)
+            reports[new] = now + rng.uniform(0.05, 0.3)
+            if pending:  # the watch is answered, and a lost response keeps it pending
+                pending = False
+                ask()
+        for new, at in reports.items():
+            if at <= now:
+                lag.record(new, now, "h")
+        for item in [item for item in responses if item[0] <= now]:
+            responses.remove(item)
+            delays += [now - published[v] for v in range(version + 1, item[1] + 1)]
+            version, pending = max(version, item[1]), True
+            if max(published) > version:
+                pending = False
+                ask()
+        if published and lag.should_read(version, now):
+            pending = False
+            ask()
+    return delays
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_versions_are_in_force_in_time_with_lost_responses(seed):
+    # A host refused a request 4.0 s after a configuration was acknowledged, of 3.0 s.
+    assert max(delays_in_force(VersionLag(), seed)) <= 3.0
