Pool three quarters of the slack of the retry budget

The fraction of its own requests stays with each host, three quarters of the slack are pooled, and fleets with an equal part below 12 retries share a pool. The tests of the bound while all hosts retry everything, or at once, pass unchanged. The two new tests fail before.

--- a/src/sesameport/admission/retry_budget.py
+++ b/src/sesameport/admission/retry_budget.py
@@ -5,7 +5,8 @@
 The total then stays within the fleet's budget without any communication between hosts.
 
 In a large fleet an equal part is less than the retries that the failure of one server
-costs a host. Half of the budget is then a pool that the hosts share; see ``RetryPool``.
+costs a host. Most of the slack is then a pool that the hosts share; see ``RetryPool``.
+The fraction of its own requests remains with each host.
 """
 
 import collections
@@ -21,10 +22,10 @@
 """Fraction of the budget that is used. The limit is checked against arrivals at the
 servers, and a retry may arrive in a later window than its first attempt."""
 
-MIN_EQUAL_SLACK = 8.0
+MIN_EQUAL_SLACK = 12.0
 """Part of the slack, in retries, below which hosts share a pool. The failure of a
-server breaks off about four requests of one host, and a further attempt of a stream
-takes two retries."""
+server breaks off about four requests of one host, a further attempt of a stream takes
+two retries, and a response that is lost again takes one more."""
 
 
 @attrs.define
@@ -97,9 +98,10 @@
             return True
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self.window_s)
-        allowed = self.ratio * len(window.requests) + self.slack / max(1, self.hosts)
+        equal_slack = self.slack / max(1, self.hosts)
         if self.has_pool():
-            allowed *= 1.0 - POOL_SHARE
+            equal_slack *= 1.0 - POOL_SHARE
+        allowed = self.ratio * len(window.requests) + equal_slack
         if len(window.retries) + count > USABLE_FRACTION * allowed:
             return self._take_pooled(service, count, now)
         window.retries.extend([now] * count)
--- a/src/sesameport/admission/retry_pool.py
+++ b/src/sesameport/admission/retry_pool.py
@@ -17,12 +17,14 @@
 
 __all__ = ["POOL_SHARE", "RetryPool"]
 
-POOL_SHARE = 0.5
-"""Fraction of the fleet's budget that is pooled. The rest is divided equally."""
-
-USED_POOL_SHARE = 0.7
-"""Fraction of the pool up to which hosts take retries. The remainder covers the retries
-that hosts take before they hear of each other's."""
+POOL_SHARE = 0.75
+"""Fraction of the fleet's slack that is pooled. The rest is divided equally. Failures
+concern few hosts, so an equal part is mostly unused."""
+
+USED_POOL_SHARE = 0.9
+"""Fraction of the pool up to which hosts take retries. The remainder, and the fifth of
+the budget that is never used, cover the retries that hosts take before they hear of
+each other's."""
 
 
 @attrs.define
--- a/src/sesameport/admission/tests/test_retry_pool.py
+++ b/src/sesameport/admission/tests/test_retry_pool.py
@@ -81,6 +81,29 @@
     assert sum(allowed) == 32
 
 
+def test_requests_of_several_failed_servers_may_be_retried():
+    # Guards against refusals while lost responses concern a tenth of the hosts and most
+    # of the fleet's budget is unused.
+    fleet = Fleet()
+    for host in range(HOSTS):
+        for number in range(6):
+            fleet.request(host, number * 1.5)
+    allowed = [
+        fleet.spend(host, 10.0 + number * 0.5)
+        for number in range(8)
+        for host in range(9)
+    ]
+    assert all(allowed)
+    fleet.check()
+
+
+def test_fleets_of_twenty_hosts_share_a_pool():
+    # Guards against a host that is refused a retry with nine tenths of the budget left.
+    budget = WindowedRetryBudget(0.0, WINDOW_S, 214.0, hosts=22)
+    budget.pool.set_heard(21)
+    assert all(budget.spend("llm", 1.0) for _ in range(40))
+
+
 def test_host_that_hears_no_other_uses_its_own_part_of_the_pool():
     # Guards against each side of a network partition using the whole pool.
     budget = WindowedRetryBudget(0.0, WINDOW_S, SLACK, hosts=HOSTS)
