Wait longer for prefills that are queued

The timeout had a maximum of 1.0 s, which a queue of 0.45 s at a slow engine exceeds.

The timeout now allows five times the expected time in the queue, up to 3.0 s, and a call that waited behind other prompts is not repeated at the same engine. Without a queue nothing changes.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -41,6 +41,7 @@
 from sesameport.admission.placement_policy import PlacementPolicy
 from sesameport.admission.plain_placement import choose_plain_server
 from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
+from sesameport.admission.prefill_timeouts import PrefillTimeouts
 from sesameport.admission.quota import FleetQuota, QuotaDecision
 from sesameport.admission.request_limits import RequestLimits
 from sesameport.admission.request_size import (
@@ -88,6 +89,7 @@
     "Placement",
     "PlacementPolicy",
     "Predictions",
+    "PrefillTimeouts",
     "PrefixPart",
     "PrefixReport",
     "QuotaDecision",
--- a/src/sesameport/entry/prefill_handler.py
+++ b/src/sesameport/entry/prefill_handler.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok
 
-from sesameport.admission import Placement
+from sesameport.admission import Placement, PrefillTimeouts
 from sesameport.entry import messages as m
 from sesameport.entry.outcomes import OutcomeReporter
 from sesameport.entry.requests import CallFailure, FailureKind, KvSource, ServerClient
@@ -16,13 +16,6 @@
 """Share of a handle's lifetime in which it is offered to another decode server. The
 remaining time allows the call to reach that server."""
 
-PREFILL_MARGIN_S = 0.35
-PREFILL_FACTOR = 2.0
-MAX_PREFILL_TIMEOUT_S = 1.0
-"""The timeout of a prefill is its expected time multiplied by the factor plus the
-margin, up to the maximum, seconds. It detects a lost response early enough to still
-meet the target. Some engines take 1.3 times as long as others."""
-
 LOST_RESPONSE_KINDS = frozenset({FailureKind.BROKEN, FailureKind.TIMEOUT})
 
 
@@ -43,6 +36,7 @@
         self._actor = actor
         self._calls = calls
         self._outcomes = outcomes
+        self._timeouts = PrefillTimeouts()
 
     def run(self, progress, placement: Placement, caller) -> CallFailure | None:
         """Run the prefill if the placement has one; return its failure or None."""
@@ -80,10 +74,7 @@
         Another server would have to run the prefill again.
         """
         server = placement.prefill
-        attempt_timeout_s = (
-            PREFILL_MARGIN_S + PREFILL_FACTOR * placement.expected_prefill_s
-        )
-        attempt_timeout_s = min(MAX_PREFILL_TIMEOUT_S, attempt_timeout_s)
+        attempt_timeout_s = self._timeouts.timeout_s(placement)
         retries = 1
         while True:
             result = self._calls.prefill(
@@ -94,6 +85,8 @@
             failure = result.unwrap_err()
             progress.has_arrived |= failure.kind.has_arrived()
             will_retry = failure.kind in LOST_RESPONSE_KINDS and retries > 0
+            if failure.kind == FailureKind.TIMEOUT:
+                will_retry &= self._timeouts.is_likely_lost(placement)
             if will_retry:
                 retry = m.ConsumeRetry(server.service, server.name)
                 will_retry = self._actor.ask(retry)
