Stop at the first usable decode server

While generations wait, each batch of reports checks whether any decode server is usable for them. The check built the list of all usable servers, half of the time of such a placement at 45 engines. It now ends at the first one.

--- a/src/sesameport/entry/candidate_servers.py
+++ b/src/sesameport/entry/candidate_servers.py
@@ -38,6 +38,9 @@
 
     def decode_shortage(self, req: GenerationRequest, now: float) -> str | None:
         """Return the reason why no server may decode a request, or None."""
+        for server in self._monitor.iter_reachable(req.service, now):
+            if server.can_decode() and self.is_home(server, req):
+                return None
         if self.decode(req, now):
             return None
         reason = self._monitor.no_decode_server_reason(
--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -2,7 +2,7 @@
 
 import collections
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from sesameport.admission import (
     Evacuations,
@@ -76,18 +76,8 @@
         Nothing is returned until the host knows which data centres are evacuated.
         """
         usable, excluded = [], []
-        if not self._evacuations.is_known:
-            return usable
-        for server in self._registry.live_servers(service):
-            if self._evacuations.is_evacuated(server.data_centre):
-                continue
-            if self._health.is_paused_here(server.name, now):
-                continue
-            if not self._notices.takes_requests(server.name, now):
-                continue
-            if self._registry.is_near_removal(server.name, now):
-                continue
-            if self._health.is_reported_unreachable(server.name, now):
+        for server, is_reported_unreachable in self._iter_usable(service, now):
+            if is_reported_unreachable:
                 excluded.append(server)
                 continue
             usable.append(server)
@@ -102,6 +92,32 @@
         )
         return usable
 
+    def iter_reachable(self, service: str, now: float) -> Iterator[EntryServer]:
+        """Yield the usable servers that are not reported as unreachable.
+
+        A caller that needs only one server does not check the others.
+        """
+        for server, is_reported_unreachable in self._iter_usable(service, now):
+            if not is_reported_unreachable:
+                yield server
+
+    def _iter_usable(
+        self, service: str, now: float
+    ) -> Iterator[tuple[EntryServer, bool]]:
+        """Yield usable servers, and whether other hosts report them as unreachable."""
+        if not self._evacuations.is_known:
+            return
+        for server in self._registry.live_servers(service):
+            if self._evacuations.is_evacuated(server.data_centre):
+                continue
+            if self._health.is_paused_here(server.name, now):
+                continue
+            if not self._notices.takes_requests(server.name, now):
+                continue
+            if self._registry.is_near_removal(server.name, now):
+                continue
+            yield server, self._health.is_reported_unreachable(server.name, now)
+
     def decode_servers(self, service: str, now: float) -> list[EntryServer]:
         """Return the usable servers of a service that can decode."""
         return [
