--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -63,9 +63,10 @@
 configuration, and those of all hosts would saturate the link of the receiving host.
 Each request chooses other hosts, because some may have no store either."""
 
-RECEIVE_INTERVAL_PER_HOST_S = 0.00005
+RECEIVE_INTERVAL_PER_HOST_S = 0.0002
 """Time between two reads of reports per sending host, seconds. Reports that arrive in
-between are handled together with one message to the actor and one placement."""
+between are handled together with one message to the actor and one placement, which
+takes 0.3 ms for each waiting request with 45 engines."""
 
 MAX_REPORTS_AT_ONCE = 1_000
 """Number of reports handled together; further ones are read after other messages."""
