Move the placement of generations out of the admission controller

GenerationPlacement chooses the servers of a generation and forecasts its wait; the explanation of a placement uses the same functions. No decision changes.

--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -16,7 +16,6 @@
     FleetQuota,
     FleetUse,
     Placement,
-    PlacementPolicy,
     RequestLimits,
     RetryAfterPolicy,
     ServerHealth,
@@ -28,16 +27,14 @@
     WaitingTokens,
     WindowedRetryBudget,
     WorkloadMix,
-    place_generation,
     reserved_kv_tokens,
 )
 from sesameport.entry import messages as m
 from sesameport.entry.candidate_servers import CandidateServers
 from sesameport.entry.configuration import EngineProfile, EntryConfiguration
-from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
+from sesameport.entry.generation_placement import GenerationPlacement
 from sesameport.entry.learned_servers import LearnedServers
-from sesameport.entry.memory_leases import LeasePlanner
 from sesameport.entry.permit_exchange import PermitExchange
 from sesameport.entry.placement_log import log_placement, log_refusal
 from sesameport.entry.plain_admission import PlainAdmission
@@ -45,7 +42,6 @@
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import EVACUATED, ServerMonitor
 from sesameport.entry.settings import EntrySettings
-from sesameport.entry.wait_forecast import WaitForecast
 
 __all__ = ["AdmissionController"]
 
@@ -105,7 +101,7 @@
         self.evacuations = Evacuations() if evacuations is None else evacuations
         self.limits = limits or RequestLimits(ServerNotices(), ColdServers())
         self.notices = self.limits.notices
-        self._learned = learned or LearnedServers(settings.data_centre)
+        self._learned = learned = learned or LearnedServers(settings.data_centre)
         self.monitor = ServerMonitor(
             self.registry, self.health, self.notices, on_change, rng, self.evacuations
         )
@@ -129,13 +125,12 @@
             self._learned.plain_factors,
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
-        self._policy = PlacementPolicy()
-        self._leases = LeasePlanner(self.use, self.permits)
         self._retry_after_policy = RetryAfterPolicy()
         self._queues: dict[str, WaitingQueue] = {}
         self._waiting: dict[int, _QueuedRequest] = {}
-        self._measurements = EngineMeasurements(self._policy.prefill_tokens_per_s)
-        self._forecast = WaitForecast(self.use, self._measurements, self._policy)
+        self._placement = GenerationPlacement(
+            self.candidates, self.permits, self.limits, self.health, self.use, learned
+        )
         self._reported_waiting: dict[str, WaitingTokens] = {}
         self._place_again_at = -math.inf
 
@@ -229,7 +224,9 @@
                 self.use.add_local(name, change)
             for name in placement.called_servers():
                 self.permits.take(name, now)
-            placement = self._leases.plan(placement, self._engine(service), now)
+            placement = self._placement.leases.plan(
+                placement, self._engine(service), now
+            )
             queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
             log_placement(queued.req.request_id, placement, self.use, now)
             placed = True
@@ -240,22 +237,7 @@
     def _choose(
         self, req: m.AdmitGeneration, now: float
     ) -> Result[Placement, Shortage]:
-        service = req.generation.service
-        engine = self._engine(service)
-        if engine is None:
-            return Err(Shortage.MEMORY)
-        servers = self.permits.usable(self.candidates.usable(req.generation, now), now)
-        return place_generation(
-            req.generation,
-            engine,
-            self._leases.usable(servers, req.generation, now),
-            self.use,
-            self.limits.cost_factor(self.health, now),
-            self._policy,
-            self._measurements.prefill_speeds,
-            self.workload_mix(service).mean_reservation_s,
-            predictions=self._learned.predict(req.generation, engine, self.use, now),
-        )
+        return self._placement.choose(req, self._engine(req.generation.service), now)
 
     def place_waiting(self, now: float) -> None:
         """Place queued requests that fit and refuse those that waited too long."""
@@ -286,9 +268,8 @@
 
     def _refuse_expired(self, service: str, now: float) -> None:
         queue = self._queues.get(service)
-        for waiting_request in queue.pop_expired(now) if queue else ():
-            waiting = self._waiting.pop(waiting_request.key)
-            self._refuse(waiting.req, "no-decode-memory", now)
+        for request in queue.pop_expired(now) if queue else ():
+            self._refuse(self._waiting.pop(request.key).req, "no-decode-memory", now)
 
     def _refuse_unservable(self, service: str, now: float) -> None:
         """Refuse late requests while no decode server is usable for them.
@@ -352,13 +333,9 @@
     def _excessive_wait_s(
         self, service: str, waiting: WaitingRequest, now: float
     ) -> float | None:
-        engine, queue = self._engine(service), self._queues[service]
-        req = self._waiting[waiting.key].req
-        servers = self.candidates.decode(req.generation, now)
-        size = engine.kv_tokens if engine else 0
-        return self._forecast.excessive_wait_s(
-            service, servers, size, queue, waiting, now
-        )
+        req, queue = self._waiting[waiting.key].req, self._queues[service]
+        engine = self._engine(service)
+        return self._placement.excessive_wait_s(req, engine, queue, waiting, now)
 
     def _refuse_waiting(
         self, waiting: WaitingRequest, reason: str, now: float, wait_s: float = 0.0
@@ -396,16 +373,18 @@
 
     def handle_prefill_ended(self, message: m.PrefillEnded, now: float) -> None:
         """Release the prefill reservation and place requests that fit now."""
-        service = release_prefill(message, self.use, self._measurements)
+        service = release_prefill(message, self.use, self._placement.measurements)
         self._place_released(service, now)
 
     def handle_run_ended(self, message: m.RunEnded, now: float) -> None:
         """Release the decode server or plain server of a request."""
-        self._place_released(release_run(message, self.use, self._measurements), now)
+        self._place_released(
+            release_run(message, self.use, self._placement.measurements), now
+        )
 
     def record_refused_memory(self, message: m.MemoryRefused, now: float) -> None:
         """Place fewer tokens for a moment on an engine that refused a lease."""
-        self._wake_at(self._leases.record_refusal(message, now))
+        self._wake_at(self._placement.leases.record_refusal(message, now))
 
     def _place_released(self, service: str | None, now: float) -> None:
         if service is not None:
@@ -414,4 +393,4 @@
 
     def workload_mix(self, service: str) -> WorkloadMix:
         """Return the workload mix of a service, updated by its requests."""
-        return self._measurements.workload_mix(service)
+        return self._placement.measurements.workload_mix(service)
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -25,9 +25,9 @@
 from sesameport.domain import ServerState
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
+from sesameport.entry.configuration import EngineProfile
 from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.servers import EntryServer
-from sesameport.entry.wait_forecast import WaitForecast
 
 __all__ = ["PlacementExplainer"]
 
@@ -45,7 +45,7 @@
 
     choose: Callable
     choose_plain: Callable
-    forecast: WaitForecast
+    excessive_wait_s: Callable
     queues: Mapping[str, WaitingQueue]
     prefill_speeds: Mapping[str, float]
 
@@ -55,9 +55,9 @@
         return cls(
             admission._choose,
             admission._plain._choose,
-            admission._forecast,
+            admission._placement.excessive_wait_s,
             admission._queues,
-            admission._measurements.prefill_speeds,
+            admission._placement.measurements.prefill_speeds,
         )
 
 
@@ -222,14 +222,14 @@
                 shortage = found
         if reason := admission.candidates.decode_shortage(req, now):
             return _refused(reason), candidates
-        wait_s = self._excessive_wait_s(admit, engine.kv_tokens, now)
+        wait_s = self._excessive_wait_s(admit, engine, now)
         if wait_s is None:
             return {"waits_for": str(shortage)}, candidates
         forecast_s = round(wait_s, 2) if math.isfinite(wait_s) else None
         return _refused("no-decode-memory-soon", forecast_s=forecast_s), candidates
 
     def _excessive_wait_s(
-        self, admit: m.AdmitGeneration, engine_tokens: int, now: float
+        self, admit: m.AdmitGeneration, engine: EngineProfile, now: float
     ) -> float | None:
         """Return the forecast wait if it is too long for the request, else None."""
         req = admit.generation
@@ -245,10 +245,7 @@
         queue = self._decisions.queues.get(req.service, WaitingQueue())
         queue = copy.deepcopy(queue)
         queue.try_add(waiting)
-        servers = self._admission.candidates.decode(req, now)
-        return self._decisions.forecast.excessive_wait_s(
-            req.service, servers, engine_tokens, queue, waiting, now
-        )
+        return self._decisions.excessive_wait_s(admit, engine, queue, waiting, now)
 
     def _engine(
         self, server: EntryServer, req, engine, predictions: Predictions
