Decide how much memory the most urgent rank may reserve

In a burst, the host at which a stream ends gives the memory to its own request, whatever its rank, and an urgent request has 0.4 s to find memory. A reservation counts the whole answer, so a full engine has about a tenth of its memory unused. The most urgent of several ranks of a service may reserve that much more, if its memory is leased before its prefill. Ranks are found per service, as before for the header.

The tests of urgency and of the new module pass. Not used yet.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -58,6 +58,11 @@
 from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
 from sesameport.admission.trickle import Trickle
 from sesameport.admission.urgency import clamp_rank, ranked_services
+from sesameport.admission.urgent_memory import (
+    UrgentMemory,
+    UrgentMemoryPolicy,
+    with_extra_share,
+)
 from sesameport.admission.version_lag import VersionLag
 from sesameport.admission.waiting_queue import (
     RetryAfterPolicy,
@@ -109,6 +114,8 @@
     "SpeedReport",
     "SuspectReport",
     "Trickle",
+    "UrgentMemory",
+    "UrgentMemoryPolicy",
     "VersionLag",
     "WaitingRequest",
     "WaitingPolicy",
@@ -128,4 +135,5 @@
     "prefix_parts",
     "ranked_services",
     "reserved_kv_tokens",
+    "with_extra_share",
 ]
