Let urgent generations reserve a tenth more than an engine has

Urgent generations of a burst missed their target because memory went to whatever waited where it was freed. Their forecast counts only requests of their rank on their host, because no other may reserve that memory; they were refused at once while less urgent ones waited elsewhere. Log lines name the priority and the tokens beyond the memory, sesameport_entry_urgent_leases_total counts the leases, and the explanation of a placement shows the memory that the rank may reserve.

Callers of equal rank get the same placements.

--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -68,7 +68,8 @@
     cached parts. Both are in seconds. ``lease_tokens`` of decode memory are leased for
     ``lease_s`` seconds before the prefill; 0 means no lease. ``cached_tokens`` is what
     the server of the prefill is expected to have cached of the prompt, and
-    ``queued_tokens`` what waits there before it.
+    ``queued_tokens`` what waits there before it. ``beyond_tokens`` is what an urgent
+    request makes all requests reserve beyond the memory of the decode server.
     """
 
     decode: EntryServer
@@ -82,6 +83,7 @@
     lease_s: float = 0.0
     cached_tokens: float = 0.0
     queued_tokens: float = 0.0
+    beyond_tokens: int = 0
     prefix: tuple[PrefixPart, ...] = ()
 
     @property
--- a/src/sesameport/admission/waiting_queue.py
+++ b/src/sesameport/admission/waiting_queue.py
@@ -155,10 +155,12 @@
         self._requests[request.key] = request
         return True
 
-    def tokens(self, now: float) -> WaitingTokens:
-        """Return the KV cache that all waiting requests need."""
+    def tokens(self, now: float, max_priority: float = math.inf) -> WaitingTokens:
+        """Return the KV cache that waiting requests of these ranks need."""
         on_time = late = 0.0
         for request in self._requests.values():
+            if request.priority > max_priority:
+                continue
             if self.is_late(request, now):
                 late += request.kv_tokens
                 continue
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -8,14 +8,13 @@
 from collections.abc import Callable
 
 import attrs
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from sesameport.admission import (
     ColdServers,
     Evacuations,
     FleetQuota,
     FleetUse,
-    Placement,
     RequestLimits,
     RetryAfterPolicy,
     ServerHealth,
@@ -31,7 +30,7 @@
 )
 from sesameport.entry import messages as m
 from sesameport.entry.candidate_servers import CandidateServers
-from sesameport.entry.configuration import EngineProfile, EntryConfiguration
+from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.generation_limits import PLACE_AGAIN_S, GenerationLimits
 from sesameport.entry.generation_placement import GenerationPlacement
 from sesameport.entry.learned_servers import LearnedServers
@@ -94,7 +93,6 @@
         self._on_change = on_change
         self._wake_at = wake_at
         self._rng = rng = rng or random.Random()
-        self.configuration: EntryConfiguration | None = None
         self.registry = ServerRegistry()
         self.use = FleetUse()
         self.health = ServerHealth()
@@ -131,9 +129,19 @@
         self._placement = GenerationPlacement(
             self.candidates, self.permits, self.limits, self.health, self.use, learned
         )
+        self._choose = self._placement.choose
         self._reported_waiting: dict[str, WaitingTokens] = {}
         self._place_again_at = -math.inf
 
+    @property
+    def configuration(self) -> EntryConfiguration | None:
+        """Return the configuration in force, None before the first one."""
+        return self._placement.configuration
+
+    @configuration.setter
+    def configuration(self, configuration: EntryConfiguration) -> None:
+        self._placement.configure(configuration)
+
     def admit_plain(self, req: m.AdmitPlain, now: float) -> m.PlainReply:
         """Return the server of a plain request, a refusal, or a future of these."""
         if req.is_first_attempt:
@@ -188,11 +196,6 @@
     def _charge(self, req, service: str, now: float) -> m.Refused | None:
         return charge_request(req, service, self.quota, self.budget, self.use, now)
 
-    def _engine(self, name: str) -> EngineProfile | None:
-        """Return the profile of the engines of a service, None without one."""
-        service = self.configuration and self.configuration.service(name)
-        return service.engine if service else None
-
     def _place_from_queue(self, service: str, now: float) -> None:
         queue = self._queues.get(service)
         if not queue:
@@ -225,20 +228,15 @@
             for name in placement.called_servers():
                 self.permits.take(name, now)
             placement = self._placement.leases.plan(
-                placement, self._engine(service), now
+                placement, self._placement.engine(service), now
             )
             queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
-            log_placement(queued.req.request_id, placement, self.use, now)
+            log_placement(queued.req, placement, self.use, now)
             placed = True
         self._limits.ask(service, short, len(queue), now)
         if placed:
             self._on_change(now)
 
-    def _choose(
-        self, req: m.AdmitGeneration, now: float
-    ) -> Result[Placement, Shortage]:
-        return self._placement.choose(req, self._engine(req.generation.service), now)
-
     def place_waiting(self, now: float) -> None:
         """Place queued requests that fit and refuse those that waited too long."""
         self._plain.place_waiting(now)
@@ -334,8 +332,7 @@
         self, service: str, waiting: WaitingRequest, now: float
     ) -> float | None:
         req, queue = self._waiting[waiting.key].req, self._queues[service]
-        engine = self._engine(service)
-        return self._placement.excessive_wait_s(req, engine, queue, waiting, now)
+        return self._placement.excessive_wait_s(req, queue, waiting, now)
 
     def _refuse_waiting(
         self, waiting: WaitingRequest, reason: str, now: float, wait_s: float = 0.0
--- a/src/sesameport/entry/generation_placement.py
+++ b/src/sesameport/entry/generation_placement.py
@@ -1,5 +1,6 @@
 """Place the generations of one host with what it knows of servers."""
 
+import attrs
 from result import Err, Result
 
 from sesameport.admission import (
@@ -9,13 +10,15 @@
     RequestLimits,
     ServerHealth,
     Shortage,
+    UrgentMemory,
     WaitingQueue,
     WaitingRequest,
     place_generation,
+    with_extra_share,
 )
 from sesameport.entry import messages as m
 from sesameport.entry.candidate_servers import CandidateServers
-from sesameport.entry.configuration import EngineProfile
+from sesameport.entry.configuration import EngineProfile, EntryConfiguration
 from sesameport.entry.engine_measurements import EngineMeasurements
 from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.memory_leases import LeasePlanner
@@ -45,6 +48,8 @@
 
     Attributes
     ----------
+    configuration : EntryConfiguration or None
+        Configuration in force; change it by `configure`.
     leases : LeasePlanner
         Plans leases and knows which engines refused memory a moment ago.
     measurements : EngineMeasurements
@@ -68,40 +73,65 @@
         self._health = health
         self._use = use
         self._learned = learned
+        self.configuration: EntryConfiguration | None = None
+        self._urgent = UrgentMemory()
         self._policy = PlacementPolicy()
         self.leases = LeasePlanner(use, permits)
         self.measurements = EngineMeasurements(self._policy.prefill_tokens_per_s)
         self.forecast = WaitForecast(use, self.measurements, self._policy)
 
-    def choose(
-        self, req: m.AdmitGeneration, engine: EngineProfile | None, now: float
-    ) -> Result[Placement, Shortage]:
-        """Return the servers of a request, or an Err with what is short.
+    def configure(self, configuration: EntryConfiguration) -> None:
+        """Use the engines and ranks of a configuration."""
+        self.configuration = configuration
+        self._urgent.configure(configuration)
 
-        ``engine`` is the profile of the engines of its service, None without one.
-        """
+    def engine(self, name: str) -> EngineProfile | None:
+        """Return the profile of the engines of a service, None without one."""
+        service = self.configuration and self.configuration.service(name)
+        return service.engine if service else None
+
+    def extra_share(self, req: m.AdmitGeneration) -> float:
+        """Return the share of memory that a request may reserve beyond an engine's."""
+        engine = self.engine(req.generation.service)
         if engine is None:
-            return Err(Shortage.MEMORY)
+            return 0.0
+        return self._urgent.extra_share(req.generation, req.priority, engine)
+
+    def choose(self, req: m.AdmitGeneration, now: float) -> Result[Placement, Shortage]:
+        """Return the servers of a request, or an Err with what is short."""
         generation = req.generation
+        engine = self.engine(generation.service)
+        if engine is None:
+            return Err(Shortage.MEMORY)
         servers = self._candidates.usable(generation, now)
         servers = self._permits.usable(servers, now)
         mix = self.measurements.workload_mix(generation.service)
-        return place_generation(
+        extra_share = self.extra_share(req)
+        result = place_generation(
             generation,
             engine,
             self.leases.usable(servers, generation, now),
             self._use,
             self._limits.cost_factor(self._health, now),
-            self._policy,
+            with_extra_share(self._policy, extra_share),
             self.measurements.prefill_speeds,
             mix.mean_reservation_s,
             predictions=self._learned.predict(generation, engine, self._use, now),
         )
+        if extra_share == 0.0:
+            return result
+        return result.map(lambda placement: self._mark(placement, engine))
+
+    def _mark(self, placement: Placement, engine: EngineProfile) -> Placement:
+        """Return an urgent placement with what is reserved beyond the memory."""
+        reserved = self._use.total_for(placement.decode.name).kv_tokens
+        memory = self._policy.memory_share * engine.kv_tokens
+        beyond = round(reserved + placement.kv_tokens - memory)
+        return attrs.evolve(placement, beyond_tokens=max(0, beyond))
 
     def excessive_wait_s(
         self,
         req: m.AdmitGeneration,
-        engine: EngineProfile | None,
         queue: WaitingQueue,
         waiting: WaitingRequest,
         now: float,
@@ -110,11 +140,14 @@
 
         ``waiting`` is the request as it waits in the queue.
         """
+        service = req.generation.service
+        engine = self.engine(service)
         return self.forecast.excessive_wait_s(
-            req.generation.service,
+            service,
             self._candidates.decode(req.generation, now),
             engine.kv_tokens if engine else 0,
             queue,
             waiting,
             now,
+            self.extra_share(req),
         )
--- a/src/sesameport/entry/memory_leases/handler.py
+++ b/src/sesameport/entry/memory_leases/handler.py
@@ -51,15 +51,15 @@
         match result:
             case Ok(lease):
                 progress.lease = lease
-                self._count("granted")
+                self._count("granted", placement)
                 return None
             case Err(CallFailure(FailureKind.REFUSED)):
                 pass
             case Err(failure):
-                self._count("failed")
+                self._count("failed", placement)
                 self._log("lease of decode memory failed", progress, placement, failure)
                 return None
-        self._count("refused")
+        self._count("refused", placement)
         progress.lease_refusals += 1
         self._actor.tell(m.MemoryRefused(engine.name, placement.lease_tokens))
         failure = CallFailure(FailureKind.NOT_SENT, "no decode memory to lease")
@@ -72,8 +72,10 @@
         if lease is not None:
             self._calls.release_memory(lease)
 
-    def _count(self, result: str) -> None:
+    def _count(self, result: str, placement: Placement) -> None:
         self._metrics.count("sesameport_entry_memory_leases_total", result=result)
+        if placement.beyond_tokens > 0:
+            self._metrics.count("sesameport_entry_urgent_leases_total", result=result)
 
     def _log(
         self, event: str, progress: RequestProgress, placement: Placement, failure
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -25,7 +25,6 @@
 from sesameport.domain import ServerState
 from sesameport.entry import messages as m
 from sesameport.entry.admission_controller import AdmissionController
-from sesameport.entry.configuration import EngineProfile
 from sesameport.entry.learned_servers import LearnedServers
 from sesameport.entry.servers import EntryServer
 
@@ -46,6 +45,7 @@
     choose: Callable
     choose_plain: Callable
     excessive_wait_s: Callable
+    extra_share: Callable
     queues: Mapping[str, WaitingQueue]
     prefill_speeds: Mapping[str, float]
 
@@ -56,6 +56,7 @@
             admission._choose,
             admission._plain._choose,
             admission._placement.excessive_wait_s,
+            admission._placement.extra_share,
             admission._queues,
             admission._placement.measurements.prefill_speeds,
         )
@@ -190,11 +191,6 @@
             prefix=parts,
         )
         predictions = self._learned.predict(req, engine, admission.use, now)
-        candidates = {
-            server.name: self._engine(server, req, engine, predictions)
-            for server in admission.registry.all()
-            if server.service == request.service
-        }
         admit = m.AdmitGeneration(
             KEY,
             "",
@@ -207,6 +203,13 @@
             request.priority,
             pykka.ThreadingFuture(),
         )
+        memory_share = self._policy.memory_share + self._decisions.extra_share(admit)
+        memory = memory_share * engine.kv_tokens
+        candidates = {
+            server.name: self._engine(server, req, predictions, memory)
+            for server in admission.registry.all()
+            if server.service == request.service
+        }
         match self._decisions.choose(admit, now):
             case Ok(placement):
                 prefill = placement.prefill_server
@@ -222,15 +225,13 @@
                 shortage = found
         if reason := admission.candidates.decode_shortage(req, now):
             return _refused(reason), candidates
-        wait_s = self._excessive_wait_s(admit, engine, now)
+        wait_s = self._excessive_wait_s(admit, now)
         if wait_s is None:
             return {"waits_for": str(shortage)}, candidates
         forecast_s = round(wait_s, 2) if math.isfinite(wait_s) else None
         return _refused("no-decode-memory-soon", forecast_s=forecast_s), candidates
 
-    def _excessive_wait_s(
-        self, admit: m.AdmitGeneration, engine: EngineProfile, now: float
-    ) -> float | None:
+    def _excessive_wait_s(self, admit: m.AdmitGeneration, now: float) -> float | None:
         """Return the forecast wait if it is too long for the request, else None."""
         req = admit.generation
         waiting = WaitingRequest(
@@ -245,10 +246,10 @@
         queue = self._decisions.queues.get(req.service, WaitingQueue())
         queue = copy.deepcopy(queue)
         queue.try_add(waiting)
-        return self._decisions.excessive_wait_s(admit, engine, queue, waiting, now)
+        return self._decisions.excessive_wait_s(admit, queue, waiting, now)
 
     def _engine(
-        self, server: EntryServer, req, engine, predictions: Predictions
+        self, server: EntryServer, req, predictions: Predictions, memory: float
     ) -> dict:
         use = self._admission.use.total_for(server.name)
         fields: dict = {
@@ -268,7 +269,7 @@
                 excluded = "prefill queue is too long"
         if server.can_decode():
             needed = reserved_kv_tokens(req.prompt_tokens, req.output_tokens)
-            free = self._policy.memory_share * engine.kv_tokens - use.kv_tokens
+            free = memory - use.kv_tokens
             fields["free_tokens"] = round(free)
             fields["active"], fields["slots"] = use.active_requests, server.slots
             factor = predictions.gap_factors.get(server.name, 1.0)
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -23,19 +23,21 @@
 
 
 def log_placement(
-    request_id: str, placement: Placement, use: FleetUse, now: float
+    req: m.AdmitGeneration, placement: Placement, use: FleetUse, now: float
 ) -> None:
     """Log the servers chosen for a generation and the memory reserved there."""
     prefill, decode = placement.prefill, placement.decode
     log.info(
         "generation placed",
         extra={
-            "request_id": request_id,
+            "request_id": req.request_id,
+            "priority": req.priority,
             "decode": decode.name,
             "prefill": prefill.name if prefill else "",
             "kv_tokens": placement.kv_tokens,
             "cached_tokens": round(placement.cached_tokens),
             "decode_reserved": round(use.total_for(decode.name).kv_tokens),
+            "beyond_tokens": placement.beyond_tokens,
             **fleet_view_fields(use, now),
         },
     )
@@ -54,6 +56,7 @@
         extra={
             "request_id": req.request_id,
             "service": req.generation.service,
+            "priority": req.priority,
             "reason": refused.reason,
             "forecast_s": round(forecast_s, 3),
             "is_returning": req.is_returning,
--- a/src/sesameport/entry/tests/decode_load.py
+++ b/src/sesameport/entry/tests/decode_load.py
@@ -26,7 +26,7 @@
 from sesameport.entry.servers import EntryServer
 from sesameport.entry.settings import EntrySettings
 
-__all__ = ["Load", "play"]
+__all__ = ["Caller", "Fleet", "Load", "play"]
 
 PROFILE = EngineProfile(slots=16, kv_tokens=28_408, max_lease_s=1.2)
 TIMEOUT_S = 14.0
--- a/src/sesameport/entry/wait_forecast.py
+++ b/src/sesameport/entry/wait_forecast.py
@@ -44,19 +44,26 @@
         queue: WaitingQueue,
         request: WaitingRequest,
         now: float,
+        extra_share: float = 0.0,
     ) -> float | None:
         """Return the expected wait if it is too long for the request, else None.
 
         ``decode_servers`` are the usable ones that may serve the request.
-        ``engine_tokens`` is the KV cache of an engine of the service.
+        ``engine_tokens`` is the KV cache of an engine of the service. A request with an
+        ``extra_share`` waits for memory that no less urgent one may reserve, so only
+        requests of its rank are ahead of it. Reports of hosts do not tell ranks, so
+        those on other hosts are not counted.
         """
-        waiting = queue.tokens(now).plus(self._use.remote_waiting(service))
+        if extra_share > 0.0:
+            waiting = queue.tokens(now, request.priority)
+        else:
+            waiting = queue.tokens(now).plus(self._use.remote_waiting(service))
         # An unreachable server releases no memory that this host could use.
         reserved = [
             self._use.total_for(server.name).kv_tokens for server in decode_servers
         ]
         mix = self._measurements.workload_mix(service)
-        capacity = self._policy.memory_share * engine_tokens
+        capacity = (self._policy.memory_share + extra_share) * engine_tokens
         fit_s = forecast_fit_s(
             request.kv_tokens,
             [(capacity - tokens, tokens) for tokens in reserved],
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -120,6 +120,7 @@
     _counter("entry_server_crashes", "Crashes with a request in flight.", "call"),
     _counter("entry_limited_calls", "Calls of servers that name a limit.", "call"),
     _counter("entry_memory_leases", "Leases of decode memory.", "result"),
+    _counter("entry_urgent_leases", "Leases beyond reserved memory.", "result"),
     _counter("entry_cold_calls", "Calls of cold servers.", "call"),
     _counter("role_orders", "Orders to change a role.", "result"),
     _counter("log_lines_dropped", "Log lines that did not fit the buffer."),
