Check that less urgent callers keep their minimum

Urgent requests may keep engines reserved beyond their memory, so an overload of urgent ones could have left no room to others.

--- a/src/sesameport/entry/tests/test_urgent_load.py
+++ b/src/sesameport/entry/tests/test_urgent_load.py
@@ -27,11 +27,11 @@
     logging.disable(logging.NOTSET)
 
 
-def count(load, extra_share, monkeypatch):
+def count(load, extra_share, monkeypatch, seeds=SEEDS):
     """Return the results by rank, size and result, and the worth of each seed."""
     policy = UrgentMemoryPolicy(extra_share)
     monkeypatch.setattr(urgent_memory, "DEFAULT_POLICY", policy)
-    runs, _ = play(load, SEEDS)
+    runs, _ = play(load, seeds)
     counts, worths = Counter(), []
     for callers in runs:
         for caller in callers:
@@ -121,3 +121,13 @@
     (admitted,) = answers
     assert admitted.placement.beyond_tokens == 27_000 + 3_744 - 28_408
     assert admitted.placement.lease_tokens > 3_000
+
+
+def test_less_urgent_callers_keep_their_minimum_under_urgent_overload(monkeypatch):
+    # Guards against urgent requests that keep every engine reserved beyond its memory,
+    # so that no other finds room for as long as the overload lasts.
+    load = Load(burst=3.0, burst_s=(0.0, 16.0), urgent_share=0.8)
+    counts, _ = count(load, 0.1, monkeypatch, seeds=(1, 2))
+    served = sum(n for key, n in counts.items() if key[2] == "in time")
+    assert share(counts, 2) >= 0.25 * served / sum(counts.values())
+    assert share(counts, 2) + share(counts, 2, "late") >= 0.5
