Show operators the shared tokens and the common order of engines

Cause: `cached_tokens` alone does not say of how many shared tokens, and `sesameport where` compared engines by other speeds than the placement of prompts with shared parts does.

Change: `shared_tokens` in `generation placed`, the counter `sesameport_entry_shared_tokens_total` by what was expected at the prefill engine, and `prefix_rank` of prefill engines in `sesameport where`, which now shows waits at the speeds of the decision. Engines do not state in their answers what they found, so no name reports it.

--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -41,6 +41,11 @@
 from sesameport.admission.placement_policy import PlacementPolicy
 from sesameport.admission.plain_placement import choose_plain_server
 from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
+from sesameport.admission.prefix_affinity import (
+    prefix_preference,
+    shared_parts,
+    typical_speed,
+)
 from sesameport.admission.quota import FleetQuota, QuotaDecision
 from sesameport.admission.request_limits import RequestLimits
 from sesameport.admission.request_size import (
@@ -126,6 +131,9 @@
     "forecast_fit_s",
     "forecast_wait_s",
     "prefix_parts",
+    "prefix_preference",
     "ranked_services",
     "reserved_kv_tokens",
+    "shared_parts",
+    "typical_speed",
 ]
--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -96,6 +96,11 @@
             return None
         return self.prefill or self.decode
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the parts that other prompts may have too."""
+        return sum(part.tokens for part in shared_parts(self.prefix))
+
     def decode_use(self) -> ServerUse:
         """Return the reservation on the decode server, excluding any local prefill."""
         return ServerUse(self.kv_tokens, 1, 0.0)
--- a/src/sesameport/admission/prefix_affinity.py
+++ b/src/sesameport/admission/prefix_affinity.py
@@ -23,7 +23,7 @@
 from sesameport.admission.kept_prefixes import PrefixPart
 from sesameport.entry.servers import EntryServer
 
-__all__ = ["cheapest_by_prefix", "preference", "shared_parts", "typical_speed"]
+__all__ = ["cheapest_by_prefix", "prefix_preference", "shared_parts", "typical_speed"]
 
 MAX_ORDERING_PARTS = 4
 """Number of shared parts that determine the order, the largest ones. It bounds the
@@ -61,10 +61,10 @@
         return None
     least = min(cost for cost, _ in costs)
     equal = [server for cost, server in costs if cost == least]
-    return equal[0] if len(equal) == 1 else max(equal, key=preference(shared))
+    return equal[0] if len(equal) == 1 else max(equal, key=prefix_preference(shared))
 
 
-def preference(
+def prefix_preference(
     shared: tuple[PrefixPart, ...],
 ) -> Callable[[EntryServer], int]:
     """Return a key by which all hosts order engines in the same way, the last first.
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -20,7 +20,10 @@
     WaitingQueue,
     WaitingRequest,
     prefix_parts,
+    prefix_preference,
     reserved_kv_tokens,
+    shared_parts,
+    typical_speed,
 )
 from sesameport.domain import ServerState
 from sesameport.entry import messages as m
@@ -190,11 +193,20 @@
             prefix=parts,
         )
         predictions = self._learned.predict(req, engine, admission.use, now)
-        candidates = {
-            server.name: self._engine(server, req, engine, predictions)
+        servers = [
+            server
             for server in admission.registry.all()
             if server.service == request.service
+        ]
+        candidates = {
+            server.name: self._engine(server, req, engine, predictions)
+            for server in servers
         }
+        if shared := shared_parts(parts):
+            readers = [server for server in servers if server.can_prefill()]
+            readers.sort(key=prefix_preference(shared), reverse=True)
+            for rank, server in enumerate(readers, 1):
+                candidates[server.name]["prefix_rank"] = rank
         admit = m.AdmitGeneration(
             KEY,
             "",
@@ -262,6 +274,8 @@
             speeds = predictions.prefill_speeds or self._decisions.prefill_speeds
             usual = predictions.typical_prefill_speed
             usual = usual or self._policy.prefill_tokens_per_s
+            if shared_parts(req.prefix) and not predictions.prefill_speeds:
+                speeds, usual = {}, typical_speed(speeds, usual)
             speed = speeds.get(server.name, usual)
             wait_s = use.prefill_tokens / speed
             tokens = req.prompt_tokens - fields["cached_tokens"]
--- a/src/sesameport/entry/placement_log.py
+++ b/src/sesameport/entry/placement_log.py
@@ -35,6 +35,7 @@
             "prefill": prefill.name if prefill else "",
             "kv_tokens": placement.kv_tokens,
             "cached_tokens": round(placement.cached_tokens),
+            "shared_tokens": placement.shared_tokens,
             "decode_reserved": round(use.total_for(decode.name).kv_tokens),
             **fleet_view_fields(use, now),
         },
--- a/src/sesameport/entry/speed_exchange.py
+++ b/src/sesameport/entry/speed_exchange.py
@@ -84,8 +84,23 @@
 
     def _handle_prefill_ended(self, message: m.PrefillEnded, now: float) -> None:
         self._learned.record_prefill(message, now)
+        self._count_shared(message)
         self._admission.handle_prefill_ended(message, now)
 
+    def _count_shared(self, message: m.PrefillEnded) -> None:
+        """Count the shared tokens of a prefill by whether they were expected."""
+        placement = message.placement
+        if not message.succeeded or placement.prefill is None:
+            return
+        shared = placement.shared_tokens
+        cached = min(shared, round(placement.cached_tokens))
+        for expected, tokens in (("cached", cached), ("prefilled", shared - cached)):
+            if tokens <= 0:
+                continue
+            self._metrics.count(
+                "sesameport_entry_shared_tokens_total", tokens, expected=expected
+            )
+
     def _handle_run_ended(self, message: m.RunEnded, now: float) -> None:
         self._learned.record_run(message, self._admission.use, now)
         self._admission.handle_run_ended(message, now)
--- a/src/sesameport/entry/tests/test_speed_exchange.py
+++ b/src/sesameport/entry/tests/test_speed_exchange.py
@@ -127,6 +127,12 @@
         host.run(m.PrefillEnded(placement, 0.1, True), now)
         host.run(m.RunEnded(placement, seconds=3.0, succeeded=True), now)
         host.exchange.repeat(9, False, now)
+    # Of 500 tokens that others may have too, operators see which were expected.
+    expected = attrs.evolve(placement, cached_tokens=400.0, prefix=PARTS[::-1])
+    host.run(m.PrefillEnded(expected, 0.1, True), 4.0)
+    counted = host.exchange._metrics.render().decode()
+    assert 'expected="cached",host="h"} 400' in counted
+    assert 'expected="prefilled",host="h"} 6100' in counted
     assert held(host, 4.0) == pytest.approx({"p1": 2_000, "d1": 2_000}, rel=0.02)
     other.receive(host.sent, 4.0)
     assert held(other, 4.0) == pytest.approx({"p1": 1_800, "d1": 1_800}, rel=0.02)
--- a/src/sesameport/platform/tests/test_where.py
+++ b/src/sesameport/platform/tests/test_where.py
@@ -50,6 +50,7 @@
     wait_until(lambda: explain(host, capsys, *arguments)[0]["cached_tokens"] > 590)
     _, candidates = explain(host, capsys, *arguments)
     assert [candidates[name]["cached_tokens"] for name in ("p1", "d1")] == [600, 600]
+    assert candidates["p1"]["prefix_rank"] == 1
 
 
 def test_answer_says_what_excludes_servers_and_what_is_refused(host, cluster, capsys):
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -142,6 +142,11 @@
     _gauge("entry_cold_servers", "Servers that are cold."),
     _gauge("entry_unequal_servers", "Servers with a speed unlike their service's."),
     _gauge("entry_cached_parts", "Parts of prompts that engines may have cached."),
+    _counter(
+        "entry_shared_tokens",
+        "Tokens of shared parts at prefill engines, as expected.",
+        "expected",
+    ),
     _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
     _gauge("entry_store_reachable", "1 while the store answers, else 0."),
     _gauge("ready", "1 while the host accepts requests, else 0."),
