--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -42,6 +42,11 @@
 from sesameport.admission.plain_placement import choose_plain_server
 from sesameport.admission.predictions import NO_PREDICTIONS, Predictions
 from sesameport.admission.prefill_timeouts import PrefillTimeouts
+from sesameport.admission.prefix_affinity import (
+    prefix_preference,
+    shared_parts,
+    typical_speed,
+)
 from sesameport.admission.quota import FleetQuota, QuotaDecision
 from sesameport.admission.request_limits import RequestLimits
 from sesameport.admission.request_size import (
@@ -135,7 +140,10 @@
     "forecast_fit_s",
     "forecast_wait_s",
     "prefix_parts",
+    "prefix_preference",
     "ranked_services",
     "reserved_kv_tokens",
     "with_extra_share",
+    "shared_parts",
+    "typical_speed",
 ]
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -20,7 +20,10 @@
     WaitingQueue,
     WaitingRequest,
     prefix_parts,
+    prefix_preference,
     reserved_kv_tokens,
+    shared_parts,
+    typical_speed,
 )
 from sesameport.domain import ServerState
 from sesameport.entry import messages as m
@@ -205,11 +208,20 @@
         )
         memory_share = self._policy.memory_share + self._decisions.extra_share(admit)
         memory = memory_share * engine.kv_tokens
-        candidates = {
-            server.name: self._engine(server, req, predictions, memory)
+        servers = [
+            server
             for server in admission.registry.all()
             if server.service == request.service
+        ]
+        candidates = {
+            server.name: self._engine(server, req, predictions, memory)
+            for server in servers
         }
+        if shared := shared_parts(parts):
+            readers = [server for server in servers if server.can_prefill()]
+            readers.sort(key=prefix_preference(shared), reverse=True)
+            for rank, server in enumerate(readers, 1):
+                candidates[server.name]["prefix_rank"] = rank
         match self._decisions.choose(admit, now):
             case Ok(placement):
                 prefill = placement.prefill_server
@@ -260,6 +272,8 @@
             speeds = predictions.prefill_speeds or self._decisions.prefill_speeds
             usual = predictions.typical_prefill_speed
             usual = usual or self._policy.prefill_tokens_per_s
+            if shared_parts(req.prefix) and not predictions.prefill_speeds:
+                speeds, usual = {}, typical_speed(speeds, usual)
             speed = speeds.get(server.name, usual)
             wait_s = use.prefill_tokens / speed
             tokens = req.prompt_tokens - fields["cached_tokens"]
