Check callers' connections on descriptors above 1,023

test_crashed_decode_server_is_replaced, test_request_that_crashed_two_servers_is_refused and test_concurrent_callers_get_their_own_responses failed at times.

Cause: before each retry, and every 0.25 s of a wait, a host checks with select.select whether the caller is still connected. select.select raises ValueError for a descriptor above 1,023, and the check took any ValueError for a disconnect. The request then ended with 400 "the caller closed the connection", or its stream without an end mark. Requests that neither wait nor retry were served, so only some tests failed. A host with more than about 1,000 open descriptors has the same fault.

Change: the check uses select.poll and tests for a closed socket explicitly, so a ValueError is no longer taken for a disconnect.

--- a/src/sesameport/daemon/request_path/caller_api.py
+++ b/src/sesameport/daemon/request_path/caller_api.py
@@ -221,10 +221,14 @@
     def is_disconnected() -> bool:
         if conn is None:
             return False
+        if conn.fileno() < 0:
+            return True
+        # select.select raises ValueError for a descriptor above 1,023.
+        poller = select.poll()
+        poller.register(conn, select.POLLIN)
         try:
-            readable, _, _ = select.select([conn], [], [], 0)
-            return bool(readable) and not conn.recv(1, socket.MSG_PEEK)
-        except (OSError, ValueError):
+            return bool(poller.poll(0)) and not conn.recv(1, socket.MSG_PEEK)
+        except OSError:
             return True
 
     return is_disconnected
