Lose a fixed number of cancels in the test of lost cancels

test_lost_cancel_is_retried failed at times because a hold was not released within 15 s.

Cause: in the test the engine failed four of five calls at random. The delay between two cancels doubles, so about nine cancels are sent in 15 s, and all of them fail in about a tenth of the runs. In other runs no cancel was lost and nothing was tested.

Change: all calls to the engine fail until it has failed four cancels, the mean number before. The hold must then still be held and its cancel be pending. The bound of 15 s for the release is unchanged. The stand-in records which calls it failed.

--- a/src/sesameport/daemon/tests/test_recovery.py
+++ b/src/sesameport/daemon/tests/test_recovery.py
@@ -27,6 +27,10 @@
 
 ORDER_DESK_KEY = demo_key("dhol-makers")
 
+LOST_CANCELS = 4
+"""Mean number of cancels that are lost if four of five calls fail. The delays before
+the next one are then at most 1.5 s in total."""
+
 
 @pytest.fixture
 def single_host():
@@ -161,16 +165,22 @@
     )
     next(iter(response))
     engine = wait_for_decoding_engine(deployment)
-    engine.faults.error_share = 0.8
+    # With random failures some runs lose no cancel, and in others the delay between
+    # two cancels grows beyond the bound of the release.
+    engine.faults.error_share = 1.0
     response.close()
-    wait_until(
-        lambda: (
-            daemon.request_components.count_holds()[1] > 0 or not engine.list_holds()
-        )
-    )
+    wait_until(lambda: count_failed_cancels(engine) >= LOST_CANCELS)
+    assert engine.list_holds()
+    assert daemon.request_components.count_holds()[1] > 0
+    engine.faults.error_share = 0.0
     wait_until_released(deployment, daemon)
 
 
+def count_failed_cancels(engine):
+    calls = engine.faults.failed_calls
+    return sum(call.startswith("DELETE /v1/requests/") for call in calls)
+
+
 def test_unregistered_local_hold_is_swept(single_host):
     """Guard against a hold that a delayed call opens after its cancel."""
     deployment, daemon = single_host
--- a/src/sesameport/standins/engine.py
+++ b/src/sesameport/standins/engine.py
@@ -131,7 +131,7 @@
         for header in environ:
             if header.startswith("HTTP_"):
                 self.seen_headers.add(header[5:].replace("_", "-").lower())
-        if self.faults.inject_before_effect():
+        if self.faults.inject_before_effect(environ):
             return json_response(start_response, 503, {"detail": "unavailable"})
         return self._route(environ, start_response)
 
--- a/src/sesameport/standins/faults.py
+++ b/src/sesameport/standins/faults.py
@@ -44,6 +44,8 @@
         Monotonic time, seconds. Streams that were opened before it send nothing more.
     ignores_fencing : bool
         Whether orders with an old fencing number are accepted.
+    failed_calls : list of str
+        Method and path of each call that failed because of ``error_share``.
     """
 
     seed: int = 0
@@ -54,6 +56,7 @@
     stall_transfers: bool = False
     stall_streams_opened_before: float = 0.0
     ignores_fencing: bool = False
+    failed_calls: list[str] = attrs.field(factory=list)
     _rng: random.Random = attrs.field(init=False)
     _lock: threading.Lock = attrs.field(init=False, factory=threading.Lock)
 
@@ -64,13 +67,21 @@
         with self._lock:
             return share > 0 and self._rng.random() < share
 
-    def inject_before_effect(self) -> bool:
-        """Inject faults before the effect; return whether to fail with status 503."""
+    def inject_before_effect(self, environ: dict | None = None) -> bool:
+        """Inject faults before the effect; return whether to fail with status 503.
+
+        A failed call is recorded if its WSGI environment is given.
+        """
         if self.delay_s:
             time.sleep(self.delay_s)
         if self.down:
             raise InjectedFault
-        return self._should_fail(self.error_share)
+        if not self._should_fail(self.error_share):
+            return False
+        if environ is not None:
+            call = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+            self.failed_calls.append(call)
+        return True
 
     def inject_after_effect(self) -> None:
         """Inject the faults that occur after the request took effect."""
