Let the drain test send its request before the host refuses requests

test_graceful_shutdown_finishes_a_running_stream got 503 for 200 once.

Cause: the request "Before refusing" had to be admitted within 0.3 s of the start of the drain, of which the test slept 0.1 s. On a busy machine it came later and was refused, as it should.

Change: the drain calls its refusal of new requests only once that request has been answered, and the test checks that the drain waited for exactly unready_s before, in place of two fixed sleeps.

--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -16,12 +16,14 @@
 WITHDRAWAL_BOUND_S = 5.0
 """A withdrawn key must be refused on every host within seconds."""
 
+UNREADY_S = 0.3
+
 
 @pytest.fixture
 def draining_host(fleet):
     deployment, _ = fleet
     cfg = build_host_settings(
-        deployment, "rajkot-a-9", "rajkot-a", shutdown=ShutdownSettings(0.3, 30.0)
+        deployment, "rajkot-a-9", "rajkot-a", shutdown=ShutdownSettings(UNREADY_S, 30.0)
     )
     daemon = Daemon(cfg).start()
     # Other hosts grant rate tokens only to hosts that the platform lists.
@@ -53,9 +55,32 @@
     return thread, results
 
 
-def test_graceful_shutdown_finishes_a_running_stream(draining_host):
+def hold_refusals(drain, monkeypatch):
+    """Let a drain refuse requests only once the returned event is set.
+
+    A request that is sent within its 0.3 s would arrive too late on a busy machine.
+    Also return the list of its waits up to then, seconds.
+    """
+    may_refuse, waits = threading.Event(), []
+    refuse, wait = drain._refuse_new_requests, drain._stop_requested.wait
+
+    def record_wait(timeout_s):
+        waits.append(timeout_s)
+        return wait(timeout_s)
+
+    def refuse_later():
+        assert may_refuse.wait(30.0)
+        refuse()
+
+    monkeypatch.setattr(drain._stop_requested, "wait", record_wait)
+    monkeypatch.setattr(drain, "_refuse_new_requests", refuse_later)
+    return may_refuse, waits
+
+
+def test_graceful_shutdown_finishes_a_running_stream(draining_host, monkeypatch):
     """Guard against a shutdown that interrupts a running request (I9)."""
     daemon = draining_host
+    may_refuse, waits = hold_refusals(daemon.drain, monkeypatch)
     ready = f"http://{daemon.status_http.address}/ready"
     assert urllib3.request("GET", ready).status == 200
     stream, responses = run_in_thread(
@@ -63,10 +88,13 @@
     )
     wait_until_running(daemon, responses)
     drain, finished = run_in_thread(daemon.drain.run)
-    time.sleep(0.1)
+    wait_until(lambda: daemon.drain.is_draining)
     assert urllib3.request("GET", ready).status == 503
     assert send_completion(daemon, "Before refusing", 2).status == 200
-    time.sleep(0.4)
+    wait_until(lambda: waits)
+    assert waits == [UNREADY_S]
+    may_refuse.set()
+    wait_until(lambda: daemon.admission.is_refusing)
     refused = send_completion(daemon, "Too late", 2)
     assert refused.status == 503
     assert refused.json()["execution"] == "not-run"
