--- a/src/sesameport/platform/tests/crowds.py
+++ b/src/sesameport/platform/tests/crowds.py
@@ -57,6 +57,7 @@
         self.ip = f"127.{41 + (number >> 14) % 200}.{number >> 7 & 127}.{number & 127}"
         self.caller, self.ready = (self.ip, 18_080), (self.ip, 18_081)
         self.metrics = (self.ip, 9_464)
+        self.peers = f"{self.ip}:18082"
         settings = directory / "settings.toml"
         settings.write_text(
             f'nodeName = "h1"\nip = "{self.ip}"\nzone = "a"\n'
@@ -131,10 +132,11 @@
         self._sockets = []
         self._threads = []
 
-    def add(self, blocks, count):
+    def add(self, blocks, count, read_bytes_per_s=0.0):
         """Connect ``count`` clients; ``blocks`` returns what one of them sends."""
         for _ in range(count):
-            thread = threading.Thread(target=self._send, args=(blocks(),), daemon=True)
+            args = (blocks(), read_bytes_per_s)
+            thread = threading.Thread(target=self._run, args=args, daemon=True)
             self._threads.append(thread)
             thread.start()
 
@@ -148,14 +150,22 @@
         for sock in self._sockets:
             sock.close()
 
-    def _send(self, blocks):
+    def _run(self, blocks, read_bytes_per_s):
         deadline = time.monotonic() + CROWD_SECONDS
         with contextlib.suppress(OSError):
-            sock = socket.create_connection(self._address, timeout=CROWD_SECONDS)
+            sock = socket.socket()
+            # What a client does not read must not collect in its own socket instead.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.settimeout(CROWD_SECONDS)
             self._sockets.append(sock)
+            sock.connect(self._address)
             for block in blocks:
                 sock.settimeout(max(0.001, deadline - time.monotonic()))
                 sock.sendall(block)
+            while read_bytes_per_s and time.monotonic() < deadline:
+                if not sock.recv(max(1, int(read_bytes_per_s / 10))):
+                    break
+                time.sleep(0.1)
 
 
 @contextlib.contextmanager
