Refuse methods that are no token with 400

The fuzz test of the request reader found that a method that is not UTF-8 raised an exception in the handler: the caller got 500, and an error was logged for each such request. A method must be a token (RFC 9110, section 9.1), so the head is malformed.

Measured: test_request_reader.py passes (120 valid pairs of requests and 400 changed ones); before, its second test failed. test_strict_http.py passes.

--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -21,6 +21,7 @@
 __all__ = ["FramingError", "StrictConnection", "StrictRequest", "find_framing_error"]
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 
 
@@ -94,6 +95,8 @@
             return False
         is_http_11 = self.response_protocol == "HTTP/1.1"
         problem = find_framing_error(recorder.lines, is_http_11)
+        if not problem and not _METHOD.match(self.method):
+            problem = "a method that is no token"
         if not problem and not _TARGET.match(self.uri):
             problem = "a request target with control characters"
         if problem:
