Bound the messages of other hosts that a process holds

Messages of other hosts had no bound in bytes: ZeroMQ read up to 200 messages of any size ahead from each host, and decoded ones collected in the inbox of the actor.

Above a quarter of the account ('maxPeerBytes') the host reads no more, and they stay in the sockets and at their senders. The queue for a slow host has at most 200 messages and 'maxPeerQueueBytes' (1,048,576), by the largest recent message. The buffers of the sockets are bounded by 'socketBufferBytes'.

--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -160,6 +160,7 @@
             m.GetNextRoleChange: lambda message, now: self._selector.next_change(now),
             m.HostReports: self._handle_reports,
             m.Tick: self._handle_tick,
+            m.MessagesHandled: lambda message, now: message.done(),
             m.ReportDue: lambda message, now: self._reports.send_due(admission, now),
             m.ApplyConfiguration: self._configure,
             m.ApplySettings: self._apply_settings,
--- a/src/sesameport/entry/caller_limits/bounds.py
+++ b/src/sesameport/entry/caller_limits/bounds.py
@@ -31,6 +31,9 @@
 RESERVED_SHARE = 0.25
 """Share of the account that is reserved for requests that arrive at once."""
 
+PEER_SHARE = 0.25
+"""Share of the account above which no more messages of other hosts are read."""
+
 ADDRESS_SHARE = 0.75
 """Share of all bodies in progress that one address may have. It is large because all
 callers may share the address of a load balancer."""
@@ -83,6 +86,13 @@
         Size of the send buffer to a caller and of the receive buffer from a server,
         bytes. The system may use twice as much. A caller 50 ms away that reads at once
         gets 2.6 MB per second with the default.
+    max_peer_bytes : int
+        Memory of the messages of other hosts that wait to be handled, bytes.
+    max_peer_message_bytes, max_snapshot_bytes : int
+        Largest report of another host and largest copy of the store, bytes. At 340
+        hosts, 600 engines and 1,100 workspaces they have about 92 and 500 kB.
+    max_peer_queue_bytes : int
+        Bytes that are queued for one host that does not read its messages.
     body_s : float
         Longest time to receive a body, seconds. A shorter deadline that the caller
         states takes precedence.
@@ -96,6 +106,7 @@
     max_threads: int
     max_bodies: int
     max_bodies_per_address: int
+    max_peer_bytes: int
     max_trailer_bytes: int = 16_384
     max_trailer_line_bytes: int = 8_192
     max_chunk_line_bytes: int = 4_096
@@ -103,6 +114,9 @@
     small_chunk_bytes: int = 64
     max_expensive_bodies: int = 1
     socket_buffer_bytes: int = 131_072
+    max_peer_message_bytes: int = 262_144
+    max_snapshot_bytes: int = 2_097_152
+    max_peer_queue_bytes: int = 1_048_576
     body_s: float = 60.0
     min_body_rate: float = 256.0
 
@@ -129,6 +143,7 @@
         derived = {
             "account_bytes": account,
             "reserved_bytes": int(account * RESERVED_SHARE),
+            "max_peer_bytes": int(account * PEER_SHARE),
             "max_connections": connections,
             "max_threads": threads,
             "max_bodies": bodies,
--- a/src/sesameport/entry/caller_limits/reports.py
+++ b/src/sesameport/entry/caller_limits/reports.py
@@ -28,6 +28,12 @@
         self._lock = threading.Lock()
         self._logged: set[tuple[str, str]] = set()
 
+    @classmethod
+    def for_metrics(cls, metrics) -> "LimitReporter":
+        """Return a reporter that counts in the metrics of a process."""
+        name = "sesameport_entry_limit_refusals_total"
+        return cls(lambda bound: metrics.count(name, bound=bound))
+
     def report(self, address: str | None, bound: str) -> None:
         """Report that a client reached a bound."""
         self._count(bound)
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -17,6 +17,8 @@
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
 from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.caller_limits.peer_messages import PeerInbox
+from sesameport.entry.caller_limits.reports import LimitReporter
 from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
@@ -102,11 +104,24 @@
         self._ends_at: float | None = None
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
-        self._peers = PeerExchange(
-            settings.name, settings.ip, settings.peer_port, self._receive
-        )
         bounds = settings.limits
         account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        self._peers = PeerExchange(
+            settings.name,
+            settings.ip,
+            settings.peer_port,
+            self._receive,
+            PeerInbox(
+                account,
+                bounds.max_peer_bytes,
+                bounds.max_peer_message_bytes,
+                bounds.max_snapshot_bytes,
+                LimitReporter.for_metrics(self.metrics).report,
+                lambda done: self._tell(m.MessagesHandled(done)),
+            ),
+            bounds.max_peer_queue_bytes,
+            bounds.socket_buffer_bytes,
+        )
         self._store = adapter.create_store_client(settings.store_address, account)
         self._guard = CrashGuard(
             self._timers,
--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -62,7 +62,7 @@
         self._metrics = metrics
         bounds = settings.limits
         self._account = account
-        report = LimitReporter(self._count).report
+        report = LimitReporter.for_metrics(metrics).report
         self.callers = HttpListener(
             settings.caller_listen,
             handle_caller,
@@ -127,6 +127,3 @@
 
     def _all(self) -> list[HttpListener]:
         return [self.callers, *self._side_listeners]
-
-    def _count(self, bound: str) -> None:
-        self._metrics.count("sesameport_entry_limit_refusals_total", bound=bound)
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -1,5 +1,7 @@
 """Define the messages to the entry actor, including those of other entry hosts."""
 
+from collections.abc import Callable
+
 import attrs
 import pykka
 
@@ -51,6 +53,7 @@
     "HostAnnounced",
     "HostsChanged",
     "MemoryRefused",
+    "MessagesHandled",
     "NoticeReports",
     "PermitReply",
     "PermitRequest",
@@ -360,6 +363,13 @@
     """Request a report of the changes that the rate limit delayed."""
 
 
+@attrs.frozen
+class MessagesHandled:
+    """Call a function when the messages before this one have been handled."""
+
+    done: Callable[[], None]
+
+
 @attrs.frozen
 class Tick:
     """Run the periodic tasks."""
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -18,6 +18,12 @@
 import zmq
 from result import Err, Ok, Result
 
+from sesameport.entry.caller_limits.peer_messages import (
+    MAX_QUEUED_MESSAGES,
+    PeerInbox,
+    QueueLength,
+    receive_parts,
+)
 from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
     FleetSnapshot,
@@ -55,8 +61,23 @@
 
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1_000
-QUEUED_MESSAGES = 200
-"""Number of messages queued for one slow host; further messages are dropped."""
+RECEIVED_MESSAGES = 8
+"""Number of messages of one host that ZeroMQ reads ahead. Further ones wait in the
+buffer of the socket, which is bounded in bytes, and at their sender."""
+
+RECEIVED_SNAPSHOTS = 1
+"""Number of snapshots of one host that ZeroMQ reads ahead."""
+
+MAX_SUBSCRIPTION_BYTES = 4_096
+"""Largest subscription of another host, bytes. The longest ordinary one has the name
+and the address of a host."""
+
+OVERSIZE_FACTOR = 4
+"""Multiple of the largest report that is read at all. A larger message ends its
+connection; one in between is discarded, counted and logged."""
+
+FULL_PAUSE_S = 0.02
+"""Time after which a full inbox is checked again, seconds."""
 
 SNAPSHOT_SOURCES = 3
 """Number of hosts from which snapshots are requested. A snapshot holds the whole
@@ -94,6 +115,12 @@
     on_message : callable
         Handles messages of other hosts, ``SnapshotRequested`` and ``HostAnnounced``, on
         the thread of the exchange.
+    inbox : PeerInbox or None
+        Account of the messages that wait for the actor.
+    queue_bytes : int
+        Bytes that may be queued for one slow host.
+    buffer_bytes : int
+        Size of each buffer of a connection, bytes.
     """
 
     def __init__(
@@ -105,14 +132,21 @@
             [HostReports | SnapshotRequested | HostAnnounced | PublishedMessage],
             None,
         ],
+        inbox: PeerInbox | None = None,
+        queue_bytes: int = 1_048_576,
+        buffer_bytes: int = 131_072,
     ):
         self._name = name
         self._on_message = on_message
+        self._inbox = inbox or PeerInbox()
+        self._queue_length = QueueLength(queue_bytes)
+        self._buffer_bytes = buffer_bytes
         self._rng = random.Random()
         self._context = zmq.Context()
         self._publisher = self._socket(zmq.XPUB)
         # Every subscription is reported, not only the first to a topic.
         self._publisher.setsockopt(zmq.XPUB_VERBOSE, 1)
+        self._publisher.maxmsgsize = MAX_SUBSCRIPTION_BYTES
         self._publisher.bind(f"tcp://{ip}:{port}")
         endpoint = self._publisher.last_endpoint.decode()
         self.address = endpoint.removeprefix("tcp://")
@@ -150,7 +184,8 @@
     def _socket(self, kind: int) -> zmq.Socket:
         sock = self._context.socket(kind)
         sock.linger = 0
-        sock.sndhwm = sock.rcvhwm = QUEUED_MESSAGES
+        sock.sndhwm, sock.rcvhwm = MAX_QUEUED_MESSAGES, RECEIVED_MESSAGES
+        sock.sndbuf = sock.rcvbuf = self._buffer_bytes
         if kind == zmq.SUB:
             sock.heartbeat_ivl = HEARTBEAT_MS
             sock.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
@@ -164,6 +199,7 @@
         control = self._context.socket(zmq.PAIR)
         control.connect("inproc://peer-control")
         subscriber = self._socket(zmq.SUB)
+        subscriber.maxmsgsize = OVERSIZE_FACTOR * self._inbox.max_message_bytes
         for topic in SHARED_TOPICS:
             subscriber.subscribe(topic)
         for first in (PERMITS, COLD_PERMITS):
@@ -172,7 +208,11 @@
         subscriber.subscribe(ANNOUNCEMENT + own)
         snapshots = self._socket(zmq.SUB)
         snapshots.subscribe(SNAPSHOT)
-        urgent, poller = zmq.Poller(), zmq.Poller()
+        snapshots.rcvhwm = RECEIVED_SNAPSHOTS
+        snapshots.maxmsgsize = self._inbox.max_snapshot_bytes
+        full, urgent, poller = zmq.Poller(), zmq.Poller(), zmq.Poller()
+        for sock in (control, self._publisher):
+            full.register(sock, zmq.POLLIN)
         for sock in (control, snapshots, self._publisher):
             urgent.register(sock, zmq.POLLIN)
             poller.register(sock, zmq.POLLIN)
@@ -180,11 +220,16 @@
         while True:
             wait_s = self._receive_at - time.monotonic()
             try:
-                if wait_s > 0:
+                if self._inbox.is_full():
+                    ready = dict(full.poll(math.ceil(FULL_PAUSE_S * 1000)))
+                elif wait_s > 0:
                     ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
                 else:
                     ready = dict(poller.poll())
-                self._handle_ready(ready, control, subscriber, snapshots)
+                try:
+                    self._handle_ready(ready, control, subscriber, snapshots)
+                finally:
+                    self._inbox.finish()
             except Exception as exc:
                 # Without this thread the host neither reports nor hears of others.
                 log.error("peer message failed", extra={"error": repr(exc)})
@@ -214,8 +259,8 @@
             self._receive_reports(subscriber)
             interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
             self._receive_at = time.monotonic() + interval_s
-        if snapshots in ready:
-            self._receive_snapshot(snapshots.recv_multipart()[1])
+        if snapshots in ready and not self._inbox.is_full():
+            self._receive_one(snapshots)
         if self._publisher in ready:
             self._handle_subscription(self._publisher.recv())
 
@@ -237,6 +282,10 @@
             self._on_message(HostAnnounced(*fields))
 
     def _send(self, topic: bytes, data: bytes) -> None:
+        length = self._queue_length.record(len(data))
+        if length is not None:
+            self._publisher.sndhwm = length
+            log.info("queue of slow hosts", extra={"messages": length})
         try:
             self._publisher.send_multipart([topic, data], zmq.NOBLOCK)
         except zmq.ZMQError as exc:
@@ -264,12 +313,11 @@
         Polling reads the first part of a message ahead. If its connection ends before
         the second part is read, ZeroMQ aborts the process.
         """
-        while addresses and subscriber.poll(0):
-            topic, data = subscriber.recv_multipart()
-            if topic == SNAPSHOT:
-                self._receive_snapshot(data)
-            else:
-                self._deliver([self._decode_report(topic, data)])
+        # The loop is bounded, as a host may send faster than this one reads.
+        for _ in range(MAX_REPORTS_AT_ONCE if addresses else 0):
+            if not subscriber.poll(0):
+                break
+            self._receive_one(subscriber)
         for address in addresses:
             subscriber.disconnect(f"tcp://{address}")
 
@@ -293,9 +341,23 @@
         """Handle all reports that have arrived, the newest partial one of each host."""
         reports = []
         while subscriber.poll(0) and len(reports) < MAX_REPORTS_AT_ONCE:
-            reports.append(self._decode_report(*subscriber.recv_multipart()))
+            topic, data = receive_parts(subscriber)
+            if self._inbox.accept(len(data)):
+                reports.append(self._decode_report(topic, data))
+            if self._inbox.is_full():
+                break
         self._deliver(reports)
 
+    def _receive_one(self, sock: zmq.Socket) -> None:
+        topic, data = receive_parts(sock)
+        is_snapshot = topic == SNAPSHOT
+        if self._inbox.is_full() or not self._inbox.accept(len(data), is_snapshot):
+            return
+        if is_snapshot:
+            self._receive(_decode_snapshot(data))
+        else:
+            self._deliver([self._decode_report(topic, data)])
+
     def _decode_report(self, topic: bytes, data: bytes) -> HostReport | None:
         """Return a report of a host; handle messages of other types at once."""
         decode = DECODERS.get(topic[:1])
@@ -328,9 +390,6 @@
         if kept:
             self._on_message(HostReports(tuple(reversed(kept))))
 
-    def _receive_snapshot(self, data: bytes) -> None:
-        self._receive(_decode_snapshot(data))
-
 
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
     try:
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -51,6 +51,10 @@
     "small_chunk_bytes": "smallChunkBytes",
     "max_expensive_bodies": "maxExpensiveBodies",
     "socket_buffer_bytes": "socketBufferBytes",
+    "max_peer_bytes": "maxPeerBytes",
+    "max_peer_message_bytes": "maxPeerMessageBytes",
+    "max_snapshot_bytes": "maxSnapshotBytes",
+    "max_peer_queue_bytes": "maxPeerQueueBytes",
     "body_s": "bodyTimeoutMs",
     "min_body_rate": "minBodyBytesPerS",
 }
