Bound the bytes in flight to one server over all hosts

A server crashes if the requests that it holds exceed its memory, and nothing bounded what all hosts send to one server together. With 'maxServerBytes', each host has at most its share of it in flight to one server, by the number of hosts that it knows. A request beyond the share is not sent there (not-sent): a plain request or a generation is placed elsewhere within the usual number of sends, or refused with 503, and did not run. The bytes are released when the response ends. Without the setting nothing is counted or wrapped, as no bound for all deployments exists.

--- a/src/sesameport/entry/caller_limits/bounds.py
+++ b/src/sesameport/entry/caller_limits/bounds.py
@@ -93,6 +93,9 @@
         hosts, 600 engines and 1,100 workspaces they have about 92 and 500 kB.
     max_peer_queue_bytes : int
         Bytes that are queued for one host that does not read its messages.
+    max_server_bytes : int or None
+        Bytes of requests that all hosts together may have in flight to one server. Each
+        host uses an equal share. None leaves only the account of each host.
     body_s : float
         Longest time to receive a body, seconds. A shorter deadline that the caller
         states takes precedence.
@@ -117,6 +120,7 @@
     max_peer_message_bytes: int = 262_144
     max_snapshot_bytes: int = 2_097_152
     max_peer_queue_bytes: int = 1_048_576
+    max_server_bytes: int | None = None
     body_s: float = 60.0
     min_body_rate: float = 256.0
 
--- a/src/sesameport/entry/caller_limits/peer_messages.py
+++ b/src/sesameport/entry/caller_limits/peer_messages.py
@@ -8,7 +8,9 @@
 import threading
 from collections.abc import Callable
 
+from sesameport.entry.caller_limits.bounds import CallerBounds
 from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.caller_limits.reports import LimitReporter
 
 __all__ = ["MAX_QUEUED_MESSAGES", "PeerInbox", "QueueLength", "receive_parts"]
 
@@ -66,6 +68,18 @@
         self._pending = 0
         self._was_full = False
 
+    @classmethod
+    def for_process(cls, bounds: CallerBounds, account, metrics, when_handled):
+        """Return the inbox of a process that counts refusals in its metrics."""
+        return cls(
+            account,
+            bounds.max_peer_bytes,
+            bounds.max_peer_message_bytes,
+            bounds.max_snapshot_bytes,
+            LimitReporter.for_metrics(metrics).report,
+            when_handled,
+        )
+
     @property
     def held(self) -> int:
         """Return the bytes that are charged."""
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -18,7 +18,7 @@
 from sesameport.entry.actor import EntryActor
 from sesameport.entry.caller_limits.memory_account import MemoryAccount
 from sesameport.entry.caller_limits.peer_messages import PeerInbox
-from sesameport.entry.caller_limits.reports import LimitReporter
+from sesameport.entry.caller_limits.server_bytes import ServerBytes
 from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
@@ -111,12 +111,10 @@
             settings.ip,
             settings.peer_port,
             self._receive,
-            PeerInbox(
+            PeerInbox.for_process(
+                bounds,
                 account,
-                bounds.max_peer_bytes,
-                bounds.max_peer_message_bytes,
-                bounds.max_snapshot_bytes,
-                LimitReporter.for_metrics(self.metrics).report,
+                self.metrics,
                 lambda done: self._tell(m.MessagesHandled(done)),
             ),
             bounds.max_peer_queue_bytes,
@@ -147,7 +145,11 @@
             self._evacuations,
         )
         self._calls = calls = NoticedServerClient(
-            limits, self._tell, self.metrics, self._evacuations
+            limits,
+            self._tell,
+            self.metrics,
+            self._evacuations,
+            ServerBytes(bounds.max_server_bytes, self._peers.host_count),
         )
         self._forwarder = Forwarder(
             self._actor,
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -62,12 +62,10 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1_000
 RECEIVED_MESSAGES = 8
+RECEIVED_SNAPSHOTS = 1
 """Number of messages of one host that ZeroMQ reads ahead. Further ones wait in the
 buffer of the socket, which is bounded in bytes, and at their sender."""
 
-RECEIVED_SNAPSHOTS = 1
-"""Number of snapshots of one host that ZeroMQ reads ahead."""
-
 MAX_SUBSCRIPTION_BYTES = 4_096
 """Largest subscription of another host, bytes. The longest ordinary one has the name
 and the address of a host."""
@@ -177,6 +175,10 @@
         wanted = msgspec.msgpack.encode(sorted(addresses - {self.address}))
         self._control.send_multipart([_CONNECT, wanted])
 
+    def host_count(self) -> int:
+        """Return the number of known hosts, this one included; thread-safe."""
+        return 1 + len(self._connected)
+
     def request_snapshots(self, wanted: bool) -> None:
         """Request a snapshot from a few hosts, or end the subscription to snapshots."""
         self._control.send_multipart([_REQUEST, b"1" if wanted else b""])
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -3,10 +3,11 @@
 import time
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Ok
 
 from sesameport.admission import Evacuations, RequestLimits
 from sesameport.entry import messages as m
+from sesameport.entry.caller_limits.server_bytes import CountedResponse, ServerBytes
 from sesameport.entry.requests import (
     CallFailure,
     FailureKind,
@@ -15,13 +16,17 @@
 )
 from sesameport.entry.role_controller import EngineOrderClient
 from sesameport.entry.server_notices import NO_NOTICE, ServerNotice
+from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EvacuationOrderClient", "NoticedServerClient"]
 
 EVACUATED = CallFailure(FailureKind.NOT_SENT, "the data centre is evacuated")
 LIMITED = CallFailure(FailureKind.NOT_SENT, "the server has a limit of requests")
+FULL = CallFailure(FailureKind.NOT_SENT, "the server holds this host's share of bytes")
 PAUSED = CallFailure(FailureKind.NOT_SENT, "the server wants nothing now")
 
+log = get_logger("limits")
+
 
 class NoticedServerClient:
     """Wrap a client of backend servers; implements ``ServerClient``.
@@ -39,6 +44,8 @@
         not sent to an evacuated data centre.
     evacuations : Evacuations
         Data centres whose servers get nothing.
+    server_bytes : ServerBytes or None
+        Bytes of requests in flight to each server.
     """
 
     def __init__(
@@ -47,7 +54,9 @@
         tell: Callable[[m.ServerNoticed], None],
         metrics,
         evacuations: Evacuations,
+        server_bytes: ServerBytes | None = None,
     ):
+        self._bytes = server_bytes or ServerBytes(None, lambda: 1)
         self._limits = limits
         self._notices = limits.notices
         self._tell = tell
@@ -70,8 +79,13 @@
         refusal = self._find_refusal(server, "prefill")
         if refusal is not None:
             return Err(refusal)
-        self._record_call(server, "prefill")
-        return self._calls.prefill(address, server, req, caller, attempt_timeout_s)
+        if not self._bytes.take(server, len(req.body)):
+            return Err(self._refuse_full(server))
+        try:
+            self._record_call(server, "prefill")
+            return self._calls.prefill(address, server, req, caller, attempt_timeout_s)
+        finally:
+            self._bytes.release(server, len(req.body))
 
     def run(
         self,
@@ -88,10 +102,23 @@
         refusal = self._find_refusal(server, call)
         if refusal is not None:
             return Err(refusal)
-        self._record_call(server, call)
-        return self._calls.run(
-            address, server, req, caller, source, attempt_timeout_s, lease
-        )
+        size = len(req.body)
+        if not self._bytes.take(server, size):
+            return Err(self._refuse_full(server))
+        is_open = False
+        try:
+            self._record_call(server, call)
+            result = self._calls.run(
+                address, server, req, caller, source, attempt_timeout_s, lease
+            )
+            is_open = result.is_ok() and self._bytes.is_bounded
+        finally:
+            if not is_open:
+                self._bytes.release(server, size)
+        if is_open:
+            # The server holds the request until its response ends.
+            return Ok(CountedResponse(result.unwrap(), self._bytes, server, size))
+        return result
 
     def lease_memory(self, address, server, tokens, seconds):
         """Lease memory of an engine; see ``ServerClient``.
@@ -140,6 +167,13 @@
             return PAUSED
         return None
 
+    def _refuse_full(self, server: str) -> CallFailure:
+        self._metrics.count(
+            "sesameport_entry_limit_refusals_total", bound="server-bytes"
+        )
+        log.info("limit reached", extra={"server": server, "bound": "server-bytes"})
+        return FULL
+
     def _has_limit(self, server: str) -> bool:
         return self._limits.limit_of(server, time.monotonic()) is not None
 
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -55,6 +55,7 @@
     "max_peer_message_bytes": "maxPeerMessageBytes",
     "max_snapshot_bytes": "maxSnapshotBytes",
     "max_peer_queue_bytes": "maxPeerQueueBytes",
+    "max_server_bytes": "maxServerBytes",
     "body_s": "bodyTimeoutMs",
     "min_body_rate": "minBodyBytesPerS",
 }
