--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -219,6 +219,13 @@
     text += "maxBodies = 7\nbodyTimeoutMs = 500\n"
     limits = load_platform_settings(text, "node.toml")[0].limits
     assert (limits.account_bytes, limits.max_bodies, limits.body_s) == (342e6, 7, 0.5)
+    assert (limits.max_peer_bytes, limits.max_server_bytes) == (85_500_000, None)
+    text = text.replace("maxBodies = 7", "maxServerBytes = 9\nmaxPeerBytes = 8")
+    limits = load_platform_settings(text, "node.toml")[0].limits
+    assert (limits.max_peer_bytes, limits.max_server_bytes) == (8, 9)
+    text = text.replace("= 9", "= -1")
+    findings = load_platform_settings(text, "node.toml")[1]
+    assert [item.path for item in findings] == ["callerBounds.maxServerBytes"]
     text = SETTINGS + "\n[limits]\nmemoryMb = 0\nmaxFds = true\n"
     findings = load_platform_settings(text, "node.toml")[1]
     assert [item.path for item in findings] == ["limits.memoryMb", "limits.maxFds"]
