--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -17,6 +17,8 @@
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
 from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.entry.caller_limits.peer_messages import PeerInbox
+from sesameport.entry.caller_limits.server_bytes import ServerBytes
 from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
@@ -102,11 +104,22 @@
         self._ends_at: float | None = None
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
-        self._peers = PeerExchange(
-            settings.name, settings.ip, settings.peer_port, self._receive
-        )
         bounds = settings.limits
         account = MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
+        self._peers = PeerExchange(
+            settings.name,
+            settings.ip,
+            settings.peer_port,
+            self._receive,
+            PeerInbox.for_process(
+                bounds,
+                account,
+                self.metrics,
+                lambda done: self._tell(m.MessagesHandled(done)),
+            ),
+            bounds.max_peer_queue_bytes,
+            bounds.socket_buffer_bytes,
+        )
         self._store = adapter.create_store_client(settings.store_address, account)
         self._guard = CrashGuard(
             self._timers,
@@ -132,12 +145,20 @@
             self._evacuations,
         )
         self._calls = calls = NoticedServerClient(
-            limits, self._tell, self.metrics, self._evacuations
+            limits,
+            self._tell,
+            self.metrics,
+            self._evacuations,
+            ServerBytes(bounds.max_server_bytes, self._peers.host_count),
         )
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
-            calls.wrap(adapter.create_server_client(calls.record_notice, account)),
+            calls.wrap(
+                adapter.create_server_client(
+                    calls.record_notice, account, bounds.socket_buffer_bytes
+                )
+            ),
             settings.data_centre,
             self.metrics,
             self._guard,
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -51,6 +51,12 @@
     "max_extension_bytes": "maxExtensionBytes",
     "small_chunk_bytes": "smallChunkBytes",
     "max_expensive_bodies": "maxExpensiveBodies",
+    "socket_buffer_bytes": "socketBufferBytes",
+    "max_peer_bytes": "maxPeerBytes",
+    "max_peer_message_bytes": "maxPeerMessageBytes",
+    "max_snapshot_bytes": "maxSnapshotBytes",
+    "max_peer_queue_bytes": "maxPeerQueueBytes",
+    "max_server_bytes": "maxServerBytes",
     "body_s": "bodyTimeoutMs",
     "min_body_rate": "minBodyBytesPerS",
 }
