Judge a response to a watch by the versions of its own read

A review showed that the late response to a first read was taken for that to a second: a version that was first reported in between was postponed by 30 s, for all reporters. A response is now judged by the versions of the earliest read without one. The new test fails before.

--- a/src/sesameport/admission/tests/test_version_lag.py
+++ b/src/sesameport/admission/tests/test_version_lag.py
@@ -95,3 +95,15 @@
 def test_versions_are_in_force_in_time_with_lost_responses(seed):
     # A host refused a request 4.0 s after a configuration was acknowledged, of 3.0 s.
     assert max(delays_in_force(VersionLag(), seed)) <= 3.0
+
+
+def test_late_response_to_an_earlier_read_postpones_no_newer_version():
+    # Guards against a version that is not read for 30 s because the response to a read
+    # from before it was reported did not bring it.
+    lag = VersionLag()
+    lag.record(29, 0.0, "h1")
+    assert lag.should_read(28, 0.8)
+    lag.record(30, 0.85, "h2")
+    assert lag.should_read(28, 1.65)
+    lag.record_answer(29, 1.7)
+    assert read_times(lag, 29, 4.0, [(1.8, 30, "h3")])
--- a/src/sesameport/admission/version_lag.py
+++ b/src/sesameport/admission/version_lag.py
@@ -81,7 +81,10 @@
             return False
         for wanted, due in self._due.items():
             self._due[wanted] = max(due, now + self._retry_s)
-        self._asked = frozenset(self._due)
+        # A response may be that of the earliest read without one, so it is judged by
+        # the versions that were waited for then.
+        if not self._asked:
+            self._asked = frozenset(self._due)
         self._read_at = now
         self._retry_s = min(MAX_WAIT_S, 2.0 * self._retry_s)
         return True
@@ -97,6 +100,7 @@
             if wanted > version:
                 self._due[wanted] = until
                 self._distrusted[self._reporters[wanted]] = until
+        self._asked = frozenset()
         self._distrusted = {
             host: until for host, until in self._distrusted.items() if until > now
         }
