Apply only the changed parts of the reports of hosts

Most of a report equals the one before it, but its whole use was subtracted from the totals and added again, with two new objects for each of these. Only differences now change the totals, with one new object, and charges that have not changed are skipped.

A test compares the totals with a fresh aggregation of the last reports.

--- a/src/sesameport/admission/fleet_use.py
+++ b/src/sesameport/admission/fleet_use.py
@@ -60,6 +60,7 @@
 
 
 _NO_USE = ServerUse()
+_NO_WAITING = WaitingTokens()
 
 
 @attrs.define
@@ -81,7 +82,7 @@
             use = _NO_USE
         else:
             self.local[server] = use
-        self._add_to_total(server, use.minus(before))
+        self._replace_in_total(server, before, use)
 
     def apply_report(
         self,
@@ -91,18 +92,22 @@
         waiting: Mapping[str, WaitingTokens] | None = None,
     ) -> None:
         """Replace another host's use and its waiting demand by service."""
-        self._remove_host(host)
+        _, before = self._reports.pop(host, (0.0, {}))
         self._reports[host] = (now, dict(uses))
+        # Most of a report equals the one before it, so only differences are added.
         for server, use in uses.items():
-            self._add_to_total(server, use)
-        self._waiting[host] = dict(waiting or {})
-        for service, tokens in self._waiting[host].items():
-            total = self._waiting_totals.get(service, WaitingTokens())
-            self._waiting_totals[service] = total.plus(tokens)
+            earlier = before.get(server, _NO_USE)
+            if use != earlier:
+                self._replace_in_total(server, earlier, use)
+        for server, earlier in before.items():
+            if server not in uses:
+                self._replace_in_total(server, earlier, _NO_USE)
+        if waiting or host in self._waiting:
+            self._replace_waiting(host, waiting or {})
 
     def remote_waiting(self, service: str) -> WaitingTokens:
         """Return the KV cache that requests waiting on other hosts need."""
-        return self._waiting_totals.get(service, WaitingTokens())
+        return self._waiting_totals.get(service, _NO_WAITING)
 
     def expire(self, now: float, expiry_s: float) -> list[str]:
         """Remove the use of hosts that stopped reporting and return their names.
@@ -128,20 +133,39 @@
         """Return the total use of a server by all hosts."""
         return self._totals.get(server, _NO_USE)
 
-    def _add_to_total(self, server: str, change: ServerUse) -> None:
+    def _replace_in_total(
+        self, server: str, before: ServerUse, after: ServerUse
+    ) -> None:
+        """Count ``after`` instead of ``before`` as a part of the total of a server."""
         # Token counts are integers, so incremental float sums stay exact.
-        total = self._totals.get(server, _NO_USE).plus(change)
+        known = self._totals.get(server, _NO_USE)
+        total = ServerUse(
+            known.kv_tokens - before.kv_tokens + after.kv_tokens,
+            known.active_requests - before.active_requests + after.active_requests,
+            known.prefill_tokens - before.prefill_tokens + after.prefill_tokens,
+            known.pending_kv_tokens
+            - before.pending_kv_tokens
+            + after.pending_kv_tokens,
+        )
         if total == _NO_USE:
             self._totals.pop(server, None)
             return
         self._totals[server] = total
 
-    def _remove_host(self, host: str) -> None:
-        _, uses = self._reports.pop(host, (0.0, {}))
-        for server, use in uses.items():
-            self._add_to_total(server, _NO_USE.minus(use))
+    def _replace_waiting(self, host: str, waiting: Mapping[str, WaitingTokens]) -> None:
         for service, tokens in self._waiting.pop(host, {}).items():
             total = self._waiting_totals[service].minus(tokens)
             self._waiting_totals[service] = total
-            if total == WaitingTokens():
+            if total == _NO_WAITING:
                 del self._waiting_totals[service]
+        for service, tokens in waiting.items():
+            total = self._waiting_totals.get(service, _NO_WAITING)
+            self._waiting_totals[service] = total.plus(tokens)
+        if waiting:
+            self._waiting[host] = dict(waiting)
+
+    def _remove_host(self, host: str) -> None:
+        _, uses = self._reports.pop(host, (0.0, {}))
+        for server, use in uses.items():
+            self._replace_in_total(server, use, _NO_USE)
+        self._replace_waiting(host, {})
--- a/src/sesameport/admission/quota.py
+++ b/src/sesameport/admission/quota.py
@@ -304,9 +304,11 @@
             return
         for workspace, total in charged.items():
             change = total - last_charged.get(workspace, 0.0)
+            if not change:
+                continue
             last_charged[workspace] = total
             window = self._windows.get(workspace)
-            if window is not None and change:
+            if window is not None:
                 window.charges.add(change, now)
 
     def remove_host(self, host: str) -> None:
--- a/src/sesameport/admission/tests/test_fleet_use.py
+++ b/src/sesameport/admission/tests/test_fleet_use.py
@@ -68,3 +68,31 @@
         for tokens in waiting.values():
             waiting_sum = waiting_sum.plus(tokens["llm"])
         assert use.remote_waiting("llm") == waiting_sum
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_reports_that_repeat_earlier_parts_match_a_fresh_aggregation(seed):
+    # Unchanged parts of a report are skipped. Guards against parts that are then
+    # counted twice, or that stay when a host no longer names them.
+    rng, use, reports = random.Random(seed), FleetUse(), {}
+    servers = [f"s{n}" for n in range(6)]
+    for now in range(300):
+        host = f"h{rng.randint(0, 4)}"
+        uses, waiting = reports.get(host, ({}, {}))
+        uses = {name: part for name, part in uses.items() if rng.random() < 0.8}
+        if rng.random() < 0.6:
+            part = ServerUse(rng.randint(0, 9_000), rng.randint(0, 3), 10, 0)
+            uses[rng.choice(servers)] = part
+        if rng.random() < 0.3:
+            tokens = WaitingTokens(rng.randint(1, 5_000), rng.randint(0, 100))
+            waiting = {"llm": tokens} if rng.random() < 0.6 else {}
+        reports[host] = uses, waiting
+        use.apply_report(host, uses, now, waiting)
+        fresh = FleetUse()
+        for name, (reported, tokens) in reports.items():
+            fresh.apply_report(name, reported, now, tokens)
+        assert [use.total_for(name) for name in servers] == [
+            fresh.total_for(name) for name in servers
+        ]
+        assert use.remote_waiting("llm") == fresh.remote_waiting("llm")
+        assert sorted(use.hosts()) == sorted(fresh.hosts())
