Look up the usable servers of a service in fewer steps

Each placement looked through all servers of the fleet for those of its service and made five calls for each of them, nearly all of which found nothing. The live servers of a service are now kept until one of its entries changes, pauses and notices are checked in one call for all servers, and cold servers are looked for only if there are limits. Tests compare both with the checks of each server under random changes; the first fails if a change of the service of an entry does not drop what is kept.

--- a/src/sesameport/admission/placement.py
+++ b/src/sesameport/admission/placement.py
@@ -268,10 +268,10 @@
     for server in servers:
         if not server.can_prefill() or server.name in req.excluded:
             continue
-        expected_prefill_s = sum(
-            _queue_and_prefill_s(server, req, use, policy, speeds, cached)
+        wait_s, prefill_s = _queue_and_prefill_s(
+            server, req, use, policy, speeds, cached
         )
-        times.append(min(expected_prefill_s, policy.max_prefill_wait_s))
+        times.append(min(wait_s + prefill_s, policy.max_prefill_wait_s))
     return min(times, default=0.0)
 
 
--- a/src/sesameport/admission/server_health.py
+++ b/src/sesameport/admission/server_health.py
@@ -66,6 +66,14 @@
         """Return the end of the pause that is shared with other hosts."""
         return max(self.backoff_until, self.paused_until)
 
+    def is_paused(self, now: float) -> bool:
+        """Return whether any pause lasts."""
+        return (
+            now < self.backoff_until
+            or now < self.paused_until
+            or now < self.unshared_until
+        )
+
 
 @attrs.define
 class ServerHealth:
@@ -215,9 +223,26 @@
         if now < self._remote_pauses.get(server, 0.0):
             return True
         record = self._records.get(server)
-        if record is None:
-            return False
-        return now < max(record.shared_pause_until(), record.unshared_until)
+        return record is not None and record.is_paused(now)
+
+    def paused_here(self, servers: Iterable[str], now: float) -> set[str]:
+        """Return the servers among some for which `is_paused_here` is true."""
+        records, remote = self._records, self._remote_pauses
+        return {
+            server
+            for server in servers
+            if (server in records and records[server].is_paused(now))
+            or (server in remote and now < remote[server])
+        }
+
+    def reported_unreachable(self, servers: Iterable[str], now: float) -> set[str]:
+        """Return the servers among some that enough other hosts cannot reach."""
+        return {
+            server
+            for server in servers
+            if server in self._remote_unreachable
+            and self.is_reported_unreachable(server, now)
+        }
 
     def is_reported_unreachable(self, server: str, now: float) -> bool:
         """Return whether enough other hosts currently cannot reach a server."""
--- a/src/sesameport/admission/server_notices.py
+++ b/src/sesameport/admission/server_notices.py
@@ -6,6 +6,8 @@
 answer takes precedence; reports contain its age, because the clocks of hosts differ.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from sesameport.entry.server_notices import NO_NOTICE, ServerNotice
@@ -152,6 +154,15 @@
         """Return whether a server takes new requests of this host, within its limit."""
         return now >= self.paused_until(server) and not self.is_leaving(server)
 
+    def refusing(self, servers: Iterable[str], now: float) -> set[str]:
+        """Return the servers among some that take no new requests of this host."""
+        return {
+            server
+            for server in servers
+            if (server in self._known or server in self._pauses)
+            and not self.takes_requests(server, now)
+        }
+
     def age_s(self, server: str, now: float) -> float:
         """Return the time since the last known answer of a server with a notice."""
         return now - self._known[server].at
--- a/src/sesameport/admission/server_registry.py
+++ b/src/sesameport/admission/server_registry.py
@@ -34,6 +34,8 @@
     _grace_ends_at: dict[str, float] = attrs.field(factory=dict)
     _store_recovered_at: float = float("-inf")
     _name_by_address: dict[str, str] = attrs.field(factory=dict)
+    _live: dict[str, tuple[EntryServer, ...]] = attrs.field(factory=dict)
+    """Result of `live_servers` by service, until an entry of the service changes."""
 
     def record_store_recovery(self, now: float) -> None:
         """Record that the store recovered from an outage."""
@@ -56,6 +58,10 @@
                 return
             if _started_before(other, server):
                 self._delete(other.name)
+        before = self._servers.get(server.name)
+        if before is not None:
+            self._live.pop(before.service, None)
+        self._live.pop(server.service, None)
         self._servers[server.name] = server
         self._name_by_address[server.address] = server.name
         self._grace_ends_at.pop(server.name, None)
@@ -90,13 +96,21 @@
         """Return the server with a name, or None if it is unknown."""
         return self._servers.get(name)
 
-    def live_servers(self, service: str) -> list[EntryServer]:
+    def near_removal(self, now: float) -> set[str]:
+        """Return the servers for which `is_near_removal` is true."""
+        return {name for name in self._grace_ends_at if self.is_near_removal(name, now)}
+
+    def live_servers(self, service: str) -> tuple[EntryServer, ...]:
         """Return the servers of a service that accept new work."""
-        servers = []
-        for server in self._servers.values():
-            if server.service != service or server.state != ServerState.LIVE:
-                continue
-            servers.append(server)
+        servers = self._live.get(service)
+        if servers is None:
+            servers = tuple(
+                server
+                for server in self._servers.values()
+                if server.service == service and server.state == ServerState.LIVE
+            )
+            if servers:
+                self._live[service] = servers
         return servers
 
     def all(self) -> list[EntryServer]:
@@ -106,6 +120,8 @@
     def _delete(self, name: str) -> None:
         self._grace_ends_at.pop(name, None)
         server = self._servers.pop(name, None)
+        if server is not None:
+            self._live.pop(server.service, None)
         if server is not None and self._name_by_address.get(server.address) == name:
             del self._name_by_address[server.address]
 
--- a/src/sesameport/admission/tests/test_server_registry.py
+++ b/src/sesameport/admission/tests/test_server_registry.py
@@ -1,5 +1,10 @@
 """Test which servers may be used while entries expire and are renewed."""
 
+import random
+
+import attrs
+import pytest
+
 from sesameport.admission import ServerRegistry
 from sesameport.admission.tests.builders import server
 from sesameport.domain import ServerState
@@ -62,3 +67,36 @@
     registry.put(server("a", address="10.0.0.1:80"))
     registry.put(server("b", address="10.0.0.1:80", started_at_ms=9_000))
     assert names(registry) == ["a", "b"]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_live_servers_match_all_entries_after_each_change(seed):
+    # The servers of a service are kept between changes. Guards against a change of an
+    # entry, also of its service or start, that leaves a server in use or hides one.
+    rng, registry = random.Random(seed), ServerRegistry()
+
+    def entry():
+        return attrs.evolve(
+            server(f"s{rng.randrange(6)}", state=rng.choice(list(ServerState))),
+            service=rng.choice(("llm", "desk")),
+            address=f"10.0.0.{rng.randrange(5)}:80",
+            started_at_ms=rng.randrange(3),
+        )
+
+    for now in range(400):
+        match rng.randrange(5):
+            case 0 | 1:
+                registry.put(entry())
+            case 2:
+                registry.remove(f"s{rng.randrange(6)}", now)
+                registry.expire(now)
+            case 3:
+                registry.record_store_recovery(now)
+            case 4:
+                registry.replace([entry() for _ in range(4)], now)
+        for service in ("llm", "desk"):
+            assert list(registry.live_servers(service)) == [
+                item
+                for item in registry.all()
+                if item.service == service and item.state == ServerState.LIVE
+            ]
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -131,6 +131,8 @@
 
     def _choose(self, service: str, candidates, now: float) -> EntryServer | None:
         """Return a server, a cold one only if the others are full."""
+        if not self._permits.has_limits(now):
+            return self._choose_among(candidates, self._time_factors(service, now))
         usable = self._permits.usable(candidates, now)
         warm = [item for item in usable if not self._permits.is_cold(item.name, now)]
         factors = self._time_factors(service, now)
--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -107,16 +107,19 @@
         """Yield usable servers, and whether other hosts report them as unreachable."""
         if not self._evacuations.is_known:
             return
-        for server in self._registry.live_servers(service):
-            if self._evacuations.is_evacuated(server.data_centre):
+        servers = self._registry.live_servers(service)
+        # A placement looks at all servers of a service. Few of them are excluded, so
+        # one call for all of them costs less than several calls for each.
+        evacuated = self._evacuations.names()
+        names = [server.name for server in servers]
+        unusable = self._health.paused_here(names, now)
+        unusable |= self._notices.refusing(names, now)
+        unusable |= self._registry.near_removal(now)
+        unreachable = self._health.reported_unreachable(names, now)
+        for server in servers:
+            if server.data_centre in evacuated or server.name in unusable:
                 continue
-            if self._health.is_paused_here(server.name, now):
-                continue
-            if not self._notices.takes_requests(server.name, now):
-                continue
-            if self._registry.is_near_removal(server.name, now):
-                continue
-            yield server, self._health.is_reported_unreachable(server.name, now)
+            yield server, server.name in unreachable
 
     def decode_servers(self, service: str, now: float) -> list[EntryServer]:
         """Return the usable servers of a service that can decode."""
--- a/src/sesameport/entry/servers.py
+++ b/src/sesameport/entry/servers.py
@@ -6,6 +6,9 @@
 
 __all__ = ["EntryServer"]
 
+_DECODE_ROLES = (ServerRole.DECODE, ServerRole.BOTH)
+_PREFILL_ROLES = (ServerRole.PREFILL, ServerRole.BOTH)
+
 
 @attrs.frozen
 class EntryServer:
@@ -50,8 +53,8 @@
 
     def can_decode(self) -> bool:
         """Return whether the server can decode."""
-        return self.role in (ServerRole.DECODE, ServerRole.BOTH)
+        return self.role in _DECODE_ROLES
 
     def can_prefill(self) -> bool:
         """Return whether the server can run prefills for other servers."""
-        return self.role in (ServerRole.PREFILL, ServerRole.BOTH)
+        return self.role in _PREFILL_ROLES
--- a/src/sesameport/entry/tests/test_server_monitor.py
+++ b/src/sesameport/entry/tests/test_server_monitor.py
@@ -8,6 +8,7 @@
 from sesameport.domain import ServerRole
 from sesameport.entry import messages as m
 from sesameport.entry.server_monitor import ServerMonitor
+from sesameport.entry.server_notices import ServerNotice
 from sesameport.entry.servers import EntryServer
 
 
@@ -59,3 +60,44 @@
     assert names(monitor, 0.05) == {"s1", "s2"}
     assert health.pauses(0.05) == {}
     assert names(monitor, 0.2) == {"s0", "s1", "s2"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_usable_servers_match_the_checks_of_each_server(seed):
+    # All servers are checked together. Guards against a server that is used although
+    # one of the checks that `PlacementExplainer` reports excludes it, or the reverse.
+    rng, registry, health = random.Random(seed), ServerRegistry(), ServerHealth()
+    notices = ServerNotices()
+    monitor = ServerMonitor(registry, health, notices, lambda now: None, rng)
+    servers = [
+        EntryServer(f"s{n}", "desk", f"1.2.3.{n}:80", "a", ServerRole.PLAIN)
+        for n in range(8)
+    ]
+    registry.replace(servers, 0.0)
+    for step in range(200):
+        now, name = step / 10, rng.choice(servers).name
+        match rng.randrange(6):
+            case 0:
+                health.record_unreachable(name, now)
+            case 1:
+                health.record_full_queue(name, now)
+            case 2:
+                named = [name] if rng.random() < 0.5 else []
+                host = f"h{rng.randrange(3)}"
+                health.apply_pauses(host, {name: rng.random()}, named, now)
+            case 3:
+                notice = ServerNotice(pause_s=rng.random(), limit_per_s=2.0)
+                notices.record(name, 0, notice, now)
+            case 4:
+                registry.record_store_recovery(now)
+                registry.remove(name, now)
+            case 5:
+                registry.replace(servers, now)
+        registry.expire(now)
+        assert [server.name for server in monitor.iter_reachable("desk", now)] == [
+            server.name
+            for server in registry.all()
+            if not health.is_paused(server.name, now)
+            and notices.takes_requests(server.name, now)
+            and not registry.is_near_removal(server.name, now)
+        ]
