Forward an event with fewer copies and system calls

Per event of a stream, the socket was polled twice before it was read, with a new poller for the first time; the data was copied into and out of a buffer in Python before it was sent; and the end of the event was searched for twice. The poller is now kept until one of its descriptors or what it waits for changes, the socket does not wait by itself any more, and data is sent at once.

--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -46,6 +46,8 @@
     _account: Account | None = None
     _held_bytes = 0
     _charged_bytes = 0
+    _poller = None
+    _polled = (-1, -1)
     caller_disconnected = False
     timed_out = False
 
@@ -113,8 +115,10 @@
         """
         if self._allowed_bytes is not None and self._allowed_bytes <= 0:
             raise ReadLimitExceeded("more bytes than a response may have here")
-        self._wait()
-        received = super().recv_into(*args, **kwargs)
+        if self.gettimeout() != 0.0:
+            # With a timeout, every call would poll the socket once more.
+            self.settimeout(0.0)
+        received = self._receive(*args, **kwargs)
         if self._allowed_bytes is not None:
             self._allowed_bytes -= received
         self._held_bytes += received
@@ -122,6 +126,15 @@
             self._charge(self._account)
         return received
 
+    def _receive(self, *args, **kwargs) -> int:
+        while True:
+            self._wait()
+            try:
+                return super().recv_into(*args, **kwargs)
+            except BlockingIOError:
+                # The data that made the socket readable was discarded.
+                continue
+
     def _charge(self, account: Account) -> None:
         if not account.charge_open(CHARGE_BYTES):
             raise ReadLimitExceeded("no memory for more bytes of a response")
@@ -132,24 +145,31 @@
         self._account.release(charged)
 
     def _wait(self) -> None:
-        poller = select.poll()
-        poller.register(self, select.POLLIN)
         caller_fd = -1 if self._caller is None else self._caller.fileno()
-        if self._caller is not None:
-            poller.register(caller_fd, select.POLLIN)
+        descriptors = self.fileno(), caller_fd
+        if self._poller is None or self._polled != descriptors:
+            self._poller, self._polled = self._create_poller(caller_fd), descriptors
+        poller = self._poller
         while True:
             remaining_s = self._deadline - time.monotonic()
             if remaining_s <= 0:
                 self.timed_out = True
                 raise TimeoutError("deadline passed")
-            ready = {fd for fd, _ in poller.poll(remaining_s * 1000)}
+            ready = [fd for fd, _ in poller.poll(remaining_s * 1000)]
             if caller_fd in ready:
                 if self._caller.is_disconnected():
                     self.caller_disconnected = True
                     raise ConnectionAbortedError("the caller disconnected")
                 # The caller has pipelined its next request, so POLLIN stays set. From
                 # here on only a disconnect is of interest.
-                poller.unregister(caller_fd)
                 poller.register(caller_fd, select.POLLRDHUP)
+                self._poller = None
             if self.fileno() in ready:
                 return
+
+    def _create_poller(self, caller_fd: int) -> select.poll:
+        poller = select.poll()
+        poller.register(self, select.POLLIN)
+        if self._caller is not None:
+            poller.register(caller_fd, select.POLLIN)
+        return poller
--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 
+from cheroot.makefile import MakeFile, StreamWriter
 from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
 
 from sesameport.adapters.http_framing import (
@@ -127,12 +128,39 @@
         return ChunkedRFile(_ChunkSizeReader(self.conn.rfile), limit)
 
 
+class _DirectWriter(StreamWriter):
+    """Write to a socket at once.
+
+    The class of cheroot copies all data into a buffer that it empties before it
+    returns, which costs as much time as sending an event.
+    """
+
+    def write(self, data: bytes) -> int:
+        """Send all of the data."""
+        self._checkClosed()
+        left = memoryview(data)
+        while left:
+            sent = self.raw.write(left)
+            if sent is None:
+                raise BlockingIOError("the socket does not block")
+            left = left[sent:]
+        self.bytes_written += len(data)
+        return len(data)
+
+
+def _make_file(sock: socket.socket, mode: str, size: int):
+    return MakeFile(sock, mode, size) if "r" in mode else _DirectWriter(sock, mode)
+
+
 class StrictConnection(HTTPConnection):
     """Parse the requests of a connection with ``StrictRequest``."""
 
     RequestHandlerClass = StrictRequest
     resets_on_close = False
 
+    def __init__(self, server, sock, makefile=MakeFile):
+        super().__init__(server, sock, _make_file if makefile is MakeFile else makefile)
+
     def close(self) -> None:
         """Close the connection, with a reset if ``resets_on_close`` is set.
 
--- a/src/sesameport/adapters/tests/test_strict_http.py
+++ b/src/sesameport/adapters/tests/test_strict_http.py
@@ -1,6 +1,7 @@
 """Test that ambiguous framing is answered with 400 and a closed connection."""
 
 import socket
+import time
 
 import pytest
 
@@ -72,3 +73,20 @@
     received = exchange(listener, first + second)
     assert received.count(b"200 OK") == 2
     assert listener.requests == [(b"/a", b"hello"), (b"/b", b"hello")]
+
+
+def test_response_that_exceeds_the_socket_buffers_arrives_whole(listener):
+    # Data is sent without a buffer. Guards against a rest that is dropped when the
+    # socket takes only a part of it.
+    body = bytes(range(256)) * 16_384
+    listener._server.handle = lambda http, _: HttpResponseWriter(
+        http, lambda: True
+    ).send_complete(200, [], body)
+    host, _, port = listener.address.rpartition(":")
+    received = bytearray()
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        time.sleep(0.1)
+        while part := sock.recv(65_536):
+            received += part
+    assert received.endswith(b"\r\n\r\n" + body)
--- a/src/sesameport/entry/event_buffer.py
+++ b/src/sesameport/entry/event_buffer.py
@@ -17,8 +17,12 @@
 
 def _end_of_events(data: bytes | bytearray) -> int:
     """Return the position after the last complete event, or 0."""
-    ends = [data.rfind(end) + len(end) for end in _EVENT_ENDS if end in data]
-    return max(ends, default=0)
+    last = 0
+    for end in _EVENT_ENDS:
+        position = data.rfind(end)
+        if position >= 0:
+            last = max(last, position + len(end))
+    return last
 
 
 def _check_end(is_inside_event: bool) -> None:
