Notice a caller that leaves after it sent further data

While a response is read, a caller that has sent its next request is polled for the end of its connection only. At that end the caller was asked again whether it had left, by a read that the unread data answered, and the thread polled without a pause until the deadline of the request. The event of the poll now counts as the end.

The test fails before the change. As before for a caller that has sent nothing more, closing only the sending direction counts as leaving.

--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -14,6 +14,8 @@
 CHARGE_BYTES = 16_384
 """Step in which further bytes are charged, bytes."""
 
+_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 class Account(Protocol):
     """Account for memory, see ``caller_limits.memory_account``."""
@@ -155,9 +157,10 @@
             if remaining_s <= 0:
                 self.timed_out = True
                 raise TimeoutError("deadline passed")
-            ready = [fd for fd, _ in poller.poll(remaining_s * 1000)]
+            ready = dict(poller.poll(remaining_s * 1000))
             if caller_fd in ready:
-                if self._caller.is_disconnected():
+                has_closed = ready[caller_fd] & _CLOSED
+                if has_closed or self._caller.is_disconnected():
                     self.caller_disconnected = True
                     raise ConnectionAbortedError("the caller disconnected")
                 # The caller has pipelined its next request, so POLLIN stays set. From
--- a/src/sesameport/adapters/tests/test_cancellable_socket.py
+++ b/src/sesameport/adapters/tests/test_cancellable_socket.py
@@ -39,3 +39,15 @@
         sock.recv_into(bytearray(10))
     assert sock.timed_out
     sock.close()
+
+
+def test_caller_that_leaves_after_further_data_is_noticed(pairs):
+    # The unread data hides the end of the connection from a read. The thread then
+    # polled without a pause, at a whole core, until the deadline of the request.
+    sock = wrap(pairs, 30.0)
+    pairs[3].sendall(b"G")
+    pairs[3].close()
+    with pytest.raises(ConnectionAbortedError):
+        sock.recv_into(bytearray(10))
+    assert sock.caller_disconnected
+    sock.close()
