Receive the reports of hosts with fewer steps

Each message was received by recv_multipart, which looks up a socket option for each part, and all sockets were polled again before the reports of an interval were read. The parts are now read as frames, which state whether more follow, and the reports are read without that poll; the other sockets are polled in every interval as before.

--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -74,6 +74,7 @@
 
 _CONNECT = b"connect"
 _REQUEST = b"ask"
+_NOBLOCK = int(zmq.NOBLOCK)
 
 log = get_logger("peers")
 
@@ -182,6 +183,8 @@
             try:
                 if wait_s > 0:
                     ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
+                elif self._receive_reports(subscriber):
+                    continue
                 else:
                     ready = dict(poller.poll())
                 self._handle_ready(ready, control, subscriber, snapshots)
@@ -212,8 +215,6 @@
                 self._send(topic, data)
         if subscriber in ready:
             self._receive_reports(subscriber)
-            interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
-            self._receive_at = time.monotonic() + interval_s
         if snapshots in ready:
             self._receive_snapshot(snapshots.recv_multipart()[1])
         if self._publisher in ready:
@@ -289,17 +290,25 @@
             snapshots.connect(f"tcp://{address}")
         return chosen
 
-    def _receive_reports(self, subscriber: zmq.Socket) -> None:
-        """Handle all reports that have arrived, the newest partial one of each host."""
+    def _receive_reports(self, subscriber: zmq.Socket) -> bool:
+        """Handle all reports that have arrived, the newest partial one of each host.
+
+        Return whether there were any messages; the next ones are then read later.
+        """
         reports = []
         while len(reports) < MAX_REPORTS_AT_ONCE:
             try:
                 # Polling before each message would cost more than receiving it.
-                topic, data = subscriber.recv_multipart(zmq.NOBLOCK)
+                topic, data = _receive_parts(subscriber)
             except zmq.Again:
                 break
             reports.append(self._decode_report(topic, data))
+        if not reports:
+            return False
         self._deliver(reports)
+        interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
+        self._receive_at = time.monotonic() + interval_s
+        return True
 
     def _decode_report(self, topic: bytes, data: bytes) -> HostReport | None:
         """Return a report of a host; handle messages of other types at once."""
@@ -337,6 +346,26 @@
         self._receive(_decode_snapshot(data))
 
 
+def _receive_parts(sock: zmq.Socket) -> tuple[bytes, bytes]:
+    """Return the topic and the data of a message that has arrived.
+
+    ``recv_multipart`` looks up a socket option for each part, which takes more time
+    than receiving it.
+
+    Raises
+    ------
+    zmq.Again
+        If no message has arrived.
+    ValueError
+        If a message does not have two parts.
+    """
+    parts = [sock.recv(_NOBLOCK, copy=False)]
+    while parts[-1].more:
+        parts.append(sock.recv(_NOBLOCK, copy=False))
+    topic, data = parts
+    return topic.bytes, data.bytes
+
+
 def _decode_snapshot(data: bytes) -> Result[FleetSnapshot, str]:
     try:
         return Ok(msgspec.msgpack.decode(data, type=FleetSnapshot))
