Reuse the objects of equal uses in reports of hosts

Most uses in a report were in the report before it, so the decoder now returns the same object for the same fields, and applying a report compares objects before their fields.

--- a/src/sesameport/admission/fleet_use.py
+++ b/src/sesameport/admission/fleet_use.py
@@ -97,8 +97,9 @@
         # Most of a report equals the one before it, so only differences are added.
         for server, use in uses.items():
             earlier = before.get(server, _NO_USE)
-            if use != earlier:
-                self._replace_in_total(server, earlier, use)
+            if use is earlier or use == earlier:
+                continue
+            self._replace_in_total(server, earlier, use)
         for server, earlier in before.items():
             if server not in uses:
                 self._replace_in_total(server, earlier, _NO_USE)
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -4,6 +4,8 @@
 hosts.
 """
 
+import functools
+
 import attrs
 import msgspec
 from result import Err, Ok, Result
@@ -98,6 +100,10 @@
     (msgspec.msgpack.Decoder(_ColdPermitReply), PermitReply),
 )
 
+_server_use = functools.lru_cache(maxsize=4_096)(ServerUse)
+"""Return a `ServerUse`, the same object for the same fields. Most uses in a report were
+in the one before it; this holds 21 servers of each of 195 hosts."""
+
 
 def encode_report(report: HostReport) -> bytes:
     """Return a report as MessagePack, with token counts rounded to integers."""
@@ -155,7 +161,7 @@
             host,
             incarnation,
             sequence,
-            {name: ServerUse(*use) for name, use in uses.items()},
+            {name: _server_use(*use) for name, use in uses.items()},
             charged,
             version,
             paused,
