--- a/src/sesameport/entry/caller_limits/peer_messages.py
+++ b/src/sesameport/entry/caller_limits/peer_messages.py
@@ -8,6 +8,8 @@
 import threading
 from collections.abc import Callable
 
+import zmq
+
 from sesameport.entry.caller_limits.bounds import CallerBounds
 from sesameport.entry.caller_limits.memory_account import MemoryAccount
 from sesameport.entry.caller_limits.reports import LimitReporter
@@ -120,10 +122,22 @@
             self._account.release(size)
 
 
-def receive_parts(sock) -> tuple[bytes, bytes]:
-    """Return the topic and the data of a message; other layouts have no data."""
-    parts = sock.recv_multipart()
-    return (parts[0], parts[1]) if len(parts) == 2 else (parts[0], b"")
+def receive_parts(sock: zmq.Socket, flags: int = 0) -> tuple[bytes, bytes]:
+    """Return the topic and the data of a message; other layouts have no data.
+
+    ``recv_multipart`` looks up a socket option for each part, which takes more time
+    than receiving it.
+
+    Raises
+    ------
+    zmq.Again
+        If no message has arrived and ``flags`` is ``zmq.NOBLOCK``.
+    """
+    parts = [sock.recv(flags, copy=False)]
+    while parts[-1].more:
+        parts.append(sock.recv(flags, copy=False))
+    data = parts[1].bytes if len(parts) == 2 else b""
+    return parts[0].bytes, data
 
 
 class QueueLength:
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -13,7 +13,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
 import msgspec
 import zmq
 from result import Err, Ok, Result
@@ -94,6 +93,7 @@
 
 _CONNECT = b"connect"
 _REQUEST = b"ask"
+_NOBLOCK = int(zmq.NOBLOCK)
 
 log = get_logger("peers")
 
@@ -227,16 +227,17 @@
                     ready = dict(full.poll(math.ceil(FULL_PAUSE_S * 1000)))
                 elif wait_s > 0:
                     ready = dict(urgent.poll(math.ceil(wait_s * 1000)))
+                elif self._receive_reports(subscriber):
+                    continue
                 else:
                     ready = dict(poller.poll())
-                try:
-                    self._handle_ready(ready, control, subscriber, snapshots)
-                finally:
-                    self._inbox.finish()
+                self._handle_ready(ready, control, subscriber, snapshots)
             except Exception as exc:
                 # Without this thread the host neither reports nor hears of others.
                 log.error("peer message failed", extra={"error": repr(exc)})
                 time.sleep(FAILURE_PAUSE_S)
+            finally:
+                self._inbox.finish()
 
     def _handle_ready(
         self,
@@ -260,8 +261,6 @@
                 self._send(topic, data)
         if subscriber in ready:
             self._receive_reports(subscriber)
-            interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
-            self._receive_at = time.monotonic() + interval_s
         if snapshots in ready and not self._inbox.is_full():
             self._receive_one(snapshots)
         if self._publisher in ready:
@@ -340,16 +339,26 @@
             snapshots.connect(f"tcp://{address}")
         return chosen
 
-    def _receive_reports(self, subscriber: zmq.Socket) -> None:
-        """Handle all reports that have arrived, the newest partial one of each host."""
+    def _receive_reports(self, subscriber: zmq.Socket) -> bool:
+        """Handle all reports that have arrived, the newest partial one of each host.
+
+        Return whether there were any messages; the next ones are then read later.
+        """
         reports = []
-        while subscriber.poll(0) and len(reports) < MAX_REPORTS_AT_ONCE:
-            topic, data = receive_parts(subscriber)
-            if self._inbox.accept(len(data)):
-                reports.append(self._decode_report(topic, data))
-            if self._inbox.is_full():
+        while len(reports) < MAX_REPORTS_AT_ONCE and not self._inbox.is_full():
+            try:
+                # Polling before each message would cost more than receiving it.
+                topic, data = receive_parts(subscriber, _NOBLOCK)
+            except zmq.Again:
                 break
+            is_accepted = self._inbox.accept(len(data))
+            reports.append(self._decode_report(topic, data) if is_accepted else None)
+        if not reports:
+            return False
         self._deliver(reports)
+        interval_s = RECEIVE_INTERVAL_PER_HOST_S * len(self._connected)
+        self._receive_at = time.monotonic() + interval_s
+        return True
 
     def _receive_one(self, sock: zmq.Socket) -> None:
         topic, data = receive_parts(sock)
@@ -367,9 +376,9 @@
         if decode is not None:
             self._receive(decode(data))
             return None
-        match decode_report(data):
+        match decode_report(data, is_complete=topic == REPORT):
             case Ok(report):
-                return attrs.evolve(report, is_complete=topic == REPORT)
+                return report
             case Err(reason):
                 log.warning("peer message unreadable", extra={"reason": reason})
                 return None
