--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -276,11 +276,14 @@
         )
         if not is_complete or not self._snapshots.take_send(now):
             return
+        configuration = self._admission.configuration
+        if not self._snapshots.take_configuration(configuration.version, now):
+            configuration = None
         self._peers.publish(
             m.FleetSnapshot(
                 self._settings.name,
                 self._store_reachable,
-                self._admission.configuration,
+                configuration,
                 self._cold.current_entries(now),
                 dict(self._addresses.by_name),
                 *self._evacuations.snapshot_fields(now),
@@ -295,6 +298,7 @@
     def _apply_snapshot(self, snapshot: m.FleetSnapshot, now: float) -> None:
         if self._store_reachable:
             return
+        self._snapshots.record_snapshot(snapshot.is_current)
         if self._evacuations.apply_snapshot(snapshot, now):
             self._publish_change(now)
         if snapshot.configuration is not None:
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -111,7 +111,7 @@
             result = self._calls.run(
                 address, server, req, caller, source, attempt_timeout_s, lease
             )
-            is_open = result.is_ok() and self._bytes.is_bounded
+            is_open = self._bytes.is_bounded and result.is_ok()
         finally:
             if not is_open:
                 self._bytes.release(server, size)
--- a/src/sesameport/entry/snapshot_schedule.py
+++ b/src/sesameport/entry/snapshot_schedule.py
@@ -10,8 +10,11 @@
 """Shortest time between two snapshots of a host, seconds."""
 
 SNAPSHOT_PERIOD_S = 2.0
-"""Period at which a host that cannot reach the store requests snapshots, seconds. Hosts
-that started later did not receive its earlier requests."""
+SETTLED_PERIOD_S = 4.0
+"""Period at which a host that cannot reach the store requests snapshots, seconds, and
+the period after a snapshot of a host that can. Hosts that started later did not receive
+its earlier requests. Each request is answered with whole configurations, which may take
+seconds on a link of 5 Mbit/s; changes are sent without a request."""
 
 SNAPSHOT_REQUEST_LIFETIME_S = 5.0
 """Time after a request for which changes are published as snapshots, seconds."""
@@ -35,6 +38,9 @@
     _sent_at: float = -math.inf
     _peer_request_at: float = -math.inf
     _own_request_at: float = -math.inf
+    _has_current: bool = False
+    _full_at: float = -math.inf
+    _full_version: int = -1
 
     def record_peer_request(self, now: float) -> None:
         """Record that another host requested a snapshot."""
@@ -56,9 +62,33 @@
         self._sent_at = now
         return True
 
+    def take_configuration(self, version: int, now: float) -> bool:
+        """Return whether the snapshot that is sent now has the configuration.
+
+        Without a new version or request, all who want it have it.
+
+        Examples
+        --------
+        >>> schedule = SnapshotSchedule()
+        >>> schedule.take_configuration(7, 1.0), schedule.take_configuration(7, 2.0)
+        (True, False)
+        >>> schedule.record_peer_request(3.0)
+        >>> schedule.take_configuration(7, 3.5)
+        True
+        """
+        if version == self._full_version and self._peer_request_at < self._full_at:
+            return False
+        self._full_version, self._full_at = version, now
+        return True
+
+    def record_snapshot(self, is_current: bool) -> None:
+        """Record a snapshot of another host; it is current if that has the store."""
+        self._has_current |= is_current
+
     def take_request(self, now: float) -> bool:
         """Return whether to request snapshots now, and record the request."""
-        if now - self._own_request_at < SNAPSHOT_PERIOD_S:
+        period_s = SETTLED_PERIOD_S if self._has_current else SNAPSHOT_PERIOD_S
+        if now - self._own_request_at < period_s:
             return False
-        self._own_request_at = now
+        self._own_request_at, self._has_current = now, False
         return True
--- a/src/sesameport/entry/tests/test_evacuations.py
+++ b/src/sesameport/entry/tests/test_evacuations.py
@@ -175,6 +175,7 @@
 @attrs.frozen
 class Request:
     resume_after: str = ""
+    body: bytes = b""
 
 
 def test_request_that_was_placed_before_the_evacuation_is_not_sent():
