Check one server where a placement needs only one

Whether any server could decode a waiting request was answered from the check of all servers, repeated after each placement. It stops again at the first one; the test compares both ways with the checks of each server.

--- a/src/sesameport/entry/server_monitor.py
+++ b/src/sesameport/entry/server_monitor.py
@@ -97,14 +97,29 @@
 
         A caller that needs only one server does not check the others.
         """
-        for server, is_reported_unreachable in self._iter_usable(service, now):
-            if not is_reported_unreachable:
+        if not self._evacuations.is_known:
+            return
+        for server in self._registry.live_servers(service):
+            if not self._is_usable(server, now):
+                continue
+            if not self._health.is_reported_unreachable(server.name, now):
                 yield server
 
+    def _is_usable(self, server: EntryServer, now: float) -> bool:
+        return not (
+            self._evacuations.is_evacuated(server.data_centre)
+            or self._health.is_paused_here(server.name, now)
+            or not self._notices.takes_requests(server.name, now)
+            or self._registry.is_near_removal(server.name, now)
+        )
+
     def _iter_usable(
         self, service: str, now: float
     ) -> Iterator[tuple[EntryServer, bool]]:
-        """Yield usable servers, and whether other hosts report them as unreachable."""
+        """Yield usable servers, and whether other hosts report them as unreachable.
+
+        It checks all servers of the service together, with the result of `_is_usable`.
+        """
         if not self._evacuations.is_known:
             return
         servers = self._registry.live_servers(service)
--- a/src/sesameport/entry/tests/test_server_monitor.py
+++ b/src/sesameport/entry/tests/test_server_monitor.py
@@ -94,10 +94,19 @@
             case 5:
                 registry.replace(servers, now)
         registry.expire(now)
-        assert [server.name for server in monitor.iter_reachable("desk", now)] == [
-            server.name
+        usable = [
+            server
             for server in registry.all()
-            if not health.is_paused(server.name, now)
+            if not health.is_paused_here(server.name, now)
             and notices.takes_requests(server.name, now)
             and not registry.is_near_removal(server.name, now)
         ]
+        reported = [
+            server
+            for server in usable
+            if health.is_reported_unreachable(server.name, now)
+        ]
+        reachable = [server for server in usable if server not in reported]
+        assert list(monitor.iter_reachable("desk", now)) == reachable
+        kept = reported if len(reported) > len(reachable) else []
+        assert monitor.usable_servers("desk", now) == [*reachable, *kept]
