Look for keys in log texts with one search

Every text of a log line was copied by three substitutions, although few have one of the words that these need. One search for the words now decides whether they are applied, and numbers are recognised before the slower check for mappings.

--- a/src/sesameport/telemetry/logs.py
+++ b/src/sesameport/telemetry/logs.py
@@ -37,6 +37,9 @@
     re.compile(r"(?i)(\b(?:x-)?api[-_]?key\b['\"]?\s*[:=,]\s*)[^\s,;]+"),
     re.compile(r"(?i)(\bbearer\s+)[^\s'\",;]+"),
 )
+_SECRET_WORDS = re.compile(r"(?i)authorization|api[-_]?key|bearer")
+"""Words of which each of the patterns needs one. Few texts have any."""
+
 _RESERVED_FIELDS = frozenset(
     {"time", "level", "event", "logger", "request_id", "host", "data_centre"}
 )
@@ -125,15 +128,16 @@
     if isinstance(value, bytes):
         value = value.decode("utf-8", "replace")
     if isinstance(value, str):
-        for pattern in _SECRET_PATTERNS:
-            value = pattern.sub(rf"\1{REDACTED}", value)
+        if _SECRET_WORDS.search(value):
+            for pattern in _SECRET_PATTERNS:
+                value = pattern.sub(rf"\1{REDACTED}", value)
         return value[:MAX_TEXT_CHARS]
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
     if isinstance(value, Mapping):
         return {str(name): _redact_field(name, field) for name, field in value.items()}
     if isinstance(value, (list, tuple, set, frozenset)):
         return [_redact_element(element) for element in value]
-    if value is None or isinstance(value, (bool, int, float)):
-        return value
     return redact_secrets(str(value))
 
 
