List the configuration again instead of reading all missed versions

After a failure or a restart, the configuration is now listed, which returns its last state only. Other kinds are watched as before.

--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -131,4 +131,5 @@
             self._closing,
             tell,
             interval_s,
+            lists_again=followed == Missed.CONFIGURATION,
         ).start()
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -21,7 +21,6 @@
     Platform,
     PlatformErrorKind,
     StoredObject,
-    WatchBatch,
 )
 from sesameport.telemetry.logs import get_logger
 
@@ -188,6 +187,9 @@
         response after a restart has been handled.
     interval_s : float
         Shortest time between two watch calls, seconds.
+    lists_again : bool
+        Whether to list and not to watch after a failure or a restart. The changes of a
+        large object that is written often take many times as long as its last state.
 
     Attributes
     ----------
@@ -205,8 +207,10 @@
         closing: threading.Event,
         on_read: Callable[[ReadResult], None] = lambda result: None,
         interval_s: float = WATCH_INTERVAL_S,
+        lists_again: bool = False,
     ):
         self._interval_s = interval_s
+        self._lists_again = lists_again
         self._on_read = on_read
         self._connect = connect
         self._kind = kind
@@ -305,22 +309,25 @@
             self._health.wait_for_turn(self._kind, self._closing)
             called_at = time.monotonic()
             version = self._version
-            if version is None:
+            is_retry = bool(failures or is_repeat)
+            is_listing = version is None or (is_retry and self._lists_again)
+            if is_listing:
                 result = store.list(self._kind)
             else:
                 self._watching_since = called_at
-                timeout_s = self._watch_timeout_s(bool(failures or is_repeat))
+                timeout_s = self._watch_timeout_s(is_retry)
                 result = store.watch(self._kind, version, timeout_s)
                 if self._is_current(generation):
                     self._watching_since = None
-            operation = "list" if version is None else "watch"
+            operation = "list" if is_listing else "watch"
             match result:
                 case Ok(batch):
                     self._count(operation, "ok")
                     self._health.record(self._kind, True)
                     failures = 0
                     has_waited = time.monotonic() - called_at >= WAITED_S
-                    if not self._handle(version, batch, has_waited, is_repeat):
+                    changed = _newest_change(batch, version, has_waited, is_listing)
+                    if not self._handle(version, batch, changed, is_listing, is_repeat):
                         continue
                     is_repeat = False
                     if not self._is_current(generation):
@@ -349,21 +356,18 @@
         return WATCH_TIMEOUT_S
 
     def _handle(
-        self, since: int | None, batch, has_waited: bool, is_repeat: bool
+        self, since: int | None, batch, changed: int, is_listing: bool, is_repeat: bool
     ) -> bool:
         """Handle a response; return False if another one was handled meanwhile."""
         with self._lock:
             if since != self._version:
                 return False
-            if since is None:
+            if is_listing:
                 self._handler.handle_listing(batch.objects)
-                changed = max((stored.version for stored in batch.objects), default=0)
-            else:
-                changed = _newest_change(batch, since, has_waited)
-                if batch.changes:
-                    self._handler.handle_changes(batch.changes)
+            elif batch.changes:
+                self._handler.handle_changes(batch.changes)
             self._version, self.failure = batch.version, ""
-            if since is None or batch.changes or is_repeat:
+            if is_listing or batch.changes or is_repeat:
                 self._on_read(ReadResult(changed, batch.version, is_repeat))
             return True
 
@@ -391,8 +395,10 @@
         )
 
 
-def _newest_change(batch: WatchBatch, since: int, has_waited: bool) -> int:
-    """Return the revision of the newest change of a response to a watch, or 0."""
+def _newest_change(batch, since: int | None, has_waited: bool, is_listing: bool) -> int:
+    """Return the revision of the newest change of a response, or 0 without one."""
+    if is_listing:
+        return max((stored.version for stored in batch.objects), default=0)
     newest = max((stored.version for stored in batch.changes), default=0)
     # The event of a deletion may name the revision of the object's last write.
     if any(stored.deleted and stored.version <= since for stored in batch.changes):
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -68,8 +68,10 @@
 @attrs.define
 class Handler:
     seen: list = attrs.field(factory=list)
+    listings: int = 0
 
     def handle_listing(self, objects):
+        self.listings += 1
         self.handle_changes(objects)
 
     def handle_changes(self, objects):
@@ -292,6 +294,35 @@
     assert [name for _, name in handler.seen] == ["v2", "v3"]
 
 
+def test_missed_versions_of_a_large_object_are_not_all_read():
+    # Guards against a host that is behind and reads each version that it missed, again
+    # with each attempt. On a link of 10 Mbit/s, five versions of a configuration with
+    # 1,400 routes took 10 s, and the host refused requests of the newest one.
+    store, closing, handler = Store(), threading.Event(), Handler()
+    client = LossyStore(store)
+    clients = [client]
+    watcher = ListWatcher(
+        lambda: clients.pop(0) if clients else store,
+        "config",
+        handler,
+        StoreHealth(lambda is_reachable: None),
+        Metrics(),
+        closing,
+        lists_again=True,
+    ).start()
+    try:
+        wait_until(lambda: len(store.calls) == 2)
+        store.change("config", "v2")
+        store.change("config", "v3")
+        watcher.restart()
+        wait_until(lambda: len(store.calls) == 4)  # list, lost watch, list, watch
+        assert handler.listings == 2
+    finally:
+        closing.set()
+        client.found.set()
+        store.set_down(True)
+
+
 def test_read_that_finds_nothing_new_is_answered_at_once(lossy):
     # Otherwise a wrong report of another host would look like one more lost answer.
     store, client, _, watcher, _, reads = lossy
@@ -326,4 +357,4 @@
     # A revision without a change would make other hosts read again for nothing.
     changes = [StoredObject("servers", "s", rev, b"", gone) for rev, gone in events]
     batch = WatchBatch(tuple(changes), 20)
-    assert store_watch._newest_change(batch, 10, has_waited) == changed
+    assert store_watch._newest_change(batch, 10, has_waited, False) == changed
