--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -279,7 +279,7 @@
         configuration = self._admission.configuration
         if not self._snapshots.take_configuration(configuration.version, now):
             configuration = None
-        self._peers.publish(
+        size = self._peers.publish(
             m.FleetSnapshot(
                 self._settings.name,
                 self._store_reachable,
@@ -289,6 +289,8 @@
                 *self._evacuations.snapshot_fields(now),
             )
         )
+        if configuration is not None:
+            self._snapshots.record_size(size)
 
     def _publish_change(self, now: float) -> None:
         """Publish a snapshot of a change if a host requested snapshots recently."""
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -164,12 +164,15 @@
     def publish(
         self,
         message: PublishedMessage,
-    ) -> None:
+    ) -> int:
         """Send a message to all hosts that have subscribed to its type.
 
-        Messages about permits reach only the host that they name.
+        Return its size in bytes. Messages about permits reach only the host that they
+        name.
         """
-        self._control.send_multipart(encode_message(message))
+        parts = encode_message(message)
+        self._control.send_multipart(parts)
+        return len(parts[1])
 
     def connect(self, addresses: set[str]) -> None:
         """Receive only from the hosts at these addresses."""
--- a/src/sesameport/entry/snapshot_schedule.py
+++ b/src/sesameport/entry/snapshot_schedule.py
@@ -9,6 +9,11 @@
 MIN_SNAPSHOT_INTERVAL_S = 0.5
 """Shortest time between two snapshots of a host, seconds."""
 
+SNAPSHOT_BYTES_PER_S = 100_000
+"""Bytes per second of the snapshots of a host that have the configuration. A host
+without the store gets those of three hosts, half of a link of 5 Mbit/s. While versions
+of a large configuration follow each other, it would get more than the link carries."""
+
 SNAPSHOT_PERIOD_S = 2.0
 SETTLED_PERIOD_S = 4.0
 """Period at which a host that cannot reach the store requests snapshots, seconds, and
@@ -41,6 +46,7 @@
     _has_current: bool = False
     _full_at: float = -math.inf
     _full_version: int = -1
+    _full_interval_s: float = 0.0
 
     def record_peer_request(self, now: float) -> None:
         """Record that another host requested a snapshot."""
@@ -65,7 +71,8 @@
     def take_configuration(self, version: int, now: float) -> bool:
         """Return whether the snapshot that is sent now has the configuration.
 
-        Without a new version or request, all who want it have it.
+        Without a new version or request, all who want it have it. After a large one,
+        the next waits and the snapshots in between are sent without it.
 
         Examples
         --------
@@ -75,12 +82,22 @@
         >>> schedule.record_peer_request(3.0)
         >>> schedule.take_configuration(7, 3.5)
         True
+        >>> schedule.record_size(500_000)
+        >>> schedule.take_configuration(8, 8.4), schedule.take_configuration(8, 8.5)
+        (False, True)
         """
         if version == self._full_version and self._peer_request_at < self._full_at:
             return False
+        if now - self._full_at < self._full_interval_s:
+            self._is_due = True
+            return False
         self._full_version, self._full_at = version, now
         return True
 
+    def record_size(self, size: int) -> None:
+        """Record the size of a snapshot with the configuration, bytes."""
+        self._full_interval_s = size / SNAPSHOT_BYTES_PER_S
+
     def record_snapshot(self, is_current: bool) -> None:
         """Record a snapshot of another host; it is current if that has the store."""
         self._has_current |= is_current
