Show that unfinished heads make a machine exceed its memory

A head of 16 KB with 3,108 short lines takes about half a megabyte while it is read, which no account counts. 300 such connections, held open, take a process of a machine with 150 MB beyond its memory in 10 s. The script plays the platform, which then kills it.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -357,10 +357,13 @@
         Address of the store.
     name : str
         Name of the machine.
+    memory_mb : int
+        Memory of the machine, MB.
     """
 
-    def __init__(self, record, store: str, name: str = "edge-svealand-a-1"):
+    def __init__(self, record, store: str, name: str, memory_mb: int = 300):
         self._record, self._store, self.name = record, store, name
+        self.memory_mb = memory_mb
         self.ip = ".".join(["127", *(str(random.randint(10, 250)) for _ in "abc")])
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.front, self.ready = f"{self.ip}:8360", f"{self.ip}:8365"
@@ -393,7 +396,7 @@
 [limits]
 cpuShare = 0.537
 cores = 2
-memoryMb = 300
+memoryMb = {self.memory_mb}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -435,7 +438,7 @@
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "SESAMEPORT_CONFIG": str(settings),
         }
-        self.log = open(self.folder / "log", "wb")
+        self.log = open(self.folder / "log", "ab")
         self.process = subprocess.Popen(
             [sys.executable, "deploy/sesameport.py"],
             cwd=ROOT,
@@ -463,6 +466,17 @@
             time.sleep(0.1)
         self._record.write(f"{self.name} is ready")
 
+    def private_mb(self) -> float:
+        """Return the memory that only the process uses, MB; 0 if it has ended."""
+        try:
+            lines = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in lines.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) * 1024 / 1e6
+        return 0.0
+
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._record.write(f"{signal.Signals(number).name} to {self.name}")
@@ -605,7 +619,9 @@
     }
 
 
-def start_system(record, routes, tenants, replicas, machines=1, **engine):
+def start_system(
+    record, routes, tenants, replicas, machines=1, memory_mb=300, **engine
+):
     """Start the store with the configuration and the entries of the replicas.
 
     Return the machines, whose processes are not started yet.
@@ -617,7 +633,7 @@
     for replica in replicas:
         store.put("servers", replica.name, replica.entry())
     return [
-        Machine(record, store.address, f"edge-svealand-a-{number}")
+        Machine(record, store.address, f"edge-svealand-a-{number}", memory_mb)
         for number in range(1, machines + 1)
     ]
 
