--- a/review/9/case.py
+++ b/review/9/case.py
@@ -74,7 +74,9 @@
         conn, turn = s.Connection(record, machine.front), 0
         while not is_over():
             turn += 1
-            conn.send("GET", "/stock-query/2f", f"{machine.name[-1]}-{turn}", KEY, 2_500)
+            conn.send(
+                "GET", "/stock-query/2f", f"{machine.name[-1]}-{turn}", KEY, 2_500
+            )
             time.sleep(1.0)
 
     def watch(machine):
@@ -98,7 +100,9 @@
         record.write(f"unfinished heads of {len(head)} bytes in {lines} lines")
     for machine in machines if has_trouble else ():
         threads += [
-            threading.Thread(target=hold, args=(machine.front, head, until), daemon=True)
+            threading.Thread(
+                target=hold, args=(machine.front, head, until), daemon=True
+            )
             for _ in range(CLIENTS)
         ]
     for thread in threads:
@@ -108,8 +112,10 @@
     for name in ends:
         record.write(f"{name}: ended {ends[name]} times, peak {peaks[name]:.0f} MB")
     if all(count >= ENDS for count in ends.values()):
-        return (f"Fault: on both machines the process exceeded the memory of the machine "
-                f"{ENDS} times and was ended")
+        return (
+            f"Fault: on both machines the process exceeded the memory of the machine "
+            f"{ENDS} times and was ended"
+        )
     return ""
 
 
