--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -502,14 +502,14 @@
         self._record.write(f"{self.name} is ready")
 
     def private_mb(self) -> float:
-        """Return the memory that only the process uses, MB; 0 if it has ended."""
+        """Return the memory that only the process uses, MiB; 0 if it has ended."""
         try:
             lines = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
         for line in lines.splitlines():
             if line.startswith("RssAnon:"):
-                return int(line.split()[1]) * 1024 / 1e6
+                return int(line.split()[1]) / 1024
         return 0.0
 
     def send_signal(self, number: int) -> None:
