Move the cases on SIGTERM and on memory, and drop the one on a crowd's wait

Change: the case on streams that wait at SIGTERM is review/9 now and the one on memory review/10, with their files unchanged but for the command in the claim.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,7 @@
-"""Clients that hold back the end of their heads make a machine exceed its memory."""
+"""A stream that waits for memory when its machine gets SIGTERM is never answered."""
 
 import pathlib
 import signal
-import socket
 import sys
 import threading
 import time
@@ -13,108 +12,86 @@
 import standins as s  # noqa: E402
 
 KEY = "3d3zji9n73hh2b9wu3fe"
-MACHINES = 2
-MEMORY_MB = 150
-CLIENTS = 300
-HEAD_BYTES = 16_200
-RUN_S = 70.0
-ENDS = 3
-SYMBOLS = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+.^_`|~"
-
-
-def unfinished_head() -> bytes:
-    """Return a head of many short lines, within maxHeaderBytes, without its end."""
-    lines = ["POST /batch-order/2f HTTP/1.1", f"Host: {s.ROUTE_HOST}"]
-    size = sum(len(line) + 2 for line in lines)
-    for name in (a + b + c for c in ("", *SYMBOLS) for a in SYMBOLS for b in SYMBOLS):
-        if size + len(name) + 3 > HEAD_BYTES:
-            break
-        lines.append(f"{name}:")
-        size += len(name) + 3
-    return "\r\n".join([*lines, ""]).encode()
-
-
-def hold(address, head, until) -> None:
-    """Send an unfinished head and wait; begin again when the machine closes."""
-    host, _, port = address.rpartition(":")
-    while s.now_s() < until:
-        try:
-            with socket.create_connection((host, int(port)), timeout=5.0) as sock:
-                sock.sendall(head)
-                sock.settimeout(max(0.1, until - s.now_s()))
-                while sock.recv(4_096):
-                    pass
-        except OSError:
-            time.sleep(0.1)
+LOSS_SLACK_S = 0.2
+GRACE_S = 8.0
+PATIENCE_S = 4 * 2.013
+"""Time that a client waits for the first event: four times the route's objective."""
 
 
 def case(record, has_trouble, machines):
-    """Play the platform, which kills a process that exceeds its machine's memory."""
-    desks = [s.Replica(record, f"i-desk{number}", "order-desk") for number in (1, 2, 3)]
+    """Fill the decode replica's memory, stop the machine, and send four streams."""
+    replicas = [
+        s.Replica(record, "i-prefill1", "draft-llm", "prefill", slots=16),
+        s.Replica(
+            record, "i-decode1", "draft-llm", "decode", slots=16, events=170, gap_s=0.07
+        ),
+    ]
     routes = [
-        s.route("batch-order", "unsafe", "order-desk"),
-        s.route("stock-query", "safe", "order-desk", maxAttempts=2),
+        s.route(
+            "kiosk",
+            "streaming",
+            "draft-llm",
+            timeoutMs=14_000,
+            targetLatencyMs=2_013,
+            targetGapMs=300,
+        ),
     ]
-    tenant = s.tenant("huka270", KEY)
+    tenant = s.tenant("huka270", KEY) | {"ratePerS": 0, "burst": 0}
     machines += s.start_system(
-        record, routes, [tenant], desks, machines=MACHINES, memory_mb=MEMORY_MB
+        record, routes, [tenant], replicas, slots=16, kvCapacityTokens=28_408
     )
-    for machine in machines:
-        machine.start()
-    for machine in machines:
-        machine.wait_ready()
-    until = s.now_s() + RUN_S
-    ends = {machine.name: 0 for machine in machines}
-    peaks = {machine.name: 0.0 for machine in machines}
-
-    def is_over():
-        return s.now_s() > until or all(count >= ENDS for count in ends.values())
-
-    def ask(machine):
-        conn, turn = s.Connection(record, machine.front), 0
-        while not is_over():
-            turn += 1
-            conn.send(
-                "GET", "/stock-query/2f", f"{machine.name[-1]}-{turn}", KEY, 2_500
-            )
-            time.sleep(1.0)
+    machine = machines[0]
+    machine.start()
+    machine.wait_ready()
+    time.sleep(1.0)
+    answers, threads = {}, []
+
+    def stream(name):
+        answers[name] = s.Connection(record, machine.front).send(
+            "POST",
+            "/kiosk/2f",
+            name,
+            KEY,
+            14_091,
+            b"prompt",
+            X_Model="m",
+            X_Token_Count="6000,170",
+            X_Length_Hint="170",
+            X_Prompt_Prefix=f"5c1e07a2:200,{name.encode().hex()}:5800",
+        )
 
-    def watch(machine):
-        while not is_over():
-            used_mb = machine.private_mb()
-            peaks[machine.name] = max(peaks[machine.name], used_mb)
-            if used_mb > MEMORY_MB or machine.process.poll() is not None:
-                ends[machine.name] += 1
-                record.write(f"{machine.name} uses {used_mb:.0f} MB of {MEMORY_MB}")
-                machine.send_signal(signal.SIGKILL)
-                machine.process.wait()
-                time.sleep(0.5)
-                machine.start()
-            time.sleep(0.05)
+    def start(name):
+        threads.append(threading.Thread(target=stream, args=(name,)))
+        threads[-1].start()
 
-    threads = [threading.Thread(target=ask, args=(m,)) for m in machines]
-    threads += [threading.Thread(target=watch, args=(m,)) for m in machines]
-    head = unfinished_head()
+    for number in range(1, 5):
+        start(f"running{number}")
+        time.sleep(0.1)
+    time.sleep(2.0)
+    stopped_at = s.now_s()
     if has_trouble:
-        lines = head.count(b"\r\n")
-        record.write(f"unfinished heads of {len(head)} bytes in {lines} lines")
-    for machine in machines if has_trouble else ():
-        threads += [
-            threading.Thread(
-                target=hold, args=(machine.front, head, until), daemon=True
-            )
-            for _ in range(CLIENTS)
-        ]
+        machine.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    for number in range(1, 5):
+        start(f"late{number}")
+        time.sleep(0.3)
     for thread in threads:
-        thread.start()
-    for thread in threads[: 2 * MACHINES]:
         thread.join()
-    for name in ends:
-        record.write(f"{name}: ended {ends[name]} times, peak {peaks[name]:.0f} MB")
-    if all(count >= ENDS for count in ends.values()):
+    if has_trouble:
+        record.write(f"process ended with code {machine.process.wait(5.0)}")
+    ran = {run for replica in replicas for run in replica.runs}
+    lost = []
+    for name, answer in sorted(answers.items()):
+        if name in ran or answer.is_complete:
+            continue
+        held_s = answer.ended_at - answer.sent_at
+        is_planned = stopped_at <= answer.ended_at <= stopped_at + GRACE_S + 1.0
+        if is_planned and LOSS_SLACK_S < held_s < PATIENCE_S:
+            lost.append(f"{name} after {held_s:.1f} s")
+    if lost:
         return (
-            f"Fault: on both machines the process exceeded the memory of the machine "
-            f"{ENDS} times and was ended"
+            f"LOST: read by a machine with SIGTERM, passed on to no replica, and the "
+            f"connection ended without an answer: {', '.join(lost)}"
         )
     return ""
 
