--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -35,6 +35,7 @@
 from sesameport.entry.role_controller import RoleChange, RoleController
 from sesameport.entry.server_calls import EvacuationOrderClient, NoticedServerClient
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
+from sesameport.entry.stopping import HostDrain, InFlight
 from sesameport.entry.store_follower import StoreFollower
 from sesameport.entry.suspect_store import SuspectStore
 from sesameport.telemetry.logs import get_logger
@@ -60,24 +61,9 @@
 ROLE_CHECK_PERIOD_S = 1.5
 """Period at which the roles of engines are checked, seconds."""
 
-UNREADY_S = 2.6
-"""Time between becoming unready and closing, seconds. The load balancer checks
-readiness every second and removes a host after two failed checks."""
-
 MAX_REASON_CHARS = 500
 """Longest text in the answer to a readiness check, characters."""
 
-LAST_RESPONSES_S = 0.3
-"""Time to read requests that were sent before the host closed, seconds. A caller may
-have sent a part of one only."""
-
-DRAIN_CHECK_S = 0.01
-"""Period at which a closing host checks for requests in progress, seconds."""
-
-STOP_MARGIN_S = 1.0
-"""Time before the end of the grace time at which running requests are abandoned,
-seconds, so that the process exits by itself before it is killed."""
-
 log = get_logger("host")
 
 
@@ -98,10 +84,7 @@
         self.metrics = Metrics(settings.name, settings.data_centre, ENTRY_METRICS)
         self._routes = CurrentRoutes()
         self._timers = TimerService(on_error=_log_timer_error)
-        self._in_flight = 0
-        self._in_flight_changed = threading.Condition()
-        self._draining_since: float | None = None
-        self._ends_at: float | None = None
+        self._in_flight = InFlight()
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
         bounds = settings.limits
@@ -186,6 +169,7 @@
             self._handle_ready,
             self._handle_metrics,
         )
+        self._drain = HostDrain(self._listeners.callers, self._in_flight)
 
     def start(self) -> "EntryHost":
         """Start serving and return the host."""
@@ -225,39 +209,11 @@
 
     def shutdown(self) -> bool:
         """Drain and stop; return whether every running request was completed."""
-        since = time.monotonic()
-        self._draining_since = since
         self.metrics.set("sesameport_ready", 0)
-        log.info("draining", extra={"in_flight": self._in_flight})
-        until = since + self._settings.bounds.grace_s - STOP_MARGIN_S
-        unready_until = min(since + UNREADY_S, until)
-        while time.monotonic() < unready_until:
-            time.sleep(max(0.0, unready_until - time.monotonic()))
-        # The load balancer keeps sending requests while most hosts of the data centre
-        # drain. Short requests are answered; streams would exceed the grace time.
-        self._ends_at = until
-        with self._in_flight_changed:
-            while self._in_flight and time.monotonic() < until:
-                self._in_flight_changed.wait(until - time.monotonic())
-        self._listeners.callers.stop_accepting()
-        self._finish_accepted(until)
-        with self._in_flight_changed:
-            left = self._in_flight
-        log.info("stopped", extra={"given_up": left})
-        return left == 0
-
-    def _finish_accepted(self, until: float) -> None:
-        """Wait for requests that a thread is yet to read and for their responses."""
-        read_until = time.monotonic() + LAST_RESPONSES_S
-        until = max(until, read_until)
-        while self._listeners.callers.has_work():
-            with self._in_flight_changed:
-                is_running = self._in_flight > 0
-                self._in_flight_changed.wait(DRAIN_CHECK_S)
-            if time.monotonic() >= (until if is_running else read_until):
-                return
-            if is_running:
-                read_until = time.monotonic() + LAST_RESPONSES_S
+        log.info("draining", extra={"in_flight": self._in_flight.count})
+        is_complete = self._drain.run(self._settings.bounds.grace_s)
+        log.info("stopped", extra={"given_up": self._in_flight.count})
+        return is_complete
 
     def close(self) -> None:
         """Stop immediately without draining, for hosts that share a process."""
@@ -288,7 +244,7 @@
         reasons = self._follower.failures()
         if self._routes.table is None or not self._evacuations.is_known:
             reasons.append("configuration or evacuations not known yet")
-        if self._is_draining():
+        if self._drain.has_begun:
             reasons.append("draining")
         return reasons
 
@@ -375,22 +331,13 @@
         self._listeners.callers.set_limits(configuration.limits)
         self.metrics.set("sesameport_ready", int(self.is_ready()))
 
-    def _is_draining(self) -> bool:
-        return self._draining_since is not None
-
     def _handle(self, http: StrictRequest, body: bytes) -> None:
         now = time.monotonic()
-        with self._in_flight_changed:
-            self._in_flight += 1
-        try:
+        with self._in_flight.request():
             self._respond(http, body, now)
-        finally:
-            with self._in_flight_changed:
-                self._in_flight -= 1
-                self._in_flight_changed.notify_all()
 
     def _respond(self, http: StrictRequest, body: bytes, now: float) -> None:
-        writer = HttpResponseWriter(http, self._is_draining)
+        writer = HttpResponseWriter(http, lambda: self._drain.has_begun)
         headers = http.header_pairs
         method, target = http.method.decode(), http.uri.decode()
         match self._adapter.decode_request(method, target, headers, body, now):
@@ -401,7 +348,8 @@
                 host = http.inheaders.get(b"Host", b"").decode("latin-1").strip()
                 key = self._adapter.extract_key(headers)
                 caller = CallerSocket(http.conn.socket)
-                self._forwarder.forward(req, host, key, writer, caller, self._ends_at)
+                ends_at = self._drain.ends_at
+                self._forwarder.forward(req, host, key, writer, caller, ends_at)
 
     def _handle_ready(self, http: StrictRequest, body: bytes) -> None:
         writer = HttpResponseWriter(http, lambda: False)
--- a/src/sesameport/platform/tests/test_shutdown.py
+++ b/src/sesameport/platform/tests/test_shutdown.py
@@ -14,7 +14,7 @@
 
     The host no longer reports itself ready and waits for the stream to end.
     """
-    monkeypatch.setattr("sesameport.entry.host.UNREADY_S", 0.2)
+    monkeypatch.setattr("sesameport.entry.stopping.drain.UNREADY_S", 0.2)
     # The stream takes 1.8 s, too close to the usual timeout of 2 s on a busy machine.
     routes = [
         {**route, "timeoutMs": 14_000} for route in make_configuration()["routes"]
@@ -64,7 +64,7 @@
 
 
 def test_idle_host_shuts_down_without_waiting(cluster, host, monkeypatch):
-    monkeypatch.setattr("sesameport.entry.host.UNREADY_S", 0.2)
+    monkeypatch.setattr("sesameport.entry.stopping.drain.UNREADY_S", 0.2)
     started = time.monotonic()
     assert host.shutdown()
     assert time.monotonic() - started < 1.0
@@ -76,7 +76,7 @@
     # two of them while others had been accepted and waited for a thread.
     monkeypatch.setattr("sesameport.entry.host.MIN_THREADS", 1)
     monkeypatch.setattr("sesameport.entry.host.MAX_THREADS", 1)
-    monkeypatch.setattr("sesameport.entry.host.UNREADY_S", 0.05)
+    monkeypatch.setattr("sesameport.entry.stopping.drain.UNREADY_S", 0.05)
     host = cluster.start_host()
     wait_until(lambda: host.is_ready() and host.server_count() >= 3)
     cluster.replicas["s1"].pause_s = 0.05
