--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -22,7 +22,6 @@
     ServerNotices,
     ServerRegistry,
     Shortage,
-    WaitingQueue,
     WaitingRequest,
     WaitingTokens,
     WindowedRetryBudget,
@@ -42,17 +41,11 @@
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import EVACUATED, ServerMonitor
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.waiting_generations import WaitingGenerations
 
 __all__ = ["AdmissionController"]
 
 
-@attrs.define
-class _QueuedRequest:
-    req: m.AdmitGeneration
-    since: float
-    has_permit: bool = False
-
-
 class AdmissionController:
     """Hold the admission state of one host; not thread-safe.
 
@@ -126,13 +119,11 @@
         )
         self._limits = GenerationLimits(self.monitor, self.permits)
         self._retry_after_policy = RetryAfterPolicy()
-        self._queues: dict[str, WaitingQueue] = {}
-        self._waiting: dict[int, _QueuedRequest] = {}
+        self.waiting = WaitingGenerations()
         self._placement = GenerationPlacement(
             self.candidates, self.permits, self.limits, self.health, self.use, learned
         )
         self._choose = self._placement.choose
-        self._reported_waiting: dict[str, WaitingTokens] = {}
         self._place_again_at = -math.inf
 
     @property
@@ -172,17 +163,16 @@
             req.priority,
             reserved_kv_tokens(generation.prompt_tokens, generation.output_tokens),
         )
-        queue = self._queues.setdefault(service, WaitingQueue())
+        queue = self.waiting.queue(service)
         if shortage := self.candidates.decode_shortage(generation, now):
             self._refuse(req, shortage, now)
             return
-        if not queue.try_add(waiting_request):
+        if not self.waiting.try_add(waiting_request, req, now):
             self._refuse(req, "waiting-room-full", now)
             return
-        self._waiting[req.key] = _QueuedRequest(req, now)
         self._place_from_queue(service, now)
         self._refuse_beyond_limits(service, now)
-        if req.key not in self._waiting:
+        if req.key not in self.waiting:
             return
         refusal_s = self._excessive_wait_s(service, waiting_request, now)
         lacks_prefill = self._choose(req, now) == Err(Shortage.PREFILL_SERVER)
@@ -199,7 +189,7 @@
         return charge_request(req, service, self.quota, self.budget, self.use, now)
 
     def _place_from_queue(self, service: str, now: float) -> None:
-        queue = self._queues.get(service)
+        queue = self.waiting.queue(service)
         if not queue:
             return
         placed, short = False, set()
@@ -210,7 +200,7 @@
                 # Other hosts get free memory first, but cannot use permits of this one.
                 short.add(Shortage.MEMORY)
                 break
-            queued = self._waiting[waiting_request.key]
+            queued = self.waiting[waiting_request.key]
             match self._choose(queued.req, now):
                 case Err(Shortage.MEMORY) if not queued.req.generation.is_restricted():
                     short.add(Shortage.MEMORY)
@@ -242,44 +232,39 @@
     def place_waiting(self, now: float) -> None:
         """Place queued requests that fit and refuse those that waited too long."""
         self._plain.place_waiting(now)
-        for service in list(self._queues):
+        for service in list(self.waiting.queues):
             self._place_from_queue(service, now)
             self._refuse_expired(service, now)
             self._refuse_unservable(service, now)
             self._refuse_beyond_limits(service, now)
-        if self.waiting_tokens(now) != self._reported_waiting:
+        if self.waiting.differs_from_report(now):
             self._on_change(now)
 
     def waiting_tokens(self, now: float) -> dict[str, WaitingTokens]:
         """Return the tokens of KV cache for which requests wait, by service."""
-        queues = self._queues.items()
-        return {name: queue.tokens(now) for name, queue in queues if queue}
+        return self.waiting.tokens(now)
 
     def report_waiting_tokens(self, now: float) -> dict[str, WaitingTokens]:
         """Return `waiting_tokens` for a report and remember it as reported."""
-        self._reported_waiting = self.waiting_tokens(now)
-        return self._reported_waiting
+        return self.waiting.report_tokens(now)
 
     def discard_waiting(self, key: int) -> None:
         """Remove a waiting request without setting its future."""
-        waiting = self._waiting.pop(key, None)
-        if waiting is not None:
-            self._queues[waiting.req.generation.service].discard(key)
+        self.waiting.discard(key)
 
     def _refuse_expired(self, service: str, now: float) -> None:
-        queue = self._queues.get(service)
-        for request in queue.pop_expired(now) if queue else ():
-            self._refuse(self._waiting.pop(request.key).req, "no-decode-memory", now)
+        for req in self.waiting.pop_expired(service, now):
+            self._refuse(req, "no-decode-memory", now)
 
     def _refuse_unservable(self, service: str, now: float) -> None:
         """Refuse late requests while no decode server is usable for them.
 
         Others wait for a server unless an evacuation is the cause, which lasts longer.
         """
-        queue = self._queues[service]
+        queue = self.waiting.queue(service)
         shortages: dict[frozenset[str] | None, str | None] = {}
         for waiting_request in queue.in_service_order(now) if len(queue) else ():
-            req = self._waiting[waiting_request.key].req.generation
+            req = self.waiting[waiting_request.key].req.generation
             regions = req.allowed_regions
             if regions not in shortages:
                 shortages[regions] = self.candidates.decode_shortage(req, now)
@@ -294,11 +279,11 @@
 
         Where only permits can serve requests, each waits only if there are enough.
         """
-        queue = self._queues[service]
+        queue = self.waiting.queue(service)
         if not self._limits.may_get_permit(service, now):
             return
         for rank, request in enumerate(self._service_order(service, now)):
-            waiting = self._waiting[request.key]
+            waiting = self.waiting[request.key]
             order = rank if waiting.has_permit else len(queue) - 1
             wait = self._limits.wait_for(service, order, now)
             if wait is not None and wait.is_reserved:
@@ -323,24 +308,23 @@
 
     def _service_order(self, service: str, now: float) -> list[WaitingRequest]:
         """Return the waiting requests in service order, those with a permit first."""
-        order = self._queues[service].in_service_order(now)
+        order = self.waiting.queue(service).in_service_order(now)
         if not self.permits.has_limits(now):
             return order
-        first = [item for item in order if self._waiting[item.key].has_permit]
-        rest = [item for item in order if not self._waiting[item.key].has_permit]
+        first = [item for item in order if self.waiting[item.key].has_permit]
+        rest = [item for item in order if not self.waiting[item.key].has_permit]
         return sorted(first, key=lambda item: item.arrived_at) + rest
 
     def _excessive_wait_s(
         self, service: str, waiting: WaitingRequest, now: float
     ) -> float | None:
-        req, queue = self._waiting[waiting.key].req, self._queues[service]
+        req, queue = self.waiting[waiting.key].req, self.waiting.queue(service)
         return self._placement.excessive_wait_s(req, queue, waiting, now)
 
     def _refuse_waiting(
         self, waiting: WaitingRequest, reason: str, now: float, wait_s: float = 0.0
     ) -> None:
-        req = self._waiting[waiting.key].req
-        self.discard_waiting(waiting.key)
+        req = self.waiting.discard(waiting.key)
         self._refuse(req, reason, now, wait_s, min_retry_s=wait_s)
 
     def _refuse(
@@ -357,11 +341,9 @@
 
     def cancel_wait(self, message: m.CancelWait, now: float) -> None:
         """Remove a waiting request whose caller disconnected, and refund its charge."""
-        waiting = self._waiting.pop(message.key, None)
-        if waiting is None:
-            return
-        self._queues[message.service].discard(message.key)
-        self.quota.refund(waiting.req.workspace, waiting.req.charge_tokens)
+        req = self.waiting.discard(message.key)
+        if req is not None:
+            self.quota.refund(req.workspace, req.charge_tokens)
 
     def consume_retry(self, message: m.ConsumeRetry, now: float) -> bool:
         """Consume one retry; return False if the budget or the server forbids it."""
--- a/src/sesameport/entry/placement_explainer.py
+++ b/src/sesameport/entry/placement_explainer.py
@@ -60,7 +60,7 @@
             admission._plain._choose,
             admission._placement.excessive_wait_s,
             admission._placement.extra_share,
-            admission._queues,
+            admission.waiting.queues,
             admission._placement.measurements.prefill_speeds,
         )
 
