--- a/src/sesameport/adapters/cancellable_socket.py
+++ b/src/sesameport/adapters/cancellable_socket.py
@@ -1,11 +1,13 @@
 """Bound reads from a backend server, and cancel them when the caller disconnects."""
 
+import contextlib
+import os
 import select
 import socket
 import time
 from typing import Protocol
 
-__all__ = ["Account", "CancellableSocket", "ReadLimitExceeded"]
+__all__ = ["Account", "CancellableSocket", "ReadInterrupt", "ReadLimitExceeded"]
 
 FREE_BYTES = 24_576
 """Bytes since the last call of ``allow_bytes`` that are not charged. The request is
@@ -33,16 +35,38 @@
     """Raised when a server sends more bytes than the reader has allowed."""
 
 
+class ReadInterrupt:
+    """End all reads that wait for data, at once and from then on; thread-safe."""
+
+    def __init__(self):
+        self._reader, self._writer = os.pipe()
+
+    def fileno(self) -> int:
+        """Return the descriptor that becomes readable when reads are to end."""
+        return self._reader
+
+    def fire(self) -> None:
+        """End the reads."""
+        os.write(self._writer, b"\0")
+
+    def close(self) -> None:
+        """Close the descriptors. No read may use the interrupt any more."""
+        for descriptor in (self._reader, self._writer):
+            with contextlib.suppress(OSError):
+                os.close(descriptor)
+
+
 class CancellableSocket(socket.socket):
     """Wait for data until the deadline passes or the caller disconnects.
 
     Attributes
     ----------
-    caller_disconnected, timed_out : bool
-        Why a read failed. If neither is set, the peer closed the connection.
+    caller_disconnected, timed_out, interrupted : bool
+        Why a read failed. If none is set, the peer closed the connection.
     """
 
     _caller = None
+    _interrupt: ReadInterrupt | None = None
     _deadline = 0.0
     _allowed_bytes: int | None = None
     _account: Account | None = None
@@ -52,6 +76,7 @@
     _polled = (-1, -1)
     caller_disconnected = False
     timed_out = False
+    interrupted = False
 
     @classmethod
     def wrap(
@@ -60,6 +85,7 @@
         caller,
         deadline: float,
         account: Account | None = None,
+        interrupt: ReadInterrupt | None = None,
     ) -> "CancellableSocket":
         """Return a socket that owns the file descriptor of a connected socket.
 
@@ -73,6 +99,8 @@
             Monotonic time at which reads time out, seconds.
         account : Account or None
             Memory that large heads, lines and trailers are charged to.
+        interrupt : ReadInterrupt or None
+            Ends reads before the process does.
         """
         timeout = sock.gettimeout()
         wrapped = cls(sock.family, sock.type, sock.proto, fileno=sock.detach())
@@ -80,6 +108,7 @@
         wrapped._caller = caller
         wrapped._deadline = deadline
         wrapped._account = account
+        wrapped._interrupt = interrupt
         return wrapped
 
     def extend_deadline(self, deadline: float) -> None:
@@ -111,7 +140,7 @@
         TimeoutError
             If the deadline passes first.
         ConnectionAbortedError
-            If the caller disconnects first.
+            If the caller disconnects first, or the read is interrupted.
         ReadLimitExceeded
             If all allowed bytes have been received, or there is no memory for more.
         """
@@ -169,10 +198,15 @@
                 self._poller = None
             if self.fileno() in ready:
                 return
+            if self._interrupt is not None and self._interrupt.fileno() in ready:
+                self.interrupted = True
+                raise ConnectionAbortedError("the read was interrupted")
 
     def _create_poller(self, caller_fd: int) -> select.poll:
         poller = select.poll()
         poller.register(self, select.POLLIN)
         if self._caller is not None:
             poller.register(caller_fd, select.POLLIN)
+        if self._interrupt is not None:
+            poller.register(self._interrupt, select.POLLIN)
         return poller
--- a/src/sesameport/admission/waiting_queue.py
+++ b/src/sesameport/admission/waiting_queue.py
@@ -93,6 +93,8 @@
         Rank of the route or workspace; 0 is served first.
     kv_tokens : int
         Required KV cache, tokens.
+    run_s : float
+        Time within which its run is expected to end, seconds.
     """
 
     key: int
@@ -102,6 +104,7 @@
     is_returning: bool
     priority: int = 5
     kv_tokens: int = 0
+    run_s: float = 0.0
 
 
 @attrs.frozen
@@ -125,10 +128,18 @@
 
 @attrs.define
 class WaitingQueue:
-    """Queue the waiting requests of one service."""
+    """Queue the waiting requests of one service.
+
+    Attributes
+    ----------
+    ends_at : float
+        Monotonic time at which this process ends, seconds; infinite unless the host
+        stops. A request whose run would not end before it is refused.
+    """
 
     policy: WaitingPolicy = WaitingPolicy()
     _requests: dict[int, WaitingRequest] = attrs.field(factory=dict)
+    ends_at: float = math.inf
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -146,7 +157,12 @@
     def refuse_at(self, request: WaitingRequest) -> float:
         """Return the time at which a request is refused if it is still waiting."""
         latest = request.disconnects_at - self.policy.late_first_event_s
-        return max(request.arrived_at, self.late_at(request), latest)
+        latest = max(request.arrived_at, self.late_at(request), latest)
+        return min(latest, self.ends_at - request.run_s)
+
+    def waiting(self) -> list[WaitingRequest]:
+        """Return the waiting requests in the order of their arrival."""
+        return list(self._requests.values())
 
     def try_add(self, request: WaitingRequest) -> bool:
         """Add a request; return False if the queue is full."""
@@ -206,7 +222,7 @@
         if not self.is_late(request, now):
             ahead = waiting.on_time - needed
             wait_s = forecast_s(ahead, reserved_tokens)
-            if now + wait_s <= self.late_at(request):
+            if now + wait_s <= min(self.late_at(request), self.refuse_at(request)):
                 return None
         ahead = waiting.on_time + waiting.late - needed
         freed = self.policy.late_memory_share * reserved_tokens
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -22,6 +22,7 @@
 from sesameport.entry.settings import EntrySettings
 from sesameport.entry.snapshot_schedule import SnapshotSchedule
 from sesameport.entry.speed_exchange import SpeedExchange
+from sesameport.entry.stopping import HostStopping
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EntryActor"]
@@ -160,6 +161,7 @@
             m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
             m.CancelWait: admission.cancel_wait,
+            HostStopping: admission.stop,
             m.MemoryRefused: admission.record_refused_memory,
             m.ConsumeRetry: admission.consume_retry,
             m.CallOutcome: admission.monitor.record_outcome,
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -41,6 +41,11 @@
 from sesameport.entry.reservations import release_prefill, release_run
 from sesameport.entry.server_monitor import EVACUATED, ServerMonitor
 from sesameport.entry.settings import EntrySettings
+from sesameport.entry.stopping import (
+    HOST_STOPPING,
+    STOPPING_RETRY_AFTER_S,
+    HostStopping,
+)
 from sesameport.entry.waiting_generations import WaitingGenerations
 
 __all__ = ["AdmissionController"]
@@ -137,6 +142,8 @@
 
     def admit_plain(self, req: m.AdmitPlain, now: float) -> m.PlainReply:
         """Return the server of a plain request, a refusal, or a future of these."""
+        if now >= self.waiting.ends_at:
+            return m.Refused(HOST_STOPPING, STOPPING_RETRY_AFTER_S)
         if req.is_first_attempt:
             refused = self._charge(req, req.service, now)
             if refused is not None:
@@ -151,7 +158,13 @@
             if refused is not None:
                 req.future.set(refused)
                 return
-        elif not self.budget.spend(service, now, req.repeats):
+        run_s = self._placement.measurements.expected_run_s(service)
+        if now + run_s > self.waiting.ends_at:
+            self._refuse(req, HOST_STOPPING, now)
+            return
+        if not req.is_first_attempt and not self.budget.spend(
+            service, now, req.repeats
+        ):
             req.future.set(m.Refused("no-retry-budget", self.retry_delay_s()))
             return
         waiting_request = WaitingRequest(
@@ -162,6 +175,7 @@
             req.is_returning,
             req.priority,
             reserved_kv_tokens(generation.prompt_tokens, generation.output_tokens),
+            run_s,
         )
         queue = self.waiting.queue(service)
         if shortage := self.candidates.decode_shortage(generation, now):
@@ -185,10 +199,24 @@
         self._wake_at(queue.late_at(waiting_request))
         self._wake_at(queue.refuse_at(waiting_request))
 
+    def stop(self, message: HostStopping, now: float) -> None:
+        """Refuse the waiting generations that cannot end before this process."""
+        self.waiting.stop(message.ends_at)
+        self.place_waiting(now)
+        for service, queue in self.waiting.queues.items():
+            for waiting_request in queue.waiting():
+                if self._excessive_wait_s(service, waiting_request, now) is not None:
+                    self._refuse_waiting(waiting_request, HOST_STOPPING, now)
+                    continue
+                self._wake_at(queue.refuse_at(waiting_request))
+        self._on_change(now)
+
     def _charge(self, req, service: str, now: float) -> m.Refused | None:
         return charge_request(req, service, self.quota, self.budget, self.use, now)
 
     def _place_from_queue(self, service: str, now: float) -> None:
+        if self.waiting.is_stopping():
+            self._refuse_expired(service, now)
         queue = self.waiting.queue(service)
         if not queue:
             return
@@ -222,7 +250,11 @@
             placement = self._placement.leases.plan(
                 placement, self._placement.engine(service), now
             )
-            queued.req.future.set(m.Admitted(placement, waited_s=now - queued.since))
+            run_s = self._placement.measurements.expected_run_s(service)
+            admitted = m.Admitted(
+                placement, waited_s=now - queued.since, expected_s=run_s
+            )
+            queued.req.future.set(admitted)
             log_placement(queued.req, placement, self.use, now)
             placed = True
         self._limits.ask(service, short, len(queue), now)
@@ -253,8 +285,9 @@
         self.waiting.discard(key)
 
     def _refuse_expired(self, service: str, now: float) -> None:
+        reason = HOST_STOPPING if self.waiting.is_stopping() else "no-decode-memory"
         for req in self.waiting.pop_expired(service, now):
-            self._refuse(req, "no-decode-memory", now)
+            self._refuse(req, reason, now)
 
     def _refuse_unservable(self, service: str, now: float) -> None:
         """Refuse late requests while no decode server is usable for them.
@@ -331,7 +364,10 @@
         self, req, reason: str, now: float, forecast_s=0.0, min_retry_s=0.0
     ) -> None:
         self.quota.refund(req.workspace, req.charge_tokens)
-        refused = m.Refused(reason, max(min_retry_s, self.retry_delay_s()))
+        delay_s = max(min_retry_s, self.retry_delay_s())
+        if reason == HOST_STOPPING:
+            delay_s = STOPPING_RETRY_AFTER_S
+        refused = m.Refused(reason, delay_s)
         log_refusal(req, refused, forecast_s, self.use, now)
         req.future.set(refused)
 
--- a/src/sesameport/entry/caller_limits/body_reader.py
+++ b/src/sesameport/entry/caller_limits/body_reader.py
@@ -56,6 +56,7 @@
     "threads": (408, "body arrives too slowly for the load"),
     "connections": (503, "too many connections"),
     "memory": (503, "not enough memory for the body"),
+    "stopping": (503, "host is stopping"),
     "bodies": (503, "too many bodies in progress"),
     "bodies-per-address": (503, "too many bodies in progress from this address"),
 }
--- a/src/sesameport/entry/engine_measurements.py
+++ b/src/sesameport/entry/engine_measurements.py
@@ -8,6 +8,11 @@
 """Weight of the latest prefill in the moving average of a server's prefill speed."""
 
 
+RUN_TIME_MARGIN = 1.5
+"""Time allowed for a run, as a multiple of the mean, because some answers are longer. A
+run that does not end before this process is broken off."""
+
+
 class EngineMeasurements:
     """Keep the prefill speeds of servers and the workload mix of each service.
 
@@ -26,6 +31,10 @@
         """Return the workload mix of a service, updated by its requests."""
         return self._mixes.setdefault(service, WorkloadMix())
 
+    def expected_run_s(self, service: str) -> float:
+        """Return the time within which most runs of a service end, seconds."""
+        return RUN_TIME_MARGIN * self.workload_mix(service).mean_reservation_s
+
     def record_prefill(self, placement: Placement, seconds: float) -> None:
         """Record the duration of a prefill on a prefill server, seconds."""
         server = placement.prefill
--- a/src/sesameport/entry/forwarding.py
+++ b/src/sesameport/entry/forwarding.py
@@ -7,7 +7,7 @@
 import attrs
 
 from sesameport.admission import RouteTable, combine_regions
-from sesameport.entry.configuration import RequestKind, key_digest
+from sesameport.entry.configuration import EntryRoute, RequestKind, key_digest
 from sesameport.entry.crash_detector import CrashDetector
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.generation_handler import GenerationHandler
@@ -19,6 +19,11 @@
     EntryRequest,
     ServerClient,
 )
+from sesameport.entry.stopping import (
+    HOST_STOPPING,
+    STOPPING_RETRY_AFTER_S,
+    ProcessStop,
+)
 
 __all__ = ["Forwarder"]
 
@@ -26,9 +31,6 @@
 """Time before the end of the process in which requests are rejected, seconds: many
 times the usual duration of a plain request."""
 
-STOPPING_RETRY_AFTER_S = 0.2
-"""Retry-After of a stopping host, seconds. Another host can serve immediately."""
-
 
 class Forwarder:
     """Forward requests of callers.
@@ -47,6 +49,8 @@
         Counters and histograms.
     guard : CrashGuard
         Refuses requests that crash servers.
+    stop : ProcessStop
+        When this process ends.
     """
 
     def __init__(
@@ -57,13 +61,15 @@
         data_centre: str,
         metrics,
         guard: CrashGuard,
+        stop: ProcessStop,
     ):
+        self._stop = stop
         self._routes = routes
         crashes = CrashDetector(calls, metrics, guard.record_crash)
         self._outcomes = OutcomeReporter(actor, metrics, crashes)
         self._plain = PlainHandler(actor, calls, self._outcomes, guard)
         self._generations = GenerationHandler(
-            actor, calls, self._outcomes, guard, data_centre
+            actor, calls, self._outcomes, guard, data_centre, stop
         )
 
     def forward(
@@ -73,13 +79,8 @@
         key: str,
         writer: ResponseWriter,
         caller: CallerConnection,
-        ends_at: float | None = None,
     ) -> None:
-        """Forward one request and respond to its caller.
-
-        ``ends_at`` is the monotonic time at which a stopping process ends. Only
-        requests that can finish before it are accepted.
-        """
+        """Forward one request and respond to its caller."""
         table: RouteTable | None = self._routes.table
         if table is None:
             self._outcomes.reject_request(req, writer, 503, "no-configuration", 1.0)
@@ -88,14 +89,13 @@
         if route is None:
             self._outcomes.reject_request(req, writer, 404, "no-route")
             return
-        if ends_at is not None:
-            left_s = ends_at - req.received_at
-            if route.kind == RequestKind.STREAM or left_s < MIN_TIME_LEFT_S:
+        if self._stop.has_begun:
+            if not self._accepts(route, req.received_at):
                 self._outcomes.reject_request(
-                    req, writer, 503, "host-stopping", STOPPING_RETRY_AFTER_S
+                    req, writer, 503, HOST_STOPPING, STOPPING_RETRY_AFTER_S
                 )
                 return
-            req = attrs.evolve(req, deadline=min(req.deadline, ends_at))
+            req = attrs.evolve(req, deadline=min(req.deadline, self._stop.ends_at))
         workspace, priority, charge = "", route.priority, 0.0
         workspace_regions: tuple[str, ...] = ()
         if table.needs_key(route):
@@ -132,3 +132,9 @@
             writer.abort()
         finally:
             self._outcomes.record_end(progress)
+
+    def _accepts(self, route: EntryRoute, now: float) -> bool:
+        """Return whether a stopping host accepts a request of a route."""
+        if route.kind == RequestKind.STREAM and now >= self._stop.streams_until:
+            return False
+        return self._stop.leaves_time(MIN_TIME_LEFT_S, now)
--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -20,13 +20,16 @@
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
 from sesameport.entry.prefill_handler import PrefillHandler
 from sesameport.entry.requests import (
+    INTERRUPTED,
     CallerDisconnected,
     CallFailure,
+    CallInterrupted,
     FailureKind,
     IncompleteResponse,
     ServerClient,
     read_response,
 )
+from sesameport.entry.stopping import HOST_STOPPING, ProcessStop
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["GenerationHandler"]
@@ -49,6 +52,9 @@
 """Failure of an attempt whose request became refused meanwhile. It has not been sent,
 and the next attempt is refused before it is sent."""
 
+STOPPING_FAILURE = CallFailure(FailureKind.NOT_SENT, HOST_STOPPING)
+"""Failure of an attempt whose run would not end before this process does."""
+
 EVENT_STREAM = "text/event-stream"
 
 log = get_logger("requests")
@@ -69,6 +75,8 @@
         Refuses requests that crash servers.
     data_centre : str
         Data centre of this host.
+    stop : ProcessStop or None
+        When this process ends.
     """
 
     def __init__(
@@ -78,7 +86,9 @@
         outcomes: OutcomeReporter,
         guard: CrashGuard,
         data_centre: str,
+        stop: ProcessStop | None = None,
     ):
+        self._stop = stop or ProcessStop()
         self._actor = actor
         self._guard = guard
         self._calls = calls
@@ -113,7 +123,7 @@
             succeeded = False
             try:
                 failure, has_started = self._run_attempt(
-                    progress, admitted.placement, events, has_started, writer, caller
+                    progress, admitted, events, has_started, writer, caller
                 )
                 succeeded = failure is None
             finally:
@@ -203,7 +213,8 @@
             self._actor.tell(m.PrefillEnded(admitted.placement, 0.0, False))
             self._actor.tell(m.RunEnded(admitted.placement))
 
-    def _run_attempt(self, progress, placement, events, has_started, writer, caller):
+    def _run_attempt(self, progress, admitted, events, has_started, writer, caller):
+        placement = admitted.placement
         if self._guard.refusal(progress) is not None:
             self._actor.tell(m.PrefillEnded(placement, 0.0, False))
             return SUSPECT_FAILURE, has_started
@@ -218,6 +229,8 @@
         try:
             if self._guard.refusal(progress) is not None:
                 return SUSPECT_FAILURE, has_started
+            if not self._stop.leaves_time(admitted.expected_s, time.monotonic()):
+                return STOPPING_FAILURE, has_started
             return self._decode(
                 progress,
                 placement.decode,
@@ -311,12 +324,8 @@
                 progress.body_bytes += len(data)
                 writer.send(data)
             _check_stream_end(response, checked, progress)
-        except IncompleteResponse as exc:
-            failure = CallFailure(FailureKind.BROKEN, str(exc))
-            self._outcomes.record_failure(progress, server, failure)
-            return failure, has_started
-        except TimeoutError as exc:
-            failure = CallFailure(FailureKind.TIMEOUT, str(exc))
+        except _STREAM_ERRORS as exc:
+            failure = _to_stream_failure(exc)
             self._outcomes.record_failure(progress, server, failure)
             return failure, has_started
         if not has_started:
@@ -372,6 +381,17 @@
             )
 
 
+_STREAM_ERRORS = (IncompleteResponse, TimeoutError, CallInterrupted)
+
+
+def _to_stream_failure(exc: Exception) -> CallFailure:
+    if isinstance(exc, CallInterrupted):
+        return INTERRUPTED
+    is_timeout = isinstance(exc, TimeoutError)
+    kind = FailureKind.TIMEOUT if is_timeout else FailureKind.BROKEN
+    return CallFailure(kind, str(exc))
+
+
 def _check_stream_end(response, checked, progress) -> None:
     """Raise `IncompleteResponse` if a stream has broken off at its end.
 
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -6,6 +6,7 @@
 import attrs
 from result import Err, Ok
 
+from sesameport.adapters.cancellable_socket import ReadInterrupt
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
 from sesameport.admission import (
@@ -35,7 +36,7 @@
 from sesameport.entry.role_controller import RoleChange, RoleController
 from sesameport.entry.server_calls import EvacuationOrderClient, NoticedServerClient
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
-from sesameport.entry.stopping import HostDrain, InFlight
+from sesameport.entry.stopping import HostDrain, InFlight, ProcessStop
 from sesameport.entry.store_follower import StoreFollower
 from sesameport.entry.suspect_store import SuspectStore
 from sesameport.telemetry.logs import get_logger
@@ -85,6 +86,8 @@
         self._routes = CurrentRoutes()
         self._timers = TimerService(on_error=_log_timer_error)
         self._in_flight = InFlight()
+        self._stop = ProcessStop()
+        self._interrupt = ReadInterrupt()
         self._closing = threading.Event()
         self._reachability_probe = ReachabilityProbe(self._tell)
         bounds = settings.limits
@@ -133,18 +136,23 @@
             self.metrics,
             self._evacuations,
             ServerBytes(bounds.max_server_bytes, self._peers.host_count),
+            self._stop,
         )
         self._forwarder = Forwarder(
             self._actor,
             self._routes,
             calls.wrap(
                 adapter.create_server_client(
-                    calls.record_notice, account, bounds.socket_buffer_bytes
+                    calls.record_notice,
+                    account,
+                    bounds.socket_buffer_bytes,
+                    self._interrupt,
                 )
             ),
             settings.data_centre,
             self.metrics,
             self._guard,
+            self._stop,
         )
         self._follower = StoreFollower(
             lambda: adapter.create_store_client(settings.store_address, account),
@@ -169,7 +177,13 @@
             self._handle_ready,
             self._handle_metrics,
         )
-        self._drain = HostDrain(self._listeners.callers, self._in_flight)
+        self._drain = HostDrain(
+            self._listeners.callers,
+            self._in_flight,
+            self._stop,
+            self._interrupt,
+            self._tell,
+        )
 
     def start(self) -> "EntryHost":
         """Start serving and return the host."""
@@ -211,9 +225,9 @@
         """Drain and stop; return whether every running request was completed."""
         self.metrics.set("sesameport_ready", 0)
         log.info("draining", extra={"in_flight": self._in_flight.count})
-        is_complete = self._drain.run(self._settings.bounds.grace_s)
-        log.info("stopped", extra={"given_up": self._in_flight.count})
-        return is_complete
+        given_up = self._drain.run(self._settings.bounds.grace_s)
+        log.info("stopped", extra={"given_up": given_up})
+        return given_up == 0
 
     def close(self) -> None:
         """Stop immediately without draining, for hosts that share a process."""
@@ -244,7 +258,7 @@
         reasons = self._follower.failures()
         if self._routes.table is None or not self._evacuations.is_known:
             reasons.append("configuration or evacuations not known yet")
-        if self._drain.has_begun:
+        if self._stop.has_begun:
             reasons.append("draining")
         return reasons
 
@@ -337,7 +351,7 @@
             self._respond(http, body, now)
 
     def _respond(self, http: StrictRequest, body: bytes, now: float) -> None:
-        writer = HttpResponseWriter(http, lambda: self._drain.has_begun)
+        writer = HttpResponseWriter(http, lambda: self._stop.has_begun)
         headers = http.header_pairs
         method, target = http.method.decode(), http.uri.decode()
         match self._adapter.decode_request(method, target, headers, body, now):
@@ -348,8 +362,7 @@
                 host = http.inheaders.get(b"Host", b"").decode("latin-1").strip()
                 key = self._adapter.extract_key(headers)
                 caller = CallerSocket(http.conn.socket)
-                ends_at = self._drain.ends_at
-                self._forwarder.forward(req, host, key, writer, caller, ends_at)
+                self._forwarder.forward(req, host, key, writer, caller)
 
     def _handle_ready(self, http: StrictRequest, body: bytes) -> None:
         writer = HttpResponseWriter(http, lambda: False)
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -265,7 +265,7 @@
         self._server = _Server(
             (host, int(port)), _Gateway, minthreads=threads, maxthreads=max_threads
         )
-        open_bodies = OpenBodies(bounds)
+        self._open_bodies = open_bodies = OpenBodies(bounds)
         self._server.slow_readers = SlowReaders(account)
         self._server.bodies = BodyReader(
             bounds, account, open_bodies, stated_wait_s, self._server.slow_readers
@@ -302,7 +302,9 @@
         """Apply the limits of a configuration."""
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
-        self._server.timeout = limits.idle_s + IDLE_MARGIN_S
+        self._idle_s = limits.idle_s + IDLE_MARGIN_S
+        if not self._server.is_stopping:
+            self._server.timeout = self._idle_s
 
     def add_threads(self) -> None:
         """Add threads if few are idle.
@@ -316,7 +318,7 @@
 
     def enforce_limits(self) -> None:
         """Cut off clients that exceed their time or hold threads that others need."""
-        self._supervisor.enforce(time.monotonic(), self._server.timeout)
+        self._supervisor.enforce(time.monotonic(), self._idle_s)
 
     def connection_count(self) -> int:
         """Return the number of open connections."""
@@ -336,6 +338,15 @@
         pool = self._server.requests
         return pool.qsize > 0 or pool.idle < len(pool._threads)
 
+    def has_open_bodies(self) -> bool:
+        """Return whether the body of a request is being read."""
+        return bool(self._open_bodies.holders())
+
+    def end_open_bodies(self) -> None:
+        """Refuse the requests whose bodies are being read."""
+        for holder in self._open_bodies.holders():
+            self._open_bodies.close(holder, "stopping")
+
     def stop(self) -> None:
         """Stop listening and abort requests in progress."""
         self._server.stop()
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -152,12 +152,14 @@
 class Admitted:
     """Return the servers granted to a request.
 
-    A generation gets a ``placement``, a plain request the server ``plain``.
+    A generation gets a ``placement``, a plain request the server ``plain``. The run of
+    a generation is expected to end within ``expected_s`` seconds.
     """
 
     placement: Placement | None = None
     plain: EntryServer | None = None
     waited_s: float = 0.0
+    expected_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -292,7 +292,7 @@
 
         ``will_retry`` is true if the same server is called again.
         """
-        if failure.kind == FailureKind.CALLER_LEFT:
+        if not failure.kind.is_of_server():
             return
         unreachable = failure.kind == FailureKind.UNREACHABLE
         # A prefill takes a fraction of its timeout unless the response was lost or the
--- a/src/sesameport/entry/platform_adapter.py
+++ b/src/sesameport/entry/platform_adapter.py
@@ -4,7 +4,7 @@
 
 from result import Result
 
-from sesameport.adapters.cancellable_socket import Account
+from sesameport.adapters.cancellable_socket import Account, ReadInterrupt
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.requests import EntryRequest, ServerClient
 from sesameport.entry.role_controller import EngineOrderClient
@@ -28,11 +28,16 @@
         ...
 
     def create_server_client(
-        self, on_notice: OnNotice, account: Account, buffer_bytes: int = 0
+        self,
+        on_notice: OnNotice,
+        account: Account,
+        buffer_bytes: int = 0,
+        interrupt: ReadInterrupt | None = None,
     ) -> ServerClient:
         """Return a client that calls ``on_notice`` for each answer of a server.
 
-        ``buffer_bytes`` is the size of the receive buffer of each connection.
+        ``buffer_bytes`` is the size of the receive buffer of each connection, and
+        ``interrupt`` ends calls that wait for an answer when the process ends.
         """
         ...
 
--- a/src/sesameport/entry/prefill_handler.py
+++ b/src/sesameport/entry/prefill_handler.py
@@ -17,6 +17,8 @@
 remaining time allows the call to reach that server."""
 
 LOST_RESPONSE_KINDS = frozenset({FailureKind.BROKEN, FailureKind.TIMEOUT})
+HARMLESS_KINDS = LOST_RESPONSE_KINDS | {FailureKind.INTERRUPTED}
+"""Failures after which a prefill may have run. It has produced no output."""
 
 
 class PrefillHandler:
@@ -62,8 +64,7 @@
                 return None
             case Err(failure):
                 progress.excluded.add(server.name)
-                if failure.kind in LOST_RESPONSE_KINDS:
-                    # A lost prefill has produced no output, so a retry is safe.
+                if failure.kind in HARMLESS_KINDS:
                     failure = attrs.evolve(failure, kind=FailureKind.REFUSED)
                 return failure
 
--- a/src/sesameport/entry/requests.py
+++ b/src/sesameport/entry/requests.py
@@ -12,10 +12,12 @@
 __all__ = [
     "IncompleteResponse",
     "CallFailure",
+    "CallInterrupted",
     "CallerDisconnected",
     "CallerConnection",
     "EntryRequest",
     "FailureKind",
+    "INTERRUPTED",
     "KvSource",
     "MemoryLease",
     "OpenResponse",
@@ -109,7 +111,8 @@
 
     After ``UNREACHABLE``, ``REFUSED`` and ``WRONG_SERVER`` the request has not run at
     that server. ``NOT_SENT`` means that the server did not get it. After ``BROKEN`` and
-    ``TIMEOUT`` it may have run.
+    ``TIMEOUT`` it may have run. It may also have run after ``CALLER_LEFT`` and, if this
+    host stopped meanwhile, ``INTERRUPTED``, which are no failures of the server.
     """
 
     UNREACHABLE = "unreachable"
@@ -119,6 +122,7 @@
     BROKEN = "broken"
     TIMEOUT = "timeout"
     CALLER_LEFT = "caller-left"
+    INTERRUPTED = "host-stopping"
 
     def has_not_run(self) -> bool:
         """Return whether the request certainly did not run."""
@@ -129,6 +133,10 @@
             FailureKind.NOT_SENT,
         )
 
+    def is_of_server(self) -> bool:
+        """Return whether the server or the way to it has failed."""
+        return self not in (FailureKind.CALLER_LEFT, FailureKind.INTERRUPTED)
+
     def has_arrived(self) -> bool:
         """Return whether the request may have reached the server."""
         return self not in (FailureKind.UNREACHABLE, FailureKind.NOT_SENT)
@@ -142,10 +150,17 @@
     detail: str = ""
 
 
+INTERRUPTED = CallFailure(FailureKind.INTERRUPTED, "this host stops")
+
+
 class CallerDisconnected(Exception):
     """Raised when the caller has closed its connection."""
 
 
+class CallInterrupted(Exception):
+    """Raised when this host ends before a response is complete."""
+
+
 class IncompleteResponse(Exception):
     """Raised when a response ends before it is complete."""
 
@@ -223,6 +238,8 @@
             If the caller disconnects meanwhile.
         TimeoutError
             If the deadline of the request passed.
+        CallInterrupted
+            If this host ends meanwhile.
         """
         ...
 
@@ -346,12 +363,14 @@
     return b"".join(parts)
 
 
-_READ_ERRORS = (IncompleteResponse, TimeoutError, CallerDisconnected)
+_READ_ERRORS = (IncompleteResponse, TimeoutError, CallerDisconnected, CallInterrupted)
 
 
 def _to_read_failure(exc: Exception) -> CallFailure:
     if isinstance(exc, CallerDisconnected):
         return CallFailure(FailureKind.CALLER_LEFT)
+    if isinstance(exc, CallInterrupted):
+        return INTERRUPTED
     if isinstance(exc, TimeoutError):
         return CallFailure(FailureKind.TIMEOUT, str(exc))
     return CallFailure(FailureKind.BROKEN, str(exc))
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -16,6 +16,7 @@
 )
 from sesameport.entry.role_controller import EngineOrderClient
 from sesameport.entry.server_notices import NO_NOTICE, ServerNotice
+from sesameport.entry.stopping import HOST_STOPPING, ProcessStop
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["EvacuationOrderClient", "NoticedServerClient"]
@@ -23,6 +24,7 @@
 EVACUATED = CallFailure(FailureKind.NOT_SENT, "the data centre is evacuated")
 LIMITED = CallFailure(FailureKind.NOT_SENT, "the server has a limit of requests")
 FULL = CallFailure(FailureKind.NOT_SENT, "the server holds this host's share of bytes")
+STOPPING = CallFailure(FailureKind.NOT_SENT, HOST_STOPPING)
 PAUSED = CallFailure(FailureKind.NOT_SENT, "the server wants nothing now")
 
 log = get_logger("limits")
@@ -46,6 +48,8 @@
         Data centres whose servers get nothing.
     server_bytes : ServerBytes or None
         Bytes of requests in flight to each server.
+    stop : ProcessStop or None
+        When this process ends; from then on, servers get nothing.
     """
 
     def __init__(
@@ -55,7 +59,9 @@
         metrics,
         evacuations: Evacuations,
         server_bytes: ServerBytes | None = None,
+        stop: ProcessStop | None = None,
     ):
+        self._stop = stop or ProcessStop()
         self._bytes = server_bytes or ServerBytes(None, lambda: 1)
         self._limits = limits
         self._notices = limits.notices
@@ -163,7 +169,10 @@
         if self._evacuations.forbids(server):
             self._metrics.count("sesameport_entry_evacuated_calls_total", call=call)
             return EVACUATED
-        if time.monotonic() < self._notices.paused_until(server):
+        now = time.monotonic()
+        if not self._stop.leaves_time(0.0, now):
+            return STOPPING
+        if now < self._notices.paused_until(server):
             return PAUSED
         return None
 
--- a/src/sesameport/entry/stopping/drain.py
+++ b/src/sesameport/entry/stopping/drain.py
@@ -3,9 +3,11 @@
 import contextlib
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
+from sesameport.adapters.cancellable_socket import ReadInterrupt
 from sesameport.entry.http_listener import HttpListener
+from sesameport.entry.stopping.process_stop import HostStopping, ProcessStop
 
 __all__ = ["HostDrain", "InFlight"]
 
@@ -55,12 +57,6 @@
         with self._changed:
             self._changed.wait(timeout_s)
 
-    def wait_until_none(self, until: float) -> None:
-        """Wait until no request is in progress, or until a monotonic time, seconds."""
-        with self._changed:
-            while self._count and time.monotonic() < until:
-                self._changed.wait(until - time.monotonic())
-
 
 class HostDrain:
     """Drain one host.
@@ -71,41 +67,72 @@
         Listener for callers.
     in_flight : InFlight
         Requests in progress.
+    stop : ProcessStop
+        Gets the times of the stop.
+    interrupt : ReadInterrupt
+        Ends the calls to servers that still wait for an answer at the end.
+    on_stop : callable
+        Called with `HostStopping` when the drain begins.
     """
 
-    def __init__(self, listener: HttpListener, in_flight: InFlight):
+    def __init__(
+        self,
+        listener: HttpListener,
+        in_flight: InFlight,
+        stop: ProcessStop,
+        interrupt: ReadInterrupt,
+        on_stop: Callable[[HostStopping], None],
+    ):
         self._listener = listener
         self._in_flight = in_flight
-        self.has_begun = False
-        self.ends_at: float | None = None
+        self._stop = stop
+        self._interrupt = interrupt
+        self._on_stop = on_stop
 
-    def run(self, grace_s: float) -> bool:
-        """Drain; return whether every running request was completed.
+    def run(self, grace_s: float) -> int:
+        """Drain; return the number of requests that were not completed.
 
         ``grace_s`` is the time until the process is killed, seconds.
         """
         since = time.monotonic()
-        self.has_begun = True
         until = since + grace_s - STOP_MARGIN_S
         unready_until = min(since + UNREADY_S, until)
-        while time.monotonic() < unready_until:
-            time.sleep(max(0.0, unready_until - time.monotonic()))
         # The load balancer keeps sending requests while most hosts of the data centre
         # drain. Short requests are answered; streams would exceed the grace time.
-        self.ends_at = until
-        self._in_flight.wait_until_none(until)
+        self._stop.begin(until, unready_until)
+        self._on_stop(HostStopping(until))
+        while time.monotonic() < unready_until:
+            time.sleep(max(0.0, unready_until - time.monotonic()))
+        while self._has_requests() and time.monotonic() < until:
+            self._in_flight.wait_for_change(DRAIN_CHECK_S)
         self._listener.stop_accepting()
         self._finish_accepted(until)
-        return self._in_flight.count == 0
+        given_up = self._in_flight.count
+        if self._has_requests():
+            self._answer_remaining(until)
+        return given_up
+
+    def _has_requests(self) -> bool:
+        return self._in_flight.count > 0 or self._listener.has_open_bodies()
 
     def _finish_accepted(self, until: float) -> None:
         """Wait for requests that a thread is yet to read and for their responses."""
         read_until = time.monotonic() + LAST_RESPONSES_S
-        until = max(until, read_until)
         while self._listener.has_work():
-            is_running = self._in_flight.count > 0
+            is_running = self._has_requests()
             self._in_flight.wait_for_change(DRAIN_CHECK_S)
             if time.monotonic() >= (until if is_running else read_until):
                 return
             if is_running:
                 read_until = time.monotonic() + LAST_RESPONSES_S
+
+    def _answer_remaining(self, until: float) -> None:
+        """Let the threads of the remaining requests answer them.
+
+        Those that servers have not begun to answer get a failure, bodies in progress a
+        refusal, and streams are broken off.
+        """
+        self._listener.end_open_bodies()
+        self._interrupt.fire()
+        while self._listener.has_work() and time.monotonic() < until + LAST_RESPONSES_S:
+            self._in_flight.wait_for_change(DRAIN_CHECK_S)
--- a/src/sesameport/entry/waiting_generations.py
+++ b/src/sesameport/entry/waiting_generations.py
@@ -1,5 +1,7 @@
 """Hold the generations of one host that wait for servers."""
 
+import math
+
 import attrs
 
 from sesameport.admission import WaitingQueue, WaitingRequest, WaitingTokens
@@ -35,11 +37,15 @@
     ----------
     queues : dict of str to WaitingQueue
         Queues by service; some may be empty.
+    ends_at : float
+        Monotonic time at which this process ends, seconds; infinite unless the host
+        stops.
     """
 
     queues: dict[str, WaitingQueue] = attrs.field(factory=dict)
     _by_key: dict[int, QueuedGeneration] = attrs.field(factory=dict)
     _reported: dict[str, WaitingTokens] = attrs.field(factory=dict)
+    ends_at: float = math.inf
 
     def __contains__(self, key: int) -> bool:
         return key in self._by_key
@@ -49,7 +55,19 @@
 
     def queue(self, service: str) -> WaitingQueue:
         """Return the queue of a service."""
-        return self.queues.setdefault(service, WaitingQueue())
+        if service not in self.queues:
+            self.queues[service] = WaitingQueue(ends_at=self.ends_at)
+        return self.queues[service]
+
+    def stop(self, ends_at: float) -> None:
+        """Let all queues end with this process."""
+        self.ends_at = ends_at
+        for queue in self.queues.values():
+            queue.ends_at = ends_at
+
+    def is_stopping(self) -> bool:
+        """Return whether this host stops."""
+        return self.ends_at < math.inf
 
     def try_add(
         self, waiting: WaitingRequest, req: m.AdmitGeneration, now: float
--- a/src/sesameport/platform/__init__.py
+++ b/src/sesameport/platform/__init__.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from sesameport.adapters.cancellable_socket import Account
+from sesameport.adapters.cancellable_socket import Account, ReadInterrupt
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.requests import EntryRequest
 from sesameport.entry.server_notices import OnNotice
@@ -39,10 +39,14 @@
         return ObjectStoreClient(address, account=account)
 
     def create_server_client(
-        self, on_notice: OnNotice, account: Account, buffer_bytes: int = 0
+        self,
+        on_notice: OnNotice,
+        account: Account,
+        buffer_bytes: int = 0,
+        interrupt: ReadInterrupt | None = None,
     ) -> ReplicaClient:
         """Return a client that sends requests to replicas."""
-        return ReplicaClient(on_notice, account, buffer_bytes)
+        return ReplicaClient(on_notice, account, buffer_bytes, interrupt)
 
     def create_order_client(self, on_notice: OnNotice) -> ReplicaOrderClient:
         """Return a client that sends orders to replicas."""
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -15,6 +15,7 @@
 from sesameport.adapters.cancellable_socket import (
     Account,
     CancellableSocket,
+    ReadInterrupt,
     ReadLimitExceeded,
 )
 from sesameport.adapters.sockets import (
@@ -25,9 +26,11 @@
     StrictClientConnection,
 )
 from sesameport.entry.requests import (
+    INTERRUPTED,
     CallerConnection,
     CallerDisconnected,
     CallFailure,
+    CallInterrupted,
     EntryRequest,
     FailureKind,
     IncompleteResponse,
@@ -111,6 +114,8 @@
                 raise CallerDisconnected from exc
             if self._sock.timed_out:
                 raise TimeoutError("deadline passed") from exc
+            if self._sock.interrupted:
+                raise CallInterrupted from exc
             raise IncompleteResponse(repr(exc)) from exc
         finally:
             self.close()
@@ -156,6 +161,8 @@
         Memory that large parts of answers are charged to.
     buffer_bytes : int
         Size of the receive buffer of each connection, bytes; 0 leaves it to the system.
+    interrupt : ReadInterrupt or None
+        Ends requests that wait for an answer when the process ends.
     """
 
     def __init__(
@@ -163,7 +170,9 @@
         on_notice: OnNotice,
         account: Account | None = None,
         buffer_bytes: int = 0,
+        interrupt: ReadInterrupt | None = None,
     ):
+        self._interrupt = interrupt
         self._on_notice = on_notice
         self._socket_options = list(SOCKET_OPTIONS)
         if buffer_bytes:
@@ -280,7 +289,7 @@
             return Err(CallFailure(FailureKind.CALLER_LEFT))
         conn.timeout = max(0.001, req.deadline - time.monotonic())
         conn.sock = sock = CancellableSocket.wrap(
-            conn.sock, caller, attempt_deadline, self._account
+            conn.sock, caller, attempt_deadline, self._account, self._interrupt
         )
         sock.allow_bytes(MAX_HEAD_BYTES)
         try:
@@ -361,6 +370,8 @@
         return CallFailure(FailureKind.CALLER_LEFT)
     if sock.timed_out:
         return CallFailure(FailureKind.TIMEOUT, "no answer in time")
+    if sock.interrupted:
+        return INTERRUPTED
     return CallFailure(FailureKind.BROKEN, repr(exc))
 
 
