--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -140,6 +140,7 @@
             cfg.shutdown.finish_s,
             self._refuse_new_requests,
             self.admission.count_in_flight,
+            self._refuse_remaining,
         )
         api = CallerApi(self.admission, cfg.requests.max_body_bytes)
         self.http = HttpServer(
@@ -216,6 +217,10 @@
     def _refuse_new_requests(self) -> None:
         self.admission.is_refusing = True
 
+    def _refuse_remaining(self) -> None:
+        for request_id in list(self.admission.running):
+            self._stop_request(request_id, RefusalType.SHUTTING_DOWN)
+
     def build_status(self, request_id: str) -> HostStatus:
         """Return the status of this host, with the decisions on one request."""
         return describe_host(self, request_id, time.monotonic())
--- a/src/sesameport/daemon/shutdown.py
+++ b/src/sesameport/daemon/shutdown.py
@@ -8,13 +8,17 @@
 
 _CHECK_PERIOD_S = 0.05
 
+_LAST_ANSWERS_S = 0.5
+"""Time for the answers to requests that are refused at the end of a drain, seconds."""
+
 
 class Drain:
     """Drain a host without interrupting requests.
 
     The host first reports that it is not ready but still serves new requests, because
     the load balancer may send callers until its next check. It then refuses new
-    requests as not run and waits until the running requests have ended.
+    requests as not run and waits until the running requests have ended. Those that are
+    left at the end of the wait are refused too, so that their callers get an answer.
 
     Parameters
     ----------
@@ -26,6 +30,8 @@
         Starts to refuse new requests.
     count_in_flight : callable
         Returns the number of requests in flight.
+    refuse_remaining : callable
+        Ends the requests that run or wait with a refusal.
     """
 
     def __init__(
@@ -34,11 +40,13 @@
         finish_s: float,
         refuse_new_requests: Callable[[], None],
         count_in_flight: Callable[[], int],
+        refuse_remaining: Callable[[], None],
     ):
         self._unready_s = unready_s
         self._finish_s = finish_s
         self._refuse_new_requests = refuse_new_requests
         self._count_in_flight = count_in_flight
+        self._refuse_remaining = refuse_remaining
         self._started = threading.Event()
         self._stop_requested = threading.Event()
 
@@ -59,6 +67,12 @@
         deadline = time.monotonic() + self._finish_s
         while self._count_in_flight() and not self._stop_requested.is_set():
             if time.monotonic() > deadline:
-                return False
+                break
             self._stop_requested.wait(_CHECK_PERIOD_S)
-        return not self._count_in_flight()
+        if not self._count_in_flight():
+            return True
+        self._refuse_remaining()
+        answered_by = time.monotonic() + _LAST_ANSWERS_S
+        while self._count_in_flight() and time.monotonic() < answered_by:
+            time.sleep(_CHECK_PERIOD_S)
+        return False
--- a/src/sesameport/daemon/tests/test_shutdown.py
+++ b/src/sesameport/daemon/tests/test_shutdown.py
@@ -104,6 +104,26 @@
     assert parse_stream(responses[0]) == (expected_tokens("Drain", 300), True)
 
 
+@pytest.mark.parametrize("has_second_signal", [False, True])
+def test_shutdown_answers_the_requests_that_it_ends(
+    draining_host, monkeypatch, has_second_signal
+):
+    """Guard against callers without an answer at the end of the drain (I9)."""
+    daemon = draining_host
+    monkeypatch.setattr(daemon.drain, "_finish_s", 30.0 if has_second_signal else 0.2)
+    running, responses = run_in_thread(lambda: send_completion(daemon, "Ended", 2000))
+    wait_until_running(daemon, responses)
+    drain, finished = run_in_thread(daemon.drain.run)
+    if has_second_signal:
+        wait_until(lambda: daemon.admission.is_refusing)
+        daemon.drain.stop_waiting()
+    drain.join(20.0)
+    running.join(2.0)
+    assert finished == [False]
+    assert responses[0].status == 503
+    assert responses[0].json()["execution"] != "not-run"
+
+
 def test_withdrawn_key_stops_its_running_stream(fleet):
     """Guard against a stream that continues after its key was withdrawn (I3)."""
     deployment, daemons = fleet
