--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -160,7 +160,8 @@
             self._actor,
             self.metrics,
             self._closing,
-            settings.bounds.drain_s,
+            settings.bounds,
+            self._timers.call_at,
         )
         self._registration = HostRegistration(
             HostDirectory(self._store, settings.name, self._peers.address, self._tell),
@@ -209,6 +210,7 @@
             regions=changed.regions,
         )
         self._role_controller.set_lease_time(changed.bounds.lease_s)
+        self._follower.apply_bounds(changed.bounds)
         if changed.bounds.evacuate_s is not None:
             self._follower.follow_evacuations()
         self._actor.tell(m.ApplySettings(self._settings))
--- a/src/sesameport/entry/revision_exchange.py
+++ b/src/sesameport/entry/revision_exchange.py
@@ -2,7 +2,8 @@
 
 A change of the store reaches all hosts at about the same time, unless the response to
 a watch is lost. Some hosts therefore report the revision of each change at once, and
-`Trickle` repeats it. A host that has not read up to a reported revision reads again.
+`Trickle` repeats it. A host that has not read up to a reported revision reads again,
+sooner than it would notice by itself; see `WatchTimes` and `RevisionCheck`.
 """
 
 import random
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -30,6 +30,8 @@
         means that the deployment has no evacuations and the store is not asked.
     drain_s : float or None
         Time after which no request reaches a server that leaves, seconds.
+    contact_s : float
+        Time after a disturbance from which the bounds hold for a host, seconds.
     """
 
     grace_s: float = 8.0
@@ -42,6 +44,7 @@
     cold_slack: float | None = None
     evacuate_s: float | None = None
     drain_s: float | None = None
+    contact_s: float = 3.0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -9,6 +9,8 @@
 from sesameport.entry import messages as m
 from sesameport.entry.missed_configuration import Missed
 from sesameport.entry.platform_adapter import PlatformAdapter
+from sesameport.entry.revision_check import RevisionCheck
+from sesameport.entry.settings import FleetBounds
 from sesameport.entry.store_handlers import (
     ConfigurationHandler,
     EvacuationHandler,
@@ -23,6 +25,7 @@
     StoreHealth,
     server_watch_interval_s,
 )
+from sesameport.entry.watch_times import WatchTimes
 from sesameport.interfaces import Platform
 
 __all__ = ["StoreFollower"]
@@ -43,8 +46,10 @@
         Counts calls.
     closing : threading.Event
         Stops the threads after their current calls.
-    drain_s : float or None
-        Time after which no request may reach a server that leaves, seconds.
+    bounds : FleetBounds
+        Times within which changes must be known.
+    call_at : callable
+        Calls a function at a monotonic time, see `TimerService.call_at`.
     """
 
     def __init__(
@@ -54,9 +59,11 @@
         actor: pykka.ActorRef,
         metrics,
         closing: threading.Event,
-        drain_s: float | None = None,
+        bounds: FleetBounds,
+        call_at: Callable[[str, float, Callable[[float], None]], None],
     ):
-        self._drain_s = drain_s
+        self._bounds = bounds
+        self._call_at = call_at
         self._connect = connect
         self._adapter = adapter
         self._actor = actor
@@ -64,6 +71,7 @@
         self._closing = closing
         self._health = StoreHealth(lambda ok: actor.tell(m.StoreConnectivity(ok)))
         self._watchers: dict[Missed, ListWatcher] = {}
+        self._checks: list[RevisionCheck] = []
         self._malformed = MalformedObjects(metrics)
 
     def start(self) -> "StoreFollower":
@@ -104,6 +112,35 @@
         if watcher is not None:
             watcher.restart()
 
+    def apply_bounds(self, bounds: FleetBounds) -> None:
+        """Follow changes within changed bounds."""
+        self._bounds = bounds
+        for followed, watcher in list(self._watchers.items()):
+            watcher.times = self._times(followed)
+
+    def _times(self, followed: Missed) -> WatchTimes:
+        """Return the times by which this host, in contact, has missed nothing.
+
+        The short watches of one kind also state the revision of the store, by which the
+        others are checked.
+        """
+        if followed == Missed.CONFIGURATION:
+            return WatchTimes.within(self._bounds.contact_s)
+        return WatchTimes.checked(self._bounds.contact_s)
+
+    def _check(self, revision: int) -> None:
+        for check in list(self._checks):
+            check.record(revision)
+
+    def _check_now(self) -> None:
+        for check in list(self._checks):
+            check.check_now()
+
+    def _count(self, operation: str, result: str) -> None:
+        self._metrics.count(
+            "sesameport_platform_calls_total", operation=operation, result=result
+        )
+
     def failures(self) -> list[str]:
         """Return why kinds cannot be followed; empty if all are."""
         failures = [watcher.failure for watcher in list(self._watchers.values())]
@@ -121,10 +158,12 @@
 
         interval_s = WATCH_INTERVAL_S
         if followed == Missed.SERVERS:
-            interval_s = server_watch_interval_s(self._drain_s)
-        self._watchers[followed] = ListWatcher(
+            interval_s = server_watch_interval_s(self._bounds.drain_s)
+        times, kind = self._times(followed), kinds[followed]
+        is_leading = followed == Missed.CONFIGURATION
+        watcher = ListWatcher(
             self._connect,
-            kinds[followed],
+            kind,
             handler,
             self._health,
             self._metrics,
@@ -132,4 +171,22 @@
             tell,
             interval_s,
             lists_again=followed == Missed.CONFIGURATION,
-        ).start()
+            times=times,
+            call_at=self._call_at,
+            on_revision=self._check if is_leading else lambda revision: None,
+            on_lost=self._check_now if is_leading else lambda: None,
+        )
+        self._watchers[followed] = watcher.start()
+        if is_leading:
+            return
+        check = RevisionCheck(
+            kind,
+            watcher,
+            self._connect,
+            self._call_at,
+            interval_s + times.answer_s,
+            times.answer_s,
+            self._closing,
+            self._count,
+        )
+        self._checks.append(check)
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -17,18 +17,22 @@
 import attrs
 from result import Err, Ok
 
+from sesameport.entry.store_health import StoreHealth
+from sesameport.entry.watch_times import WatchTimes
 from sesameport.interfaces import (
     Platform,
     PlatformErrorKind,
     StoredObject,
+    WatchBatch,
 )
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["ListWatcher", "ReadResult", "StoreHealth", "server_watch_interval_s"]
-
-WATCH_TIMEOUT_S = 25.0
-"""Timeout of a watch call, seconds. Each call costs money, and TCP keep-alive detects a
-dead connection sooner."""
+__all__ = [
+    "ListWatcher",
+    "ReadResult",
+    "StoreHealth",
+    "server_watch_interval_s",
+]
 
 RETRY_WATCH_TIMEOUT_S = 0.1
 """Timeout of a watch call after a failed one, seconds. Its response shows that the
@@ -38,9 +42,9 @@
 
 CLOSE_WATCH_TIMEOUT_S = 0.8
 CLOSE_ANSWER_S = 0.3
-"""Timeout of a watch that must show a lost response by itself, and the time after it at
-which the response counts as lost, seconds. With the ticks of the host, 0.5 s apart, a
-change is asked for again within 1.6 s."""
+"""Timeout of a watch by a host that hears no other, and the time after it at which the
+response counts as lost, seconds. With the ticks of the host, 0.5 s apart, a change is
+asked for again within 1.6 s."""
 
 CLOSELY_S = 2.0
 """Time for which `ListWatcher.watch_closely` applies, seconds."""
@@ -63,9 +67,6 @@
 may reach a server that leaves. While servers are replaced, their entries change every
 0.4 s, and each change costs one call of every host."""
 
-TURN_CHECK_S = 0.5
-"""Period at which a thread that waits for the store checks whether to stop, seconds."""
-
 BACKOFF_BASE_S = 0.1
 MAX_BACKOFF_S = 1.0
 """Bounds of the backoff after a failed call, seconds. The maximum keeps nine hosts
@@ -84,43 +85,6 @@
 log = get_logger("store")
 
 
-class StoreHealth:
-    """Report each change between a reachable and an unreachable store once.
-
-    While the store is unreachable, one kind of objects at a time is read to find out
-    when it can be reached again.
-    """
-
-    def __init__(self, on_change: Callable[[bool], None]):
-        self._on_change = on_change
-        self._changed = threading.Condition()
-        self._is_reachable: bool | None = None
-        self._probing_kind: str | None = None
-
-    def record(self, kind: str, is_reachable: bool) -> None:
-        """Record the outcome of a call for a kind of objects."""
-        with self._changed:
-            was_reachable = self._is_reachable
-            self._is_reachable = is_reachable
-            self._probing_kind = None if is_reachable else self._probing_kind or kind
-            self._changed.notify_all()
-        if is_reachable != bool(was_reachable):
-            self._on_change(is_reachable)
-
-    def release_turn(self, kind: str) -> None:
-        """Let another kind be read, because the thread of this one has failed."""
-        with self._changed:
-            if self._probing_kind == kind:
-                self._probing_kind = None
-                self._changed.notify_all()
-
-    def wait_for_turn(self, kind: str, closing: threading.Event) -> None:
-        """Wait while the store is unreachable and another kind is read."""
-        with self._changed:
-            while self._probing_kind not in (None, kind) and not closing.is_set():
-                self._changed.wait(TURN_CHECK_S)
-
-
 @attrs.frozen
 class ReadResult:
     """Describe a response that was handled.
@@ -190,11 +154,21 @@
     lists_again : bool
         Whether to list and not to watch after a failure or a restart. The changes of a
         large object that is written often take many times as long as its last state.
+    times : WatchTimes
+        When the response to a watch counts as lost.
+    call_at : callable
+        Calls a function at a monotonic time, see `TimerService.call_at`.
+    on_revision : callable
+        Called with the revision of the store in each response.
+    on_lost : callable
+        Called when a response counts as lost.
 
     Attributes
     ----------
     failure : str
         Why objects of this kind cannot be handled, if that keeps failing, else empty.
+    times : WatchTimes
+        Times of the next watch calls.
     """
 
     def __init__(
@@ -208,7 +182,17 @@
         on_read: Callable[[ReadResult], None] = lambda result: None,
         interval_s: float = WATCH_INTERVAL_S,
         lists_again: bool = False,
+        times: WatchTimes = WatchTimes(),
+        call_at: Callable[
+            [str, float, Callable[[float], None]], None
+        ] = lambda name, when, callback: None,
+        on_revision: Callable[[int], None] = lambda revision: None,
+        on_lost: Callable[[], None] = lambda: None,
     ):
+        self._on_lost = on_lost
+        self._on_revision = on_revision
+        self.times = times
+        self._call_at = call_at
         self._interval_s = interval_s
         self._lists_again = lists_again
         self._on_read = on_read
@@ -222,10 +206,13 @@
         self._lock = threading.Lock()
         self._generation = 0
         self._version: int | None = None
+        self._unchanged_since = 0
         self._restarts = 0
         self._restarted_at = -math.inf
         self._closely_until = -math.inf
         self._watching_since: float | None = None
+        self._pending_call: object | None = None
+        self._lost_responses = 0
         self._failed_at = -math.inf
         self.failure = ""
 
@@ -249,11 +236,7 @@
         now = time.monotonic()
         if now < self._restarted_at + MIN_RESTART_INTERVAL_S:
             return
-        self._restarted_at = now
-        with self._lock:
-            self._generation += 1
-            self._watching_since = None
-        self.start()
+        self._start_again(now)
 
     def watch_closely(self) -> None:
         """Use short watches for `CLOSELY_S`, and restart one without a response."""
@@ -263,6 +246,69 @@
         if since is not None and now > since + CLOSE_WATCH_TIMEOUT_S + CLOSE_ANSWER_S:
             self.restart()
 
+    @property
+    def version(self) -> int | None:
+        """Return the revision up to which the kind has been read, None without one."""
+        return self._version
+
+    def apply_missed(self, since: int, batch: WatchBatch) -> None:
+        """Handle the changes since a revision, if no response was handled meanwhile."""
+        changed = _newest_change(batch, since, False, False)
+        self._handle(since, batch, changed, False, False)
+
+    def read_anew(self) -> None:
+        """Watch again on a new connection at once, even after a recent restart."""
+        self._start_again(time.monotonic())
+
+    def _start_again(self, now: float) -> None:
+        self._restarted_at = now
+        with self._lock:
+            self._generation += 1
+            self._pending_call = self._watching_since = None
+        self.start()
+
+    def _expect_response(self, generation: int, timeout_s: float) -> None:
+        """Restart if the watch that begins now gets no response in time."""
+        call = object()
+        with self._lock:
+            if generation != self._generation:
+                return
+            self._pending_call, self._watching_since = call, time.monotonic()
+        lost_after_s = self.times.lost_after_s(timeout_s, self._lost_responses)
+        if lost_after_s == math.inf:
+            return
+        self._call_at(
+            f"watch-{self._kind}",
+            time.monotonic() + lost_after_s,
+            lambda now: self._restart_without_response(call, lost_after_s, now),
+        )
+
+    def _restart_without_response(
+        self, call: object, waited_s: float, now: float
+    ) -> None:
+        with self._lock:
+            if self._pending_call is not call or self._closing.is_set():
+                return
+            self._lost_responses += 1
+        self._count("watch", "no-response")
+        log.warning(
+            "no response to a watch; watching on a new connection",
+            extra={
+                "kind": self._kind,
+                "waited_s": round(waited_s, 2),
+                "in_row": self._lost_responses,
+            },
+        )
+        self._start_again(now)
+        self._on_lost()
+
+    def _record_response(self, generation: int) -> None:
+        """Record that a call ended, unless it ended too late."""
+        with self._lock:
+            if generation == self._generation:
+                self._pending_call = self._watching_since = None
+                self._lost_responses = 0
+
     def _run(self, generation: int) -> None:
         """Follow the kind until the host closes, from a new listing after a fault."""
         while self._is_current(generation):
@@ -314,11 +360,10 @@
             if is_listing:
                 result = store.list(self._kind)
             else:
-                self._watching_since = called_at
                 timeout_s = self._watch_timeout_s(is_retry)
+                self._expect_response(generation, timeout_s)
                 result = store.watch(self._kind, version, timeout_s)
-                if self._is_current(generation):
-                    self._watching_since = None
+                self._record_response(generation)
             operation = "list" if is_listing else "watch"
             match result:
                 case Ok(batch):
@@ -327,7 +372,11 @@
                     failures = 0
                     has_waited = time.monotonic() - called_at >= WAITED_S
                     changed = _newest_change(batch, version, has_waited, is_listing)
-                    if not self._handle(version, batch, changed, is_listing, is_repeat):
+                    is_handled = self._handle(
+                        version, batch, changed, is_listing, is_repeat
+                    )
+                    self._on_revision(batch.version)
+                    if not is_handled:
                         continue
                     is_repeat = False
                     if not self._is_current(generation):
@@ -352,25 +401,36 @@
         if is_retry:
             return RETRY_WATCH_TIMEOUT_S
         if time.monotonic() < self._closely_until:
-            return CLOSE_WATCH_TIMEOUT_S
-        return WATCH_TIMEOUT_S
+            return min(CLOSE_WATCH_TIMEOUT_S, self.times.timeout_s)
+        return self.times.timeout_s
 
     def _handle(
         self, since: int | None, batch, changed: int, is_listing: bool, is_repeat: bool
     ) -> bool:
         """Handle a response; return False if another one was handled meanwhile."""
         with self._lock:
-            if since != self._version:
+            is_from_here = since == self._version
+            if not is_from_here and not self._is_unchanged_since(since):
                 return False
             if is_listing:
                 self._handler.handle_listing(batch.objects)
             elif batch.changes:
                 self._handler.handle_changes(batch.changes)
-            self._version, self.failure = batch.version, ""
+            if is_listing or batch.changes:
+                self._unchanged_since = batch.version
+            is_newer = is_listing or batch.version >= (self._version or 0)
+            self._version = batch.version if is_newer else self._version
+            self.failure = ""
             if is_listing or batch.changes or is_repeat:
                 self._on_read(ReadResult(changed, batch.version, is_repeat))
             return True
 
+    def _is_unchanged_since(self, since: int | None) -> bool:
+        """Return whether there was no change between a revision and the version."""
+        if since is None or self._version is None:
+            return False
+        return self._unchanged_since <= since < self._version
+
     def _log_failure(self, operation: str, error, failures: int) -> None:
         if failures > 1 and failures & (failures - 1):
             return  # log only the 1st, 2nd, 4th, 8th ... consecutive failure
--- a/src/sesameport/entry/tests/test_revision_exchange.py
+++ b/src/sesameport/entry/tests/test_revision_exchange.py
@@ -9,7 +9,7 @@
 from sesameport.entry.missed_configuration import Missed
 from sesameport.entry.peer_topics import DECODERS, encode_message
 from sesameport.entry.revision_exchange import RevisionExchange
-from sesameport.entry.store_watch import WATCH_TIMEOUT_S
+from sesameport.entry.watch_times import WATCH_TIMEOUT_S
 
 
 class Metrics:
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -7,8 +7,14 @@
 import pytest
 from result import Err, Ok
 
+from sesameport.adapters.timers import TimerService
 from sesameport.entry import store_watch
-from sesameport.entry.store_watch import WATCH_INTERVAL_S, ListWatcher, StoreHealth
+from sesameport.entry.store_watch import (
+    WATCH_INTERVAL_S,
+    ListWatcher,
+    StoreHealth,
+)
+from sesameport.entry.watch_times import WatchTimes
 from sesameport.interfaces import (
     ObjectList,
     PlatformError,
@@ -19,6 +25,9 @@
 
 KINDS = ("config", "servers")
 
+BOUND_S = 3.0
+"""Time within which a change must be read although an answer was lost, seconds."""
+
 
 class Store:
     """Hold numbered changes of each kind; a watch blocks until there is one."""
@@ -340,6 +349,89 @@
     assert len(store.calls) == 4
 
 
+class Connections:
+    """Lose the answers to the watches of the next connections.
+
+    Those of the last connection are ``delay_s`` late instead.
+    """
+
+    def __init__(self, store, losses, delay_s=0.0):
+        self._store = store
+        self._losses = losses
+        self._delay_s = delay_s
+        self.opened = 0
+        self.end = threading.Event()
+
+    def connect(self):
+        self.opened += 1
+        connection = LossyStore(self._store)
+        if self.opened > self._losses:
+            connection.found.wait = lambda timeout_s: time.sleep(self._delay_s)
+        else:
+            connection.found = self.end
+        return connection
+
+
+@pytest.fixture
+def bounded():
+    """Return a function that starts a watcher with a bound and connections."""
+    timers, closing, connections = TimerService().start(), threading.Event(), []
+
+    def start(store, losses, kind="servers", delay_s=0.0):
+        handler = Handler()
+        connections.append(Connections(store, losses, delay_s))
+        ListWatcher(
+            connections[0].connect,
+            kind,
+            handler,
+            StoreHealth(lambda is_reachable: None),
+            Metrics(),
+            closing,
+            lists_again=kind == "config",
+            times=WatchTimes.within(BOUND_S),
+            call_at=timers.call_at,
+        ).start()
+        wait_until(lambda: len(store.calls) == 2)
+        return handler, connections[0]
+
+    yield start
+    closing.set()
+    connections[0].end.set()
+    timers.stop()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("losses", [1, 2])
+def test_lost_answer_is_noticed_without_other_hosts(bounded, kind, losses):
+    # Guards against a bound that rests on what other hosts report (review/4).
+    store = Store()
+    handler, _ = bounded(store, losses, kind)
+    store.change(kind, "v2")
+    wait_until(lambda: handler.seen, losses * BOUND_S)
+    store.set_down(True)
+
+
+def test_watches_of_a_calm_host_cost_few_calls(bounded):
+    store = Store()
+    _, connections = bounded(store, 0)
+    time.sleep(3.0)
+    # The timeout is three quarters of the bound.
+    assert len(store.calls) <= 2 + 3.0 / (0.75 * BOUND_S)
+    assert connections.opened == 1
+    store.set_down(True)
+
+
+def test_slow_store_is_not_asked_again_and_again(bounded):
+    # Each answer comes after the time at which it counts as lost.
+    store = Store()
+    handler, _ = bounded(store, 0, delay_s=0.5)
+    time.sleep(4.0)
+    assert len(store.calls) <= 2 + 2 * 4.0 / (0.75 * BOUND_S)
+    store.change("servers", "s1")
+    wait_until(lambda: handler.seen, BOUND_S)
+    store.set_down(True)
+
+
 @pytest.mark.parametrize(
     "events, has_waited, changed",
     [
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -30,6 +30,7 @@
     "cold_slack": "coldSlack",
     "evacuate_s": "evacuateMs",
     "drain_s": "drainMs",
+    "contact_s": "contactMs",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
@@ -65,7 +66,7 @@
 The platform may add fields to ``limits``, so they have a table of their own.
 """
 
-_POSITIVE_BOUNDS = frozenset({"retryWindowS", "quotaWindowS"})
+_POSITIVE_BOUNDS = frozenset({"retryWindowS", "quotaWindowS", "contactMs"})
 """Bounds that must not be 0, because rates are counted over these times."""
 
 
--- a/src/sesameport/platform/tests/test_lost_responses.py
+++ b/src/sesameport/platform/tests/test_lost_responses.py
@@ -8,10 +8,15 @@
 
 import pytest
 
+from sesameport.entry.revision_exchange import RevisionExchange
 from sesameport.platform.tests.conftest import make_configuration, wait_until
 
 DRAIN_S = 2.0
-"""Shortest time after which no request may reach a server that leaves, seconds."""
+"""Shortest time after which no request may reach a server that leaves, seconds. A
+configuration must be in force within the same time."""
+
+CONTACT_S = 3.0
+"""Time without disruption after which the bounds hold, seconds."""
 
 
 class Losses:
@@ -93,6 +98,92 @@
             assert host.configuration_version() >= version - 3
 
 
+@pytest.mark.parametrize("kind", ["servers", "config"])
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_host_learns_of_changes_by_itself(cluster, losses, monkeypatch, kind, lost):
+    # Guards against a host that hears the reports of others, but not what they have
+    # read, and follows an old version for up to 27 s (review/4).
+    for name in ("record", "apply_report"):
+        monkeypatch.setattr(RevisionExchange, name, hear_nothing_of_the_store)
+    cluster.add_replica("s2", "desk")
+    start_hosts(cluster, ["h1", "h2", "h3"])
+    time.sleep(0.5)  # the watches of the last registration are pending
+    losses.lose(kind, lost)
+    change(cluster, kind)
+    wait_until(
+        lambda: all(knows_change(host, kind) for host in cluster.hosts), CONTACT_S
+    )
+
+
+def hear_nothing_of_the_store(exchange, message, now):
+    exchange._heard_at = now
+
+
+def change(cluster, kind):
+    if kind == "servers":
+        leave(cluster, "draining")
+        return
+    cluster.store.put("config", "main", make_configuration(2))
+
+
+def knows_change(host, kind):
+    if kind == "servers":
+        return "s2" not in host.usable_servers()
+    return host.configuration_version() == 2
+
+
+@pytest.mark.parametrize("kind", ["servers", "config"])
+def test_change_is_known_soon_after_the_store_was_silent(cluster, kind):
+    # Guards against hosts that all wait for answers on connections that went silent,
+    # so that none can tell the others of a change (review/10: 21 s).
+    silence = Silence(cluster.store)
+    cluster.add_replica("s2", "desk")
+    start_hosts(cluster, ["h1", "h2", "h3"])
+    time.sleep(0.5)
+    silence.begin()
+    change(cluster, kind)
+    time.sleep(4.5)
+    silence.end()
+    try:
+        wait_until(
+            lambda: all(knows_change(host, kind) for host in cluster.hosts), CONTACT_S
+        )
+    finally:
+        silence.test_ended.set()
+
+
+class Silence:
+    """Withhold all answers of a store between ``begin`` and ``end``.
+
+    The connections of these answers stay open, and nothing follows on them.
+    """
+
+    def __init__(self, store):
+        self._is_silent = False
+        self.test_ended = threading.Event()
+        self._handle = store.handle_request
+        store.handle_request = self._handle_request
+
+    def begin(self):
+        self._is_silent = True
+
+    def end(self):
+        self._is_silent = False
+
+    def _handle_request(self, handler, body):
+        send_reply = type(handler).send_reply
+
+        def reply(*args):
+            if self._is_silent:
+                self.test_ended.wait(20.0)
+                handler.drop_connection()
+                return
+            send_reply(handler, *args)
+
+        handler.send_reply = reply
+        self._handle(handler, body)
+
+
 @pytest.mark.parametrize("kind", ["servers", "config"])
 def test_host_that_hears_no_other_learns_of_changes(cluster, losses, kind):
     cluster.add_replica("s2", "desk")
