--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -126,8 +126,60 @@
         self._inner.close()
 
 
+class _ResetReader:
+    """Read a body that ends with a connection which was reset.
+
+    The system reports a reset once. If sending the request got it, reads return what
+    had arrived, and then an end that looks orderly.
+    """
+
+    def __init__(self, rfile):
+        self._inner = rfile
+
+    def read(self, size: int = -1) -> bytes:
+        """Read data of the body."""
+        data = self._inner.read(size)
+        self._check_end(0 if size < 0 else len(data))
+        return data
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read data of the body with at most one call to the socket."""
+        data = self._inner.read1(size)
+        self._check_end(len(data))
+        return data
+
+    def readinto(self, buffer) -> int:
+        """Read data of the body into a buffer."""
+        count = self._inner.readinto(buffer)
+        self._check_end(count)
+        return count
+
+    def _check_end(self, count: int) -> None:
+        if count == 0:
+            raise ConnectionResetError("reset while the request was being sent")
+
+    def flush(self) -> None:
+        """Do nothing, as the file is only read."""
+
+    def close(self) -> None:
+        """Close the file."""
+        self._inner.close()
+
+
 class StrictResponse(http.client.HTTPResponse):
-    """Read a response whose head and chunks must be whole."""
+    """Read a response whose head and chunks must be whole.
+
+    Parameters
+    ----------
+    was_reset : bool
+        Whether the connection was reset while the request was being sent. A body that
+        ends with the connection is not whole then; one with a length or chunks shows
+        its own end.
+    """
+
+    def __init__(self, *args, was_reset: bool = False, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._was_reset = was_reset
 
     def begin(self) -> None:
         """Read the head.
@@ -151,6 +203,8 @@
             raise ResponseFramingError(problem)
         if self.chunked:
             self.fp = _ChunkReader(self.fp)
+        elif self._was_reset and self.length is None:
+            self.fp = _ResetReader(self.fp)
 
 
 def _find_head_error(lines: list[bytes]) -> str:
@@ -165,14 +219,38 @@
     return find_field_error(lines[1:-1], is_http_11=status[1] == b"1")
 
 
-class StrictClientConnection(HTTPConnection):
-    """Connect to a server whose responses are read strictly."""
+class _StrictResponses:
+    """Read the responses of a connection strictly; mix in before its class."""
+
+    _was_reset = False
 
-    response_class = StrictResponse
+    def request(self, *args, **kwargs) -> None:
+        """Send a request.
+
+        Raises
+        ------
+        BrokenPipeError, ConnectionResetError
+            If the server closed or reset the connection meanwhile. It may have sent a
+            response before, which can be read.
+        """
+        self._was_reset = False
+        try:
+            super().request(*args, **kwargs)
+        except (BrokenPipeError, ConnectionResetError):
+            self._was_reset = True
+            raise
+
+    def response_class(self, *args, **kwargs) -> StrictResponse:
+        """Return the reader of the response to the last request."""
+        return StrictResponse(*args, was_reset=self._was_reset, **kwargs)
+
+
+class StrictClientConnection(_StrictResponses, HTTPConnection):
+    """Connect to a server whose responses are read strictly."""
 
 
-class _StrictTlsConnection(HTTPSConnection):
-    response_class = StrictResponse
+class _StrictTlsConnection(_StrictResponses, HTTPSConnection):
+    pass
 
 
 class StrictConnectionPool(urllib3.HTTPConnectionPool):
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -361,7 +361,7 @@
             )
         except (BrokenPipeError, ConnectionResetError):
             # A replica may respond, and stop reading, before it has received the whole
-            # request. Its response is read next.
+            # request. Its response is read next, and must show its own end.
             return
 
 
