--- a/src/sesameport/adapters/strict_responses.py
+++ b/src/sesameport/adapters/strict_responses.py
@@ -35,7 +35,7 @@
 MAX_HEAD_BYTES = 65_536
 """Largest status line and headers, with those of interim responses, bytes."""
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) [1-9][0-9]{2}( [^\r\n]*)?\r?\n\Z")
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) [1-5][0-9]{2}( [^\r\n]*)?\r?\n\Z")
 _ANY_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-9][0-9]{2}\b")
 _BLANK_LINES = (b"\r\n", b"\n")
 
--- a/src/sesameport/platform/tests/test_early_answers.py
+++ b/src/sesameport/platform/tests/test_early_answers.py
@@ -1,12 +1,13 @@
 """Test early answers of servers that reset the connection while they get a request.
 
-Operators of similar systems saw parts of such bodies reach callers as complete answers.
+Operators of similar systems saw parts of such bodies reach callers as complete answers,
+and statuses that are none.
 """
 
 import attrs
 import pytest
 
-from sesameport.adapters.tests.scripted_server import ScriptedServer
+from sesameport.adapters.tests.scripted_server import ScriptedServer, read_request
 from sesameport.adapters.tests.test_early_answers import (
     HALF,
     LENGTH,
@@ -80,3 +81,22 @@
         server.stop()
     assert server.connections
     assert response.status >= 500 or not response.is_complete
+
+
+# Statuses beyond 599 were passed on (issue 49); the protocol has none.
+@pytest.mark.parametrize("status", [b"000", b"099", b"20", b"600", b"999", b"2000"])
+def test_status_that_is_none_is_a_failure(status):
+    head = make_head().replace(b" 200 OK", b" " + status + b" OK")
+
+    def serve(conn):
+        read_request(conn)
+        conn.sendall(head + LENGTH + b"\r\n" + HALF)
+
+    server, caller = ScriptedServer(serve), Caller()
+    client = ReplicaClient(lambda server, notice: None)
+    try:
+        result = client.run(server.address, "s1", make_request(), caller)
+        assert result.unwrap_err().kind == FailureKind.BROKEN
+    finally:
+        server.stop()
+        caller.close()
