--- a/src/sesameport/platform/tests/test_stopping_host.py
+++ b/src/sesameport/platform/tests/test_stopping_host.py
@@ -95,11 +95,15 @@
     wait_until(lambda: running <= set(cluster.replicas["d1"].executed_ids))
 
 
-def test_generation_that_waits_for_memory_is_refused(cluster, stopping, callers):
+@pytest.mark.parametrize("store_fault", ["", "down"])
+def test_generation_that_waits_for_memory_is_refused(
+    cluster, stopping, callers, store_fault
+):
     # Guards against streams that wait for decode memory at SIGTERM, or come after it,
     # and whose connections end without an answer.
     fill_memory(cluster, callers, pause_s=0.8)
     callers.stream("before", "9000,400")
+    cluster.store.fault = store_fault
     time.sleep(0.3)
     threading.Timer(0.3, callers.stream, ("after", "9000,400")).start()
     ended_at = stop(stopping, callers)
