--- a/src/sesameport/entry/revision_check.py
+++ b/src/sesameport/entry/revision_check.py
@@ -2,12 +2,13 @@
 
 The revision grows with each change of any kind. A response about one kind that states
 the revision up to which another kind has been read therefore shows, at no cost, that
-nothing of the other one was missed. After a higher revision, one call tells.
+nothing of the other one was missed. So does a higher revision if each one between is
+that of a known change of the first kind. Otherwise one call tells.
 """
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from result import Err, Ok
@@ -21,6 +22,10 @@
 """Timeout of the watch call of a check, seconds. It returns at once if there is a
 change."""
 
+LOST_AFTER_S = 1.0
+"""Time since a check at which its response counts as lost, seconds. The host then reads
+the kind anew, which costs more than a check, so a slow store gets time to answer."""
+
 log = get_logger("store")
 
 
@@ -32,6 +37,10 @@
         """Return the revision up to which the kind has been read, if any."""
         ...
 
+    def is_watching(self) -> bool:
+        """Return whether a watch is pending, so that its response can be lost."""
+        ...
+
     def apply_missed(self, since: int, batch: WatchBatch) -> None:
         """Handle the changes since a revision that a check has found."""
         ...
@@ -56,8 +65,6 @@
         Calls a function at a monotonic time, see `TimerService.call_at`.
     settle_s : float
         Time in which a change reaches the watcher itself, seconds.
-    answer_s : float
-        Time after the timeout of a call at which its response counts as lost, seconds.
     closing : threading.Event
         Ends the checks.
     count : callable
@@ -71,7 +78,6 @@
         connect: Callable[[], Platform],
         call_at: Callable[[str, float, Callable[[float], None]], None],
         settle_s: float,
-        answer_s: float,
         closing: threading.Event,
         count: Callable[[str, str], None],
     ):
@@ -80,19 +86,22 @@
         self._connect = connect
         self._call_at = call_at
         self._settle_s = settle_s
-        self._answer_s = answer_s
         self._closing = closing
         self._count = count
         self._lock = threading.Lock()
         self._store: Platform | None = None
         self._call: object | None = None
+        self._confirmed = 0
+        self._other_changes: set[int] = set()
 
-    def record(self, revision: int) -> None:
-        """Record a revision of the store, and check what was missed up to it."""
-        if not self._is_behind(revision):
-            return
+    def record(self, revision: int, other_changes: Iterable[int] = ()) -> None:
+        """Record a revision of the store, and check what was missed up to it.
+
+        ``other_changes`` are revisions of changes of another kind.
+        """
         with self._lock:
-            if self._call is not None:
+            is_confirmed = self._confirm(revision, other_changes)
+            if is_confirmed or self._call is not None or not self._is_behind(revision):
                 return
             self._call = call = object()
         due = time.monotonic() + self._settle_s
@@ -102,6 +111,17 @@
             lambda now: self._start_if_behind(call, revision),
         )
 
+    def _confirm(self, revision: int, other_changes: Iterable[int]) -> bool:
+        """Return whether the kind is known not to have changed up to a revision."""
+        known = max(self._confirmed, self._watcher.version or 0)
+        self._other_changes.update(other_changes)
+        self._other_changes = {item for item in self._other_changes if item > known}
+        between = sum(item <= revision for item in self._other_changes)
+        if between < revision - known:
+            return False
+        self._confirmed = max(known, revision)
+        return True
+
     def check_now(self) -> None:
         """Check the kind at once, because responses about others were lost."""
         with self._lock:
@@ -110,7 +130,8 @@
 
     def _is_behind(self, revision: int) -> bool:
         version = self._watcher.version
-        return version is not None and version < revision
+        is_watching = self._watcher.is_watching()
+        return version is not None and version < revision and is_watching
 
     def _start_if_behind(self, call: object, revision: int) -> None:
         if self._is_behind(revision):
@@ -119,13 +140,13 @@
         self._end(call)
 
     def _start(self, call: object) -> None:
-        if self._watcher.version is None or self._closing.is_set():
+        if not self._watcher.is_watching() or self._closing.is_set():
             self._end(call)
             return
         threading.Thread(
             target=self._run, args=(call,), name=f"check-{self._kind}", daemon=True
         ).start()
-        lost_at = time.monotonic() + CHECK_TIMEOUT_S + self._answer_s
+        lost_at = time.monotonic() + LOST_AFTER_S
         self._call_at(f"check-{self._kind}", lost_at, lambda now: self._give_up(call))
 
     def _end(self, call: object) -> bool:
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -1,7 +1,7 @@
 """Follow the kinds of objects in the platform's store that a host needs."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import pykka
@@ -121,16 +121,17 @@
     def _times(self, followed: Missed) -> WatchTimes:
         """Return the times by which this host, in contact, has missed nothing.
 
-        The short watches of one kind also state the revision of the store, by which the
-        others are checked.
+        The short watches of the servers also state the revision of the store, by which
+        the others are checked. On most days servers change more often than the watches
+        end, so that few calls are added.
         """
-        if followed == Missed.CONFIGURATION:
+        if followed == Missed.SERVERS:
             return WatchTimes.within(self._bounds.contact_s)
         return WatchTimes.checked(self._bounds.contact_s)
 
-    def _check(self, revision: int) -> None:
+    def _check(self, revision: int, changes: Iterable[int]) -> None:
         for check in list(self._checks):
-            check.record(revision)
+            check.record(revision, changes)
 
     def _check_now(self) -> None:
         for check in list(self._checks):
@@ -160,7 +161,7 @@
         if followed == Missed.SERVERS:
             interval_s = server_watch_interval_s(self._bounds.drain_s)
         times, kind = self._times(followed), kinds[followed]
-        is_leading = followed == Missed.CONFIGURATION
+        is_leading = followed == Missed.SERVERS
         watcher = ListWatcher(
             self._connect,
             kind,
@@ -173,7 +174,7 @@
             lists_again=followed == Missed.CONFIGURATION,
             times=times,
             call_at=self._call_at,
-            on_revision=self._check if is_leading else lambda revision: None,
+            on_revision=self._check if is_leading else lambda revision, changes: None,
             on_lost=self._check_now if is_leading else lambda: None,
         )
         self._watchers[followed] = watcher.start()
@@ -184,7 +185,6 @@
             watcher,
             self._connect,
             self._call_at,
-            interval_s + times.answer_s,
             times.answer_s,
             self._closing,
             self._count,
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -159,7 +159,8 @@
     call_at : callable
         Calls a function at a monotonic time, see `TimerService.call_at`.
     on_revision : callable
-        Called with the revision of the store in each response.
+        Called with the revision of the store in each response, and with those of the
+        changes in it.
     on_lost : callable
         Called when a response counts as lost.
 
@@ -186,7 +187,9 @@
         call_at: Callable[
             [str, float, Callable[[float], None]], None
         ] = lambda name, when, callback: None,
-        on_revision: Callable[[int], None] = lambda revision: None,
+        on_revision: Callable[[int, Iterable[int]], None] = lambda revision, changes: (
+            None
+        ),
         on_lost: Callable[[], None] = lambda: None,
     ):
         self._on_lost = on_lost
@@ -251,6 +254,10 @@
         """Return the revision up to which the kind has been read, None without one."""
         return self._version
 
+    def is_watching(self) -> bool:
+        """Return whether a watch is pending, so that its response can be lost."""
+        return self._pending_call is not None
+
     def apply_missed(self, since: int, batch: WatchBatch) -> None:
         """Handle the changes since a revision, if no response was handled meanwhile."""
         changed = _newest_change(batch, since, False, False)
@@ -375,7 +382,9 @@
                     is_handled = self._handle(
                         version, batch, changed, is_listing, is_repeat
                     )
-                    self._on_revision(batch.version)
+                    changes = () if is_listing else batch.changes
+                    revisions = [stored.version for stored in changes]
+                    self._on_revision(batch.version, revisions)
                     if not is_handled:
                         continue
                     is_repeat = False
