--- a/src/sesameport/platform/tests/crowds.py
+++ b/src/sesameport/platform/tests/crowds.py
@@ -1,19 +1,12 @@
-"""Start the real process and connect clients that do not respect its limits.
-
-Every client sends a bounded number of bytes for a bounded time, and stops by itself.
-"""
+"""Start the process of an entry host for clients that do not respect its limits."""
 
 import contextlib
-import fcntl
 import http.client
 import os
 import pathlib
 import socket
 import subprocess
 import sys
-import tempfile
-import threading
-import time
 
 from sesameport.platform.tests.conftest import (
     API_KEY,
@@ -21,12 +14,16 @@
     make_configuration,
     wait_until,
 )
+from sesameport.tests.crowds import (
+    Crowd,
+    ProcessWatch,
+    one_at_a_time,
+    own_loopback_ip,
+    resident_bytes,
+)
 
 START_FILE = pathlib.Path(__file__).parents[4] / "deploy" / "sesameport.py"
-LOCK_FILE = pathlib.Path(tempfile.gettempdir()) / "sesameport-crowd-tests.lock"
-CROWD_SECONDS = 20.0
 START_SECONDS = 30.0
-BLOCK_BYTES = 65_536
 
 CHUNKED_HEAD = (
     "POST /book/x HTTP/1.1\r\n"
@@ -38,23 +35,11 @@
 ).encode()
 
 
-@contextlib.contextmanager
-def one_at_a_time():
-    """Hold a lock shared by all test runs of this machine's user."""
-    with open(LOCK_FILE, "w") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
-        yield
-
-
 class HostProcess:
-    """Run one entry host as it is deployed, on loopback addresses of its own.
+    """Run one entry host as it is deployed, on loopback addresses of its own."""
 
-    ``peak_descriptors`` is the largest number of open descriptors seen.
-    """
-
-    def __init__(self, store_address, directory, memory_mb, max_fds):
-        number = os.getpid()
-        self.ip = f"127.{41 + (number >> 14) % 200}.{number >> 7 & 127}.{number & 127}"
+    def __init__(self, store_address, directory, memory_mb, max_fds, bounds=None):
+        self.ip = own_loopback_ip()
         self.caller, self.ready = (self.ip, 18_080), (self.ip, 18_081)
         self.metrics = (self.ip, 9_464)
         self.peers = f"{self.ip}:18082"
@@ -66,6 +51,9 @@
             f'listen.readyAddress = "{self.ip}:18081"\n'
             f'platform.address = "{store_address}"\n'
             f"limits.memoryMb = {memory_mb}\nlimits.maxFds = {max_fds}\n"
+            + "".join(
+                f"callerBounds.{key} = {n}\n" for key, n in (bounds or {}).items()
+            )
         )
         self._log = open(directory / "host.log", "wb")  # noqa: SIM115
         self.process = subprocess.Popen(
@@ -74,21 +62,11 @@
             stdout=self._log,
             stderr=subprocess.STDOUT,
         )
-        self.peak_descriptors = 0
-        self._stopped = threading.Event()
-        threading.Thread(target=self._watch_descriptors, daemon=True).start()
-
-    def _watch_descriptors(self):
-        while not self._stopped.wait(0.05):
-            with contextlib.suppress(OSError):
-                count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-                self.peak_descriptors = max(self.peak_descriptors, count)
+        self.watch = ProcessWatch(self.process.pid, self.ip)
 
     def peak_memory_mb(self):
         """Return the largest resident memory since the start, MB."""
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) * 1024 / 1e6
+        return resident_bytes(self.process.pid, "VmHWM") / 1e6
 
     def get(self, address, target, timeout_s=10.0):
         """Return the status of a request to a listener, or 0 without an answer."""
@@ -118,63 +96,19 @@
         wait_until(lambda: self.get(self.caller, "/look/x") == 200, START_SECONDS)
 
     def stop(self):
-        self._stopped.set()
+        self.watch.stop()
         self.process.kill()
         self.process.wait()
         self._log.close()
 
 
-class Crowd:
-    """Connect clients that each send a list of byte strings and stay connected."""
-
-    def __init__(self, address):
-        self._address = address
-        self._sockets = []
-        self._threads = []
-
-    def add(self, blocks, count, read_bytes_per_s=0.0):
-        """Connect ``count`` clients; ``blocks`` returns what one of them sends."""
-        for _ in range(count):
-            args = (blocks(), read_bytes_per_s)
-            thread = threading.Thread(target=self._run, args=args, daemon=True)
-            self._threads.append(thread)
-            thread.start()
-
-    def wait(self):
-        """Wait until every client has sent its bytes or was cut off."""
-        deadline = time.monotonic() + CROWD_SECONDS
-        for thread in self._threads:
-            thread.join(max(0.0, deadline - time.monotonic()))
-
-    def close(self):
-        for sock in self._sockets:
-            sock.close()
-
-    def _run(self, blocks, read_bytes_per_s):
-        deadline = time.monotonic() + CROWD_SECONDS
-        with contextlib.suppress(OSError):
-            sock = socket.socket()
-            # What a client does not read must not collect in its own socket instead.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-            sock.settimeout(CROWD_SECONDS)
-            self._sockets.append(sock)
-            sock.connect(self._address)
-            for block in blocks:
-                sock.settimeout(max(0.001, deadline - time.monotonic()))
-                sock.sendall(block)
-            while read_bytes_per_s and time.monotonic() < deadline:
-                if not sock.recv(max(1, int(read_bytes_per_s / 10))):
-                    break
-                time.sleep(0.1)
-
-
 @contextlib.contextmanager
-def crowded_host(cluster, directory, memory_mb=128, max_fds=1_638):
+def crowded_host(cluster, directory, memory_mb=128, max_fds=1_638, bounds=None):
     """Yield a serving process and a crowd that is connected to no client yet."""
     with one_at_a_time(), contextlib.ExitStack() as stack:
         limits = {"maxBodyBytes": 4_194_304, "maxHeaderBytes": 16_384}
         cluster.configure(2, limits={**make_configuration()["limits"], **limits})
-        host = HostProcess(cluster.store.address, directory, memory_mb, max_fds)
+        host = HostProcess(cluster.store.address, directory, memory_mb, max_fds, bounds)
         stack.callback(host.stop)
         host.wait_until_serving()
         crowd = Crowd(host.caller)
@@ -189,4 +123,4 @@
     assert host.get(host.ready, "/v1/ready") == 200
     assert host.get(host.metrics, "/metrics") == 200
     assert host.peak_memory_mb() <= max_memory_mb
-    assert host.peak_descriptors <= max_descriptors
+    assert host.watch.peak_descriptors <= max_descriptors
--- a/src/sesameport/platform/tests/test_caller_crowds.py
+++ b/src/sesameport/platform/tests/test_caller_crowds.py
@@ -1,8 +1,8 @@
 """Test that clients outside the limits neither stop nor exhaust a process.
 
-The tests run one after the other: they are in one module, which is one scope of xdist,
-and a lock file keeps those of other test runs waiting. They check no times and no share
-of answered requests, so load of other kinds does not change their result.
+The tests are marked as crowds: CI runs them alone and after all others, and a lock file
+keeps those of other test runs waiting. They check no times and no share of answered
+requests.
 """
 
 import itertools
@@ -11,12 +11,12 @@
 
 from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST, wait_until
 from sesameport.platform.tests.crowds import (
-    BLOCK_BYTES,
     CHUNKED_HEAD,
     assert_unharmed,
     crowded_host,
 )
 from sesameport.platform.tests.test_endless_bytes import FloodingServer
+from sesameport.tests.crowds import BLOCK_BYTES
 
 # The bounds are the limits stated in the settings file: memoryMb, and maxFds without
 # the 200 descriptors that are reserved for files.
@@ -25,7 +25,7 @@
 MAX_FEW_FDS = 320
 RESERVED_FDS = 200
 
-pytestmark = [pytest.mark.xdist_group("caller-crowds"), pytest.mark.timeout(180)]
+pytestmark = [pytest.mark.crowd, pytest.mark.timeout(180)]
 
 BLOCK = b"x" * BLOCK_BYTES
 LARGE_CHUNK = b"%x\r\n%b\r\n" % (BLOCK_BYTES, BLOCK)
--- a/src/sesameport/platform/tests/test_slow_readers.py
+++ b/src/sesameport/platform/tests/test_slow_readers.py
@@ -13,12 +13,12 @@
 from sesameport.platform.tests.conftest import API_KEY, ROUTE_HOST, wait_until
 from sesameport.platform.tests.crowds import (
     CHUNKED_HEAD,
-    CROWD_SECONDS,
     assert_unharmed,
     crowded_host,
 )
 from sesameport.platform.tests.endless_peer import EndlessPeer, report_message
 from sesameport.platform.tests.test_endless_bytes import SIGNED, FloodingServer
+from sesameport.tests.crowds import CROWD_SECONDS
 
 MEMORY_MB = 128
 MAX_FDS = 1_638 - 200
@@ -33,7 +33,7 @@
 BLOCK = b"x" * 8_192
 EVENTS = b"data: " + b"y" * 1_000 + b"\n\n"
 
-pytestmark = [pytest.mark.xdist_group("caller-crowds"), pytest.mark.timeout(180)]
+pytestmark = [pytest.mark.crowd, pytest.mark.timeout(180)]
 
 
 class CountingServer(FloodingServer):
