--- a/src/sesameport/entry/caller_limits/connections.py
+++ b/src/sesameport/entry/caller_limits/connections.py
@@ -11,7 +11,7 @@
 import socket
 import time
 
-from cheroot.connections import ConnectionManager
+from cheroot.connections import ConnectionManager, _ThreadsafeSelector
 
 from sesameport.adapters.strict_http import StrictConnection, StrictRequest
 from sesameport.entry.caller_limits.slow_readers import CallerWriter
@@ -47,6 +47,8 @@
         Whether a request was read from the connection.
     closed_for : str
         Bound for which the connection was cut off, or an empty string.
+    is_closed : bool
+        Whether the connection has been closed.
     """
 
     RequestHandlerClass = _Request
@@ -54,6 +56,7 @@
     write_since = 0.0
     has_served = False
     closed_for = ""
+    is_closed = False
 
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
@@ -76,9 +79,19 @@
             self.socket.shutdown(how)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; no effect if it is closed.
+
+        cheroot ends the listener if closing fails, so an error is only logged.
+        """
+        if self.is_closed:
+            return
+        self.is_closed = True
         self.server.open_connections.discard(self)
-        super().close()
+        try:
+            super().close()
+        except OSError as exc:
+            self.server.error_log(f"close failed: {exc!r}")
+            self.socket.close()
 
 
 def choose_idle(connections: list[BoundedConnection]) -> list[BoundedConnection]:
@@ -87,6 +100,21 @@
     return ranked[:CLOSED_AT_ONCE]
 
 
+class _OpenSelector(_ThreadsafeSelector):
+    """Leave out connections that were closed after the system named them as ready.
+
+    Their descriptors may belong to connections that were accepted since then.
+    """
+
+    def select(self, timeout=None):
+        events = self._selector.select(timeout)
+        return (
+            (key.fd, key.data)
+            for key, _ in events
+            if not getattr(key.data, "is_closed", False)
+        )
+
+
 class ConnectionAcceptor(ConnectionManager):
     """Accept the connections of one server.
 
@@ -95,6 +123,14 @@
     ``report`` (called with an address and the name of a bound).
     """
 
+    def __init__(self, server):
+        super().__init__(server)
+        self._selector.close()
+        self._selector = _OpenSelector()
+        self._selector.register(
+            server.socket.fileno(), selectors.EVENT_READ, data=server
+        )
+
     @property
     def _num_connections(self) -> int:
         count = super()._num_connections
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -262,6 +262,8 @@
             reasons.append("configuration or evacuations not known yet")
         if self._stop.has_begun:
             reasons.append("draining")
+        if self._listeners.callers.has_failed():
+            reasons.append("listener for callers has ended")
         return reasons
 
     def configuration_version(self) -> int:
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -186,7 +186,12 @@
         if self.is_stopping:
             conn.close()
             return
-        super().put_conn(conn)
+        try:
+            super().put_conn(conn)
+        except (OSError, ValueError, KeyError) as exc:
+            # cheroot ends the listener for any exception here.
+            self.error_log(f"connection not kept: {exc!r}")
+            conn.close()
 
 
 class _Gateway(Gateway):
@@ -290,14 +295,20 @@
             self._server.socket.setsockopt(*option)
         bound_host, bound_port = self._server.bind_addr[:2]
         self.address = f"{bound_host}:{bound_port}"
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"http-{self.address}", daemon=True
+        )
 
     def start(self) -> "HttpListener":
         """Serve on a separate thread and return the listener."""
-        threading.Thread(
-            target=self._server.serve, name=f"http-{self.address}", daemon=True
-        ).start()
+        self._thread.start()
         return self
 
+    def has_failed(self) -> bool:
+        """Return whether the listener has ended although it was not stopped."""
+        started = self._thread.ident is not None
+        return started and not self._server.is_stopping and not self._thread.is_alive()
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a configuration."""
         self._server.max_request_header_size = limits.header_bytes
--- a/src/sesameport/platform/tests/test_listener_end.py
+++ b/src/sesameport/platform/tests/test_listener_end.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from sesameport.platform.tests.conftest import wait_until
 from sesameport.platform.tests.crowds import (
     CHUNKED_HEAD,
     assert_unharmed,
@@ -82,3 +83,15 @@
             address = getattr(host, listener)
             begin_heads_beside_a_connection(host.process, address, count)
         assert_unharmed(host, MEMORY_MB, MAX_FEW_FDS - RESERVED_FDS)
+
+
+@pytest.mark.filterwarnings("ignore::pytest.PytestUnhandledThreadExceptionWarning")
+def test_host_without_listener_is_not_ready(cluster):
+    # Guards against a load balancer that keeps sending callers to a host that refuses
+    # every connection.
+    cluster.configure()
+    host = cluster.start_host()
+    wait_until(host.is_ready)
+    host._listeners.callers._server.interrupt = OSError("an error of a thread")
+    wait_until(lambda: not host.is_ready())
+    assert host._unready_reasons() == ["listener for callers has ended"]
