--- a/src/sesameport/entry/caller_limits/bounds.py
+++ b/src/sesameport/entry/caller_limits/bounds.py
@@ -86,6 +86,9 @@
         Size of the send buffer to a caller and of the receive buffer from a server,
         bytes. The system may use twice as much. A caller 50 ms away that reads at once
         gets 2.6 MB per second with the default.
+    receive_buffer_bytes : int
+        Size of the receive buffer from a caller, bytes. The system may use twice as
+        much. A caller 50 ms away can send 0.6 to 1.3 MB per second with the default.
     max_peer_bytes : int
         Memory of the messages of other hosts that wait to be handled, bytes.
     max_peer_message_bytes, max_snapshot_bytes : int
@@ -117,6 +120,7 @@
     small_chunk_bytes: int = 64
     max_expensive_bodies: int = 1
     socket_buffer_bytes: int = 131_072
+    receive_buffer_bytes: int = 32_768
     max_peer_message_bytes: int = 262_144
     max_snapshot_bytes: int = 2_097_152
     max_peer_queue_bytes: int = 1_048_576
--- a/src/sesameport/entry/caller_limits/connections.py
+++ b/src/sesameport/entry/caller_limits/connections.py
@@ -27,8 +27,10 @@
 
 class _Request(StrictRequest):
     def simple_response(self, status, msg="") -> None:
-        """Answer 408 if the head was not complete when it was cut off."""
-        if self.conn.closed_for:
+        """Answer 503 or 408 if the head was not complete when it was cut off."""
+        if self.conn.closed_for == "memory":
+            status, msg = "503 Service Unavailable", "not enough memory\n"
+        elif self.conn.closed_for:
             status, msg = "408 Request Timeout", "head did not arrive in time\n"
         super().simple_response(status, msg)
 
--- a/src/sesameport/entry/caller_limits/open_bodies.py
+++ b/src/sesameport/entry/caller_limits/open_bodies.py
@@ -118,6 +118,17 @@
         with self._lock:
             self._close(holder, bound)
 
+    def close_connection(self, conn, bound: str) -> bool:
+        """Close the body of a connection; return whether it has one in progress."""
+        with self._lock:
+            for holder, holder_conn in self._conn_by_holder.items():
+                if holder_conn is not conn:
+                    continue
+                conn.closed_for = conn.closed_for or bound
+                self._close(holder, bound)
+                return True
+        return False
+
     def _close(self, holder: Holder, bound: str) -> None:
         conn = self._conn_by_holder.get(holder)
         if conn is None or holder.closed_for:
--- a/src/sesameport/entry/caller_limits/supervisor.py
+++ b/src/sesameport/entry/caller_limits/supervisor.py
@@ -9,6 +9,7 @@
     choose_overdue,
     choose_slowest,
 )
+from sesameport.entry.caller_limits.unread_bytes import UnreadBytes
 
 __all__ = ["ConnectionSupervisor", "choose_blocked"]
 
@@ -59,12 +60,21 @@
         Bodies that the server receives.
     bounds : CallerBounds
         Bounds of bodies.
+    unread_bytes : UnreadBytes
+        Charges of what is received and not read.
     """
 
-    def __init__(self, server, open_bodies: OpenBodies, bounds: CallerBounds):
+    def __init__(
+        self,
+        server,
+        open_bodies: OpenBodies,
+        bounds: CallerBounds,
+        unread_bytes: UnreadBytes,
+    ):
         self._server = server
         self._open_bodies = open_bodies
         self._bounds = bounds
+        self._unread_bytes = unread_bytes
 
     def enforce(self, now: float, idle_s: float) -> None:
         """Cut off what exceeds its time, and more if requests wait for threads.
@@ -77,6 +87,8 @@
             Longest silence of a connection, and longest time for a head, seconds.
         """
         self._server.slow_readers.enforce(now)
+        for conn in self._unread_bytes.update(self._connections_with_data()):
+            self._refuse(conn, "memory")
         for conn in self._connections():
             if conn.head_since and now - conn.head_since > idle_s:
                 self._cut_off(conn, "head-time")
@@ -102,6 +114,23 @@
         self._open_bodies.close(holder, bound)
         return True
 
+    def _connections_with_data(self) -> list[BoundedConnection]:
+        """Return the connections that may have unread bytes.
+
+        They have a thread or wait for one. All others are silent, as the first byte
+        gives them to a thread.
+        """
+        pool = self._server.requests
+        found = [thread.conn for thread in list(pool._threads)]
+        with pool._queue.mutex:
+            found += pool._queue.queue
+        return [conn for conn in found if isinstance(conn, BoundedConnection)]
+
+    def _refuse(self, conn: BoundedConnection, bound: str) -> None:
+        """Refuse the request of a connection, whose body may be in progress."""
+        if not self._open_bodies.close_connection(conn, bound):
+            self._cut_off(conn, bound)
+
     def _connections(self) -> list[BoundedConnection]:
         """Return the connections that have a thread and are not cut off yet."""
         found = [thread.conn for thread in list(self._server.requests._threads)]
--- a/src/sesameport/entry/caller_limits/tests/test_choices.py
+++ b/src/sesameport/entry/caller_limits/tests/test_choices.py
@@ -1,7 +1,9 @@
 """Test who is closed when memory, bodies or threads run out, without a network."""
 
 import io
+import socket
 import types
+from unittest.mock import Mock
 
 import pytest
 
@@ -18,6 +20,10 @@
 )
 from sesameport.entry.caller_limits.reports import LimitReporter
 from sesameport.entry.caller_limits.supervisor import choose_blocked
+from sesameport.entry.caller_limits.unread_bytes import (
+    UnreadBytes,
+    choose_most_unread,
+)
 from sesameport.telemetry.logs import JsonLineHandler
 
 NOW = 100.0
@@ -127,3 +133,33 @@
             reporter.report("10.0.0.1", "memory")
     assert counted == ["memory"] * 3
     assert stream.getvalue().count("limit reached") == 1
+
+
+def test_connections_with_most_unread_bytes_are_cut_off_for_the_excess():
+    sizes = {"a": 10, "b": 500, "c": 300, "silent": 0}
+    assert choose_most_unread(sizes, 0) == []
+    assert choose_most_unread(sizes, 700) == ["b", "c"]
+    assert choose_most_unread(sizes, 700, closing=650) == ["b"]
+    # Guards against cutting off silent connections for bytes that others hold.
+    assert choose_most_unread(sizes, 10_000) == ["b", "c", "a"]
+
+
+def test_unread_bytes_are_charged_until_they_are_read():
+    account = MemoryAccount(1_000, 0)
+    unread = UnreadBytes(account)
+    sender, receiver = socket.socketpair()
+    with sender, receiver:
+        conn = Mock(socket=receiver, closed_for="")
+        sender.sendall(b"x" * 900)
+        assert unread.update([conn]) == []
+        assert account.used == 900
+        sender.sendall(b"x" * 200)
+        assert unread.update([conn]) == [conn]
+        # A connection that is cut off keeps its bytes until its thread closes it.
+        conn.closed_for = "memory"
+        assert unread.update([conn]) == []
+        receiver.recv(1_000)
+        unread.update([conn])
+        assert account.used == 100
+    assert unread.update([conn]) == []
+    assert account.used == 0
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/entry/http_listener.py
@@ -22,6 +22,7 @@
 from sesameport.entry.caller_limits.open_bodies import OpenBodies
 from sesameport.entry.caller_limits.slow_readers import SlowReaders
 from sesameport.entry.caller_limits.supervisor import ConnectionSupervisor
+from sesameport.entry.caller_limits.unread_bytes import UnreadBytes
 from sesameport.entry.configuration import CallerLimits
 from sesameport.entry.requests import CallerDisconnected
 from sesameport.telemetry.logs import get_logger
@@ -200,6 +201,9 @@
         req = self.req
         req.conn.head_since = 0.0
         cut_off_for = req.conn.closed_for
+        if cut_off_for == "memory":
+            self._refuse(BodyRefused(503, cut_off_for, "not enough memory"))
+            return
         if cut_off_for:
             self._refuse(BodyRefused(408, cut_off_for, "head did not arrive in time"))
             return
@@ -277,7 +281,9 @@
         )
         self._server.max_connections = bounds.max_connections
         self._server.report = report
-        self._supervisor = ConnectionSupervisor(self._server, open_bodies, bounds)
+        self._supervisor = ConnectionSupervisor(
+            self._server, open_bodies, bounds, UnreadBytes(account)
+        )
         self._server.make_room = lambda: self._supervisor.close_one(
             time.monotonic(), "connections"
         )
@@ -289,9 +295,13 @@
         self._server.error_log = self._log_error
         self._min_idle_threads = max(1, threads // 2)
         self._server.prepare()
-        # Connections inherit the size. What a caller does not read collects there.
-        buffer = (socket.SOL_SOCKET, socket.SO_SNDBUF, bounds.socket_buffer_bytes)
-        for option in (*KEEPALIVE_OPTIONS, buffer):
+        # Connections inherit the sizes. What a caller does not read, and what is not
+        # read from it, collects there.
+        buffers = (
+            (socket.SOL_SOCKET, socket.SO_SNDBUF, bounds.socket_buffer_bytes),
+            (socket.SOL_SOCKET, socket.SO_RCVBUF, bounds.receive_buffer_bytes),
+        )
+        for option in (*KEEPALIVE_OPTIONS, *buffers):
             self._server.socket.setsockopt(*option)
         bound_host, bound_port = self._server.bind_addr[:2]
         self.address = f"{bound_host}:{bound_port}"
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -53,6 +53,7 @@
     "small_chunk_bytes": "smallChunkBytes",
     "max_expensive_bodies": "maxExpensiveBodies",
     "socket_buffer_bytes": "socketBufferBytes",
+    "receive_buffer_bytes": "receiveBufferBytes",
     "max_peer_bytes": "maxPeerBytes",
     "max_peer_message_bytes": "maxPeerMessageBytes",
     "max_snapshot_bytes": "maxSnapshotBytes",
