Move the limits on clients and the listener to adapters/, where the daemon can use them

No change in behaviour. entry/caller_limits becomes adapters/caller_limits with its tests, HttpListener moves there, and CallerLimits with it. A listener takes the function that answers a refused request; the default is the line of text that it sent before (StrictRequest.refuse). What only entry hosts have stays in entry/: peer_messages, server_bytes, the connection of a caller and its response writer (caller_connection), and the log line of a failed handler (host_listeners).

--- a/src/sesameport/entry/caller_limits/body_reader.py
+++ b/src/sesameport/adapters/caller_limits/body_reader.py
@@ -11,17 +11,17 @@
 import time
 from collections.abc import Callable, Iterator
 
-from sesameport.adapters.strict_http import FramingError, StrictRequest
-from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
-from sesameport.entry.caller_limits.chunked_parser import ChunkedParser
-from sesameport.entry.caller_limits.memory_account import (
+from sesameport.adapters.caller_limits.bounds import BodyRefused, CallerBounds
+from sesameport.adapters.caller_limits.chunked_parser import ChunkedParser
+from sesameport.adapters.caller_limits.memory_account import (
     STEP_BYTES,
     Holder,
     MemoryAccount,
     choose_largest,
 )
-from sesameport.entry.caller_limits.open_bodies import OpenBodies
-from sesameport.entry.caller_limits.slow_readers import SlowReaders
+from sesameport.adapters.caller_limits.open_bodies import OpenBodies
+from sesameport.adapters.caller_limits.slow_readers import SlowReaders
+from sesameport.adapters.strict_http import FramingError, StrictRequest
 
 __all__ = ["REQUEST_BYTES", "BodyReader"]
 
--- a/src/sesameport/entry/caller_limits/bounds.py
+++ b/src/sesameport/adapters/caller_limits/bounds.py
@@ -1,4 +1,4 @@
-"""Define the bounds on what clients can make an entry host hold.
+"""Define the bounds on what clients can make a host hold.
 
 They are derived from the memory and the descriptors of the machine. Callers within the
 limits of the configuration do not reach them.
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["BodyRefused", "CallerBounds"]
+__all__ = ["BodyRefused", "CallerBounds", "CallerLimits"]
 
 RESERVED_FDS = 200
 """Descriptors of the limit that are left for files."""
@@ -56,6 +56,15 @@
         self.bound = bound
 
 
+@attrs.frozen
+class CallerLimits:
+    """Limit the size of a caller's request and the idle time of its connection."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    idle_s: float = 15.0
+
+
 @attrs.frozen
 class CallerBounds:
     """Represent the bounds of one process.
--- a/src/sesameport/entry/caller_limits/chunked_parser.py
+++ b/src/sesameport/adapters/caller_limits/chunked_parser.py
@@ -14,9 +14,9 @@
 
 import io
 
+from sesameport.adapters.caller_limits.bounds import BodyRefused, CallerBounds
 from sesameport.adapters.http_framing import is_chunk_size
 from sesameport.adapters.strict_http import FramingError
-from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
 
 __all__ = ["ChunkedParser"]
 
--- a/src/sesameport/entry/caller_limits/connections.py
+++ b/src/sesameport/adapters/caller_limits/connections.py
@@ -13,8 +13,8 @@
 
 from cheroot.connections import ConnectionManager, _ThreadsafeSelector
 
+from sesameport.adapters.caller_limits.slow_readers import CallerWriter
 from sesameport.adapters.strict_http import StrictConnection, StrictRequest
-from sesameport.entry.caller_limits.slow_readers import CallerWriter
 
 __all__ = ["BoundedConnection", "ConnectionAcceptor", "choose_idle"]
 
--- a/src/sesameport/entry/http_listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -1,8 +1,7 @@
-"""Serve callers over HTTP with cheroot."""
+"""Serve HTTP with cheroot within the bounds of the process."""
 
 import contextlib
 import math
-import select
 import socket
 import threading
 import time
@@ -10,24 +9,26 @@
 
 from cheroot.server import Gateway, HTTPServer
 
-from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
-from sesameport.adapters.strict_http import FramingError, StrictRequest
-from sesameport.entry.caller_limits.body_reader import BodyReader
-from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
-from sesameport.entry.caller_limits.connections import (
+from sesameport.adapters.caller_limits.body_reader import BodyReader
+from sesameport.adapters.caller_limits.bounds import (
+    BodyRefused,
+    CallerBounds,
+    CallerLimits,
+)
+from sesameport.adapters.caller_limits.connections import (
     BoundedConnection,
     ConnectionAcceptor,
 )
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.caller_limits.open_bodies import OpenBodies
-from sesameport.entry.caller_limits.slow_readers import SlowReaders
-from sesameport.entry.caller_limits.supervisor import ConnectionSupervisor
-from sesameport.entry.caller_limits.unread_bytes import UnreadBytes
-from sesameport.entry.configuration import CallerLimits
-from sesameport.entry.requests import CallerDisconnected
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.caller_limits.open_bodies import OpenBodies
+from sesameport.adapters.caller_limits.slow_readers import SlowReaders
+from sesameport.adapters.caller_limits.supervisor import ConnectionSupervisor
+from sesameport.adapters.caller_limits.unread_bytes import UnreadBytes
+from sesameport.adapters.sockets import KEEPALIVE_OPTIONS
+from sesameport.adapters.strict_http import FramingError, StrictRequest
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["CallerSocket", "HttpListener", "HttpResponseWriter"]
+__all__ = ["HttpListener", "refuse_as_text"]
 
 LISTEN_BACKLOG = 1_024
 """Length of the accept queue. A full queue delays callers by seconds."""
@@ -42,120 +43,15 @@
 RETRY_AFTER_S = 1.0
 """Time after which a request that was refused for memory may be repeated, seconds."""
 
-_REASON_PHRASES = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
 log = get_logger("http")
 
 
-class CallerSocket:
-    """Check the connection of a caller; implements ``CallerConnection``."""
-
-    def __init__(self, sock: socket.socket):
-        self._sock = sock
-
-    def fileno(self) -> int:
-        """Return the file descriptor of the connection."""
-        return self._sock.fileno()
-
-    def is_disconnected(self) -> bool:
-        """Return whether the caller closed or reset its connection."""
-        fd = self._sock.fileno()
-        if fd < 0:
-            return True
-        poller = select.poll()
-        poller.register(fd, select.POLLIN)
-        if not poller.poll(0):
-            return False
-        try:
-            return self._sock.recv(1, socket.MSG_PEEK) == b""
-        except (BlockingIOError, TimeoutError):
-            return False
-        except OSError:
-            return True
-
-
-class HttpResponseWriter:
-    """Write the response to one request; implements ``outcomes.ResponseWriter``.
-
-    Parameters
-    ----------
-    req : StrictRequest
-        Request to respond to.
-    is_draining : callable
-        Returns whether the process is stopping, so that connections are closed.
-    """
-
-    def __init__(self, req: StrictRequest, is_draining: Callable[[], bool]):
-        self._req = req
-        self._is_draining = is_draining
-
-    def send_complete(self, status: int, headers, body: bytes) -> None:
-        """Send a complete response."""
-        self._send_head(status, [*headers, ("Content-Length", str(len(body)))])
-        if self._req.method != b"HEAD":
-            self._write(body)
-
-    def refuse(
-        self, status: int, reason: str, retry_after_s: float | None = None
-    ) -> None:
-        """Send a refusal by the router itself."""
-        headers = [("Content-Type", "text/plain")]
-        if retry_after_s is not None:
-            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
-        self.send_complete(status, headers, f"{reason}\n".encode())
-
-    def start(self, status: int, headers) -> None:
-        """Send the status and headers of a stream, which is sent in chunks."""
-        self._send_head(status, headers)
-
-    def send(self, data: bytes) -> None:
-        """Send a part of a stream."""
-        self._write(data)
-
-    def finish(self) -> None:
-        """Let cheroot end the stream as complete."""
-
-    def abort(self) -> None:
-        """Close the connection without the end of the stream."""
-        req = self._req
-        # A caller of HTTP/1.0 gets no chunks.
-        req.conn.resets_on_close = req.sent_headers and not req.chunked_write
-        req.chunked_write = False
-        req.close_connection = True
-        req.sent_headers = True
-
-    def _send_head(self, status: int, headers) -> None:
-        req = self._req
-        reason = _REASON_PHRASES.get(status, "Status")
-        req.status = f"{status} {reason}".encode()
-        req.outheaders = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
-        ]
-        if self._is_draining():
-            req.close_connection = True
-        try:
-            req.ensure_headers_sent()
-        except OSError as exc:
-            raise CallerDisconnected from exc
-
-    def _write(self, data: bytes) -> None:
-        try:
-            self._req.write(data)
-        except OSError as exc:
-            raise CallerDisconnected from exc
+def refuse_as_text(req: StrictRequest, exc: BodyRefused) -> None:
+    """Refuse a request with a line of text and close its connection."""
+    headers = []
+    if exc.status == 503:
+        headers.append((b"Retry-After", f"{RETRY_AFTER_S:.2f}".encode()))
+    req.refuse(exc.status, str(exc), headers)
 
 
 class _Server(HTTPServer):
@@ -209,31 +105,19 @@
             return
         try:
             with req.server.bodies.body_of(req) as body:
-                self._handle(body)
+                req.server.handle(req, body)
         except FramingError as exc:
             req.reject(str(exc))
         except BodyRefused as exc:
             self._refuse(exc)
 
-    def _handle(self, body: bytes) -> None:
-        req = self.req
-        try:
-            req.server.handle(req, body)
-        except CallerDisconnected:
-            raise
-        except Exception as exc:
-            # cheroot closes the connection without logging the exception.
-            log.error("request handler failed", extra={"error": repr(exc)})
-            raise
-
     def _refuse(self, exc: BodyRefused) -> None:
         req = self.req
         req.server.report(req.conn.remote_addr, exc.bound)
         # The rest of the body is not read, so the connection can't be used again.
-        writer = HttpResponseWriter(req, lambda: True)
-        retry_after_s = RETRY_AFTER_S if exc.status == 503 else None
-        with contextlib.suppress(CallerDisconnected):
-            writer.refuse(exc.status, str(exc), retry_after_s)
+        req.close_connection = True
+        with contextlib.suppress(OSError):
+            req.server.refuse(req, exc)
 
 
 class HttpListener:
@@ -255,6 +139,8 @@
         Called with the address of a client and the name of a bound that it reached.
     stated_wait_s : callable
         Returns how long a caller waits according to its headers, seconds.
+    refuse : callable
+        Answers a `StrictRequest` that is refused for a `BodyRefused`; not run then.
     """
 
     def __init__(
@@ -267,6 +153,7 @@
         account: MemoryAccount | None = None,
         report: Callable[[str | None, str], None] = lambda address, bound: None,
         stated_wait_s: Callable[[tuple], float] = lambda headers: math.inf,
+        refuse: Callable[[StrictRequest, BodyRefused], None] = refuse_as_text,
     ):
         bounds = bounds or CallerBounds.for_machine()
         account = account or MemoryAccount(bounds.account_bytes, bounds.reserved_bytes)
@@ -281,6 +168,7 @@
         )
         self._server.max_connections = bounds.max_connections
         self._server.report = report
+        self._server.refuse = refuse
         self._supervisor = ConnectionSupervisor(
             self._server, open_bodies, bounds, UnreadBytes(account)
         )
--- a/src/sesameport/entry/caller_limits/open_bodies.py
+++ b/src/sesameport/adapters/caller_limits/open_bodies.py
@@ -5,8 +5,8 @@
 import threading
 from collections.abc import Iterable
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.memory_account import Holder
+from sesameport.adapters.caller_limits.bounds import CallerBounds
+from sesameport.adapters.caller_limits.memory_account import Holder
 
 __all__ = ["OpenBodies", "choose_overdue", "choose_slowest"]
 
--- a/src/sesameport/entry/caller_limits/slow_readers.py
+++ b/src/sesameport/adapters/caller_limits/slow_readers.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Iterable
 
-from sesameport.entry.caller_limits.memory_account import (
+from sesameport.adapters.caller_limits.memory_account import (
     HOLD_BACK_S,
     Holder,
     MemoryAccount,
--- a/src/sesameport/entry/caller_limits/supervisor.py
+++ b/src/sesameport/adapters/caller_limits/supervisor.py
@@ -2,14 +2,14 @@
 
 import socket
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.connections import BoundedConnection
-from sesameport.entry.caller_limits.open_bodies import (
+from sesameport.adapters.caller_limits.bounds import CallerBounds
+from sesameport.adapters.caller_limits.connections import BoundedConnection
+from sesameport.adapters.caller_limits.open_bodies import (
     OpenBodies,
     choose_overdue,
     choose_slowest,
 )
-from sesameport.entry.caller_limits.unread_bytes import UnreadBytes
+from sesameport.adapters.caller_limits.unread_bytes import UnreadBytes
 
 __all__ = ["ConnectionSupervisor", "choose_blocked"]
 
--- a/src/sesameport/entry/caller_limits/tests/test_body_reader.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_body_reader.py
@@ -9,15 +9,15 @@
 import pytest
 from cheroot.makefile import MakeFile
 
-from sesameport.adapters.strict_http import FramingError
-from sesameport.entry.caller_limits.body_reader import HOLDER_BYTES, BodyReader
-from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
-from sesameport.entry.caller_limits.memory_account import (
+from sesameport.adapters.caller_limits.body_reader import HOLDER_BYTES, BodyReader
+from sesameport.adapters.caller_limits.bounds import BodyRefused, CallerBounds
+from sesameport.adapters.caller_limits.memory_account import (
     STEP_BYTES,
     Holder,
     MemoryAccount,
 )
-from sesameport.entry.caller_limits.open_bodies import OpenBodies
+from sesameport.adapters.caller_limits.open_bodies import OpenBodies
+from sesameport.adapters.strict_http import FramingError
 from sesameport.platform.tests.conftest import wait_until
 
 BOUNDS = CallerBounds.for_machine(account_bytes=400_000, reserved_bytes=100_000)
--- a/src/sesameport/entry/caller_limits/tests/test_choices.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_choices.py
@@ -7,20 +7,20 @@
 
 import pytest
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.memory_account import (
+from sesameport.adapters.caller_limits.bounds import CallerBounds
+from sesameport.adapters.caller_limits.memory_account import (
     Holder,
     MemoryAccount,
     choose_largest,
 )
-from sesameport.entry.caller_limits.open_bodies import (
+from sesameport.adapters.caller_limits.open_bodies import (
     OpenBodies,
     choose_overdue,
     choose_slowest,
 )
-from sesameport.entry.caller_limits.reports import LimitReporter
-from sesameport.entry.caller_limits.supervisor import choose_blocked
-from sesameport.entry.caller_limits.unread_bytes import (
+from sesameport.adapters.caller_limits.reports import LimitReporter
+from sesameport.adapters.caller_limits.supervisor import choose_blocked
+from sesameport.adapters.caller_limits.unread_bytes import (
     UnreadBytes,
     choose_most_unread,
 )
--- a/src/sesameport/entry/caller_limits/tests/test_chunked_parser.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_chunked_parser.py
@@ -3,9 +3,9 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from sesameport.adapters.caller_limits.bounds import BodyRefused, CallerBounds
+from sesameport.adapters.caller_limits.chunked_parser import ChunkedParser
 from sesameport.adapters.strict_http import FramingError
-from sesameport.entry.caller_limits.bounds import BodyRefused, CallerBounds
-from sesameport.entry.caller_limits.chunked_parser import ChunkedParser
 
 BOUNDS = CallerBounds.for_machine(
     max_trailer_bytes=200,
--- a/src/sesameport/entry/caller_limits/tests/test_request_reader.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_request_reader.py
@@ -13,11 +13,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sesameport.entry.caller_limits.body_reader import HOLDER_BYTES, REQUEST_BYTES
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.memory_account import STEP_BYTES, MemoryAccount
-from sesameport.entry.configuration import CallerLimits
-from sesameport.entry.http_listener import HttpListener, HttpResponseWriter
+from sesameport.adapters.caller_limits.body_reader import HOLDER_BYTES, REQUEST_BYTES
+from sesameport.adapters.caller_limits.bounds import CallerBounds, CallerLimits
+from sesameport.adapters.caller_limits.listener import HttpListener
+from sesameport.adapters.caller_limits.memory_account import STEP_BYTES, MemoryAccount
+from sesameport.entry.caller_connection import HttpResponseWriter
 from sesameport.platform import HttpPlatformAdapter
 from sesameport.platform.tests.conftest import wait_until
 
--- a/src/sesameport/entry/caller_limits/tests/test_unread_responses.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_unread_responses.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from sesameport.entry.caller_limits.memory_account import Holder, MemoryAccount
-from sesameport.entry.caller_limits.slow_readers import (
+from sesameport.adapters.caller_limits.memory_account import Holder, MemoryAccount
+from sesameport.adapters.caller_limits.slow_readers import (
     CallerWriter,
     SlowReaders,
     choose_unread,
--- a/src/sesameport/entry/caller_limits/unread_bytes.py
+++ b/src/sesameport/adapters/caller_limits/unread_bytes.py
@@ -11,7 +11,7 @@
 import termios
 from collections.abc import Iterable, Mapping
 
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 
 __all__ = ["UnreadBytes", "choose_most_unread"]
 
--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -22,6 +22,15 @@
 __all__ = ["FramingError", "StrictConnection", "StrictRequest", "find_framing_error"]
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_REASON_PHRASES = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
+"""Phrases of the statuses with which requests are refused before they are handled."""
+
 _METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 
@@ -114,16 +123,22 @@
 
     def reject(self, problem: str) -> None:
         """Answer 400 and close the connection."""
-        body = f"{problem}\n".encode()
-        self.status = b"400 Bad Request"
+        self.refuse(400, problem)
+
+    def refuse(self, status: int, reason: str, headers=()) -> None:
+        """Answer with a status and a line of text, and close the connection."""
+        body = f"{reason}\n".encode()
+        self.status = f"{status} {_REASON_PHRASES[status]}".encode()
         self.close_connection = True
         self.outheaders = [
             (b"Content-Type", b"text/plain"),
+            *headers,
             (b"Content-Length", str(len(body)).encode()),
             (b"Connection", b"close"),
         ]
         self.ensure_headers_sent()
-        self.conn.wfile.write(body)
+        if self.method != b"HEAD":
+            self.conn.wfile.write(body)
 
     def chunked_body(self) -> ChunkedRFile:
         """Return a reader of a chunked body that validates the chunk sizes."""
--- a/src/sesameport/adapters/tests/test_cancellable_socket.py
+++ b/src/sesameport/adapters/tests/test_cancellable_socket.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sesameport.adapters.cancellable_socket import CancellableSocket
-from sesameport.entry.http_listener import CallerSocket
+from sesameport.entry.caller_connection import CallerSocket
 
 
 @pytest.fixture
--- a/src/sesameport/adapters/tests/test_strict_http.py
+++ b/src/sesameport/adapters/tests/test_strict_http.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from sesameport.entry.http_listener import HttpListener, HttpResponseWriter
+from sesameport.adapters.caller_limits.listener import HttpListener
+from sesameport.entry.caller_connection import HttpResponseWriter
 
 POST = "POST / HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n"
--- a/src/sesameport/entry/configuration.py
+++ b/src/sesameport/entry/configuration.py
@@ -9,8 +9,9 @@
 
 import attrs
 
+from sesameport.adapters.caller_limits.bounds import CallerLimits
+
 __all__ = [
-    "CallerLimits",
     "EngineProfile",
     "EntryConfiguration",
     "EntryRoute",
@@ -164,15 +165,6 @@
     allowed_regions: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class CallerLimits:
-    """Limit the size of a caller's request and the idle time of its connection."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    idle_s: float = 15.0
-
-
 @attrs.frozen
 class EntryConfiguration:
     """Represent one accepted version of the configuration."""
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -6,6 +6,7 @@
 import attrs
 from result import Err, Ok
 
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 from sesameport.adapters.cancellable_socket import ReadInterrupt
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.adapters.timers import TimerService
@@ -17,9 +18,7 @@
 )
 from sesameport.entry import messages as m
 from sesameport.entry.actor import EntryActor
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.caller_limits.peer_messages import PeerInbox
-from sesameport.entry.caller_limits.server_bytes import ServerBytes
+from sesameport.entry.caller_connection import CallerSocket, HttpResponseWriter
 from sesameport.entry.cold_exchange import cold_bounds
 from sesameport.entry.configuration import EntryConfiguration
 from sesameport.entry.crash_guard import CrashGuard
@@ -28,12 +27,13 @@
 from sesameport.entry.host_directory import HostDirectory
 from sesameport.entry.host_listeners import HostListeners
 from sesameport.entry.host_registration import HostRegistration
-from sesameport.entry.http_listener import CallerSocket, HttpResponseWriter
+from sesameport.entry.peer_messages import PeerInbox
 from sesameport.entry.peers import PeerExchange
 from sesameport.entry.placement_query import send_explanation
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.reachability_probe import ReachabilityProbe
 from sesameport.entry.role_controller import RoleChange, RoleController
+from sesameport.entry.server_bytes import ServerBytes
 from sesameport.entry.server_calls import EvacuationOrderClient, NoticedServerClient
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
 from sesameport.entry.stopping import HostDrain, InFlight, ProcessStop
--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
+from sesameport.adapters.caller_limits.bounds import CallerBounds, CallerLimits
+from sesameport.adapters.caller_limits.listener import HttpListener
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.caller_limits.reports import LimitReporter
 from sesameport.adapters.strict_http import StrictRequest
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.caller_limits.reports import LimitReporter
-from sesameport.entry.configuration import CallerLimits
-from sesameport.entry.http_listener import HttpListener
+from sesameport.entry.requests import CallerDisconnected
 from sesameport.entry.settings import EntrySettings
+from sesameport.telemetry.logs import get_logger
 from sesameport.telemetry.metrics import Metrics
 
 __all__ = ["HostListeners"]
@@ -23,6 +24,8 @@
 
 Handler = Callable[[StrictRequest, bytes], None]
 
+log = get_logger("http")
+
 
 class HostListeners:
     """Run the listeners of one host.
@@ -65,7 +68,7 @@
         report = LimitReporter.for_metrics(metrics).report
         self.callers = HttpListener(
             settings.caller_listen,
-            handle_caller,
+            _log_failures(handle_caller),
             min(threads),
             threads[1],
             bounds,
@@ -76,7 +79,7 @@
         self._side_listeners = [
             HttpListener(
                 address,
-                handle,
+                _log_failures(handle),
                 threads,
                 SIDE_BOUNDS.max_threads,
                 SIDE_BOUNDS,
@@ -127,3 +130,18 @@
 
     def _all(self) -> list[HttpListener]:
         return [self.callers, *self._side_listeners]
+
+
+def _log_failures(handle: Handler) -> Handler:
+    """Return a handler that logs unexpected exceptions, which cheroot does not."""
+
+    def handle_logged(req: StrictRequest, body: bytes) -> None:
+        try:
+            handle(req, body)
+        except CallerDisconnected:
+            raise
+        except Exception as exc:
+            log.error("request handler failed", extra={"error": repr(exc)})
+            raise
+
+    return handle_logged
--- a/src/sesameport/entry/caller_limits/peer_messages.py
+++ b/src/sesameport/entry/peer_messages.py
@@ -10,9 +10,9 @@
 
 import zmq
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.caller_limits.reports import LimitReporter
+from sesameport.adapters.caller_limits.bounds import CallerBounds
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.caller_limits.reports import LimitReporter
 
 __all__ = ["MAX_QUEUED_MESSAGES", "PeerInbox", "QueueLength", "receive_parts"]
 
--- a/src/sesameport/entry/peers.py
+++ b/src/sesameport/entry/peers.py
@@ -17,12 +17,6 @@
 import zmq
 from result import Err, Ok, Result
 
-from sesameport.entry.caller_limits.peer_messages import (
-    MAX_QUEUED_MESSAGES,
-    PeerInbox,
-    QueueLength,
-    receive_parts,
-)
 from sesameport.entry.host_addresses import is_address
 from sesameport.entry.messages import (
     FleetSnapshot,
@@ -31,6 +25,12 @@
     HostReports,
     SnapshotRequested,
 )
+from sesameport.entry.peer_messages import (
+    MAX_QUEUED_MESSAGES,
+    PeerInbox,
+    QueueLength,
+    receive_parts,
+)
 from sesameport.entry.peer_topics import (
     ANNOUNCEMENT,
     COLD_PERMITS,
--- a/src/sesameport/entry/process.py
+++ b/src/sesameport/entry/process.py
@@ -8,8 +8,8 @@
 import traceback
 from collections.abc import Callable
 
+from sesameport.adapters.caller_limits.allocator import return_freed_memory
 from sesameport.domain import Finding, format_findings
-from sesameport.entry.caller_limits.allocator import return_freed_memory
 from sesameport.entry.host import EntryHost
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.settings import EntrySettings
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -7,7 +7,6 @@
 
 from sesameport.admission import Evacuations, RequestLimits
 from sesameport.entry import messages as m
-from sesameport.entry.caller_limits.server_bytes import CountedResponse, ServerBytes
 from sesameport.entry.requests import (
     CallFailure,
     FailureKind,
@@ -15,6 +14,7 @@
     ServerClient,
 )
 from sesameport.entry.role_controller import EngineOrderClient
+from sesameport.entry.server_bytes import CountedResponse, ServerBytes
 from sesameport.entry.server_notices import NO_NOTICE, ServerNotice
 from sesameport.entry.stopping import HOST_STOPPING, ProcessStop
 from sesameport.telemetry.logs import get_logger
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
+from sesameport.adapters.caller_limits.bounds import CallerBounds
 
 __all__ = ["EntrySettings", "FleetBounds", "settings_requiring_restart"]
 
--- a/src/sesameport/entry/stopping/drain.py
+++ b/src/sesameport/entry/stopping/drain.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Callable, Iterator
 
+from sesameport.adapters.caller_limits.listener import HttpListener
 from sesameport.adapters.cancellable_socket import ReadInterrupt
-from sesameport.entry.http_listener import HttpListener
 from sesameport.entry.stopping.process_stop import HostStopping, ProcessStop
 
 __all__ = ["HostDrain", "InFlight"]
--- a/src/sesameport/entry/caller_limits/tests/test_peer_messages.py
+++ b/src/sesameport/entry/tests/test_peer_messages.py
@@ -5,9 +5,9 @@
 import pytest
 import zmq
 
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.caller_limits.peer_messages import PeerInbox, QueueLength
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 from sesameport.entry.messages import HostReport, HostReports
+from sesameport.entry.peer_messages import PeerInbox, QueueLength
 from sesameport.entry.peers import PeerExchange
 from sesameport.platform.tests.conftest import wait_until
 
--- a/src/sesameport/platform/configuration.py
+++ b/src/sesameport/platform/configuration.py
@@ -2,8 +2,8 @@
 
 from result import Err, Ok, Result
 
+from sesameport.adapters.caller_limits.bounds import CallerLimits
 from sesameport.entry.configuration import (
-    CallerLimits,
     EngineProfile,
     EntryConfiguration,
     EntryRoute,
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -3,8 +3,8 @@
 import math
 import tomllib
 
+from sesameport.adapters.caller_limits.bounds import CallerBounds
 from sesameport.domain import Finding
-from sesameport.entry.caller_limits.bounds import CallerBounds
 from sesameport.entry.settings import EntrySettings, FleetBounds
 
 __all__ = ["is_platform_settings", "load_platform_settings"]
--- a/src/sesameport/platform/tests/test_charged_answers.py
+++ b/src/sesameport/platform/tests/test_charged_answers.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 from sesameport.adapters.cancellable_socket import CancellableSocket, ReadLimitExceeded
-from sesameport.entry.caller_limits.memory_account import MemoryAccount
-from sesameport.entry.http_listener import CallerSocket
+from sesameport.entry.caller_connection import CallerSocket
 from sesameport.platform.store import ObjectStoreClient
 from sesameport.platform.tests.test_endless_bytes import (
     BLOCK,
--- a/src/sesameport/platform/tests/test_server_bytes.py
+++ b/src/sesameport/platform/tests/test_server_bytes.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from sesameport.entry.caller_limits.bounds import CallerBounds
-from sesameport.entry.caller_limits.server_bytes import ServerBytes
+from sesameport.adapters.caller_limits.bounds import CallerBounds
+from sesameport.entry.server_bytes import ServerBytes
 from sesameport.platform.tests.conftest import wait_until
 
 
