--- a/src/sesameport/adapters/caller_limits/bounds.py
+++ b/src/sesameport/adapters/caller_limits/bounds.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-__all__ = ["BodyRefused", "CallerBounds", "CallerLimits"]
+__all__ = [
+    "SIDE_BOUNDS",
+    "SIDE_LIMITS",
+    "BodyRefused",
+    "CallerBounds",
+    "CallerLimits",
+]
 
 RESERVED_FDS = 200
 """Descriptors of the limit that are left for files."""
@@ -167,3 +173,12 @@
             "max_bodies_per_address": max(2, int(bodies * ADDRESS_SHARE)),
         }
         return cls(**{**derived, **stated})
+
+
+SIDE_BOUNDS = CallerBounds.for_machine(
+    account_bytes=1_000_000, max_connections=32, max_threads=8
+)
+"""Bounds of a listener for readiness, status or metrics. Each has a small account of
+its own, so that it responds when that of the callers is full."""
+
+SIDE_LIMITS = CallerLimits(body_bytes=16_384)
--- a/src/sesameport/adapters/caller_limits/connections.py
+++ b/src/sesameport/adapters/caller_limits/connections.py
@@ -13,6 +13,7 @@
 
 from cheroot.connections import ConnectionManager, _ThreadsafeSelector
 
+from sesameport.adapters.caller_limits.bounds import BodyRefused
 from sesameport.adapters.caller_limits.slow_readers import CallerWriter
 from sesameport.adapters.strict_http import StrictConnection, StrictRequest
 
@@ -27,7 +28,14 @@
 
 class _Request(StrictRequest):
     def simple_response(self, status, msg="") -> None:
-        """Answer 503 or 408 if the head was not complete when it was cut off."""
+        """Answer a head that is refused before its body is read.
+
+        If it was cut off, the status is 503 or 408.
+        """
+        if status.startswith("413") and b"Content-Length" in self.inheaders:
+            detail = f"at most {self.server.max_request_body_size} bytes"
+            self.server.refuse(self, BodyRefused(413, "body-bytes", detail))
+            return
         if self.conn.closed_for == "memory":
             status, msg = "503 Service Unavailable", "not enough memory\n"
         elif self.conn.closed_for:
--- a/src/sesameport/adapters/caller_limits/listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -107,7 +107,7 @@
             with req.server.bodies.body_of(req) as body:
                 req.server.handle(req, body)
         except FramingError as exc:
-            req.reject(str(exc))
+            req.server.refuse(req, BodyRefused(400, "framing", str(exc)))
         except BodyRefused as exc:
             self._refuse(exc)
 
--- a/src/sesameport/adapters/caller_limits/reports.py
+++ b/src/sesameport/adapters/caller_limits/reports.py
@@ -29,9 +29,10 @@
         self._logged: set[tuple[str, str]] = set()
 
     @classmethod
-    def for_metrics(cls, metrics) -> "LimitReporter":
-        """Return a reporter that counts in the metrics of a process."""
-        name = "sesameport_entry_limit_refusals_total"
+    def for_metrics(
+        cls, metrics, name: str = "sesameport_entry_limit_refusals_total"
+    ) -> "LimitReporter":
+        """Return a reporter that counts in the named metric of a process."""
         return cls(lambda bound: metrics.count(name, bound=bound))
 
     def report(self, address: str | None, bound: str) -> None:
--- a/src/sesameport/commands/serve.py
+++ b/src/sesameport/commands/serve.py
@@ -8,6 +8,7 @@
 import attrs
 import cappa
 
+from sesameport.adapters.caller_limits.allocator import return_freed_memory
 from sesameport.documents import load_settings
 from sesameport.domain import format_findings
 from sesameport.entry.process import run_entry_host, wait_for_stop_signal
@@ -41,6 +42,7 @@
 def _serve_daemon(path: pathlib.Path) -> int:
     from sesameport.daemon import Daemon
 
+    return_freed_memory()
     # Only entry hosts on a platform reload their settings.
     remove_reload_signal()
 
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -7,6 +7,13 @@
 import attrs
 
 from sesameport.adapters import BulkheadLimits, Bulkheads, TimerService
+from sesameport.adapters.caller_limits.bounds import (
+    SIDE_BOUNDS,
+    SIDE_LIMITS,
+    CallerBounds,
+    CallerLimits,
+)
+from sesameport.adapters.caller_limits.reports import LimitReporter
 from sesameport.daemon.fleet.configuration_snapshot import (
     ConfigurationPublisher,
     ConfigurationSnapshot,
@@ -50,6 +57,12 @@
 
 _KEY_CHECK_PERIOD_S = 0.5
 
+_LIMIT_PERIOD_S = 0.25
+"""Period at which clients that exceed their time or memory are cut off, seconds."""
+
+_THREAD_PERIOD_S = 0.5
+"""Period at which threads are added for connections that wait, seconds."""
+
 
 class Daemon:
     """Run one entry host.
@@ -142,15 +155,27 @@
             self.admission.count_in_flight,
             self._refuse_remaining,
         )
-        api = CallerApi(self.admission, cfg.requests.max_body_bytes)
+        api = CallerApi(self.admission)
+        bounds = CallerBounds.for_machine(
+            cfg.host.memory_mb or cfg.host.default_memory_mb(),
+            cfg.host.max_fds,
+            max_threads=threads,
+        )
+        reporter = LimitReporter.for_metrics(
+            self.recorder.metrics, "sesameport_limit_refusals_total"
+        )
         self.http = HttpServer(
             cfg.host.listen,
             api,
+            bounds,
+            CallerLimits(
+                cfg.requests.max_header_bytes,
+                cfg.requests.max_body_bytes,
+                cfg.requests.read_timeout_s,
+            ),
             cfg.host.threads,
-            cfg.host.max_threads,
-            cfg.requests.read_timeout_s,
-            cfg.requests.max_header_bytes,
-            cfg.requests.max_body_bytes,
+            report=reporter.report,
+            refuse=api.refuse,
         )
         status = StatusApi(
             self.build_status,
@@ -158,7 +183,13 @@
             self.recorder.metrics,
             self.is_ready,
         )
-        self.status_http = HttpServer(cfg.host.status_listen, status, threads=2)
+        self.status_http = HttpServer(
+            cfg.host.status_listen,
+            status,
+            SIDE_BOUNDS,
+            SIDE_LIMITS,
+            report=reporter.report,
+        )
         self.configuration.subscribe(self._apply_configuration)
         # The fleet actor may have published a configuration before the subscription.
         self._apply_configuration(self.configuration.current)
@@ -168,6 +199,8 @@
         self.timers.subscribe("keys", _KEY_CHECK_PERIOD_S, self._check_keys)
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
+        self.timers.subscribe("limits", _LIMIT_PERIOD_S, self._enforce_limits)
+        self.timers.subscribe("threads", _THREAD_PERIOD_S, self._add_threads)
         self.request_components.start(self.timers)
         self.timers.start()
         self.http.start()
@@ -201,7 +234,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this host."""
-        return bool(self.configuration.current.documents) and not self.drain.is_draining
+        return (
+            bool(self.configuration.current.documents)
+            and not self.drain.is_draining
+            and not self.http.has_failed()
+        )
 
     def shutdown(self) -> bool:
         """Drain and stop; return whether every request ended without interruption."""
@@ -214,6 +251,14 @@
         self.stop()
         return finished
 
+    def _enforce_limits(self, now: float) -> None:
+        for server in (self.http, self.status_http):
+            server.enforce_limits()
+
+    def _add_threads(self, now: float) -> None:
+        for server in (self.http, self.status_http):
+            server.add_threads()
+
     def _refuse_new_requests(self) -> None:
         self.admission.is_refusing = True
 
--- a/src/sesameport/daemon/request_path/caller_api.py
+++ b/src/sesameport/daemon/request_path/caller_api.py
@@ -4,6 +4,10 @@
 import select
 import socket
 
+import attrs
+
+from sesameport.adapters.caller_limits.bounds import BodyRefused
+from sesameport.adapters.strict_http import StrictRequest
 from sesameport.daemon.request_path.caller_requests import (
     COMPLETION_PATHS,
     CompletionBody,
@@ -36,6 +40,16 @@
     504: "Gateway Timeout",
 }
 
+_REFUSAL_TYPES = {
+    413: RefusalType.BODY_TOO_LARGE,
+    503: RefusalType.QUEUE_FULL,
+}
+"""Types of refusals before a request is read; all others are bad requests."""
+
+_RETRY_AFTER_S = 1.0
+"""Time after which a request that was refused for memory or threads may be repeated,
+seconds."""
+
 
 class CallerApi:
     """Answer callers as a WSGI application.
@@ -44,13 +58,10 @@
     ----------
     admission : RequestAdmission
         Authenticates and starts requests.
-    max_body_bytes : int
-        Largest request body, bytes.
     """
 
-    def __init__(self, admission, max_body_bytes: int):
+    def __init__(self, admission):
         self._admission = admission
-        self._max_body_bytes = max_body_bytes
 
     def __call__(self, environ, start_response):
         """Handle one WSGI call."""
@@ -58,9 +69,7 @@
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         if path == "/v1/models" and method == "GET":
             return self._list_models(environ, start_response, request_id)
-        body = self._read_body(environ)
-        if isinstance(body, Refusal):
-            return _send_refusal(start_response, body, request_id)
+        body = environ["sesameport.body"]
         chat = COMPLETION_PATHS.get(path)
         if chat is not None:
             if method != "POST":
@@ -71,24 +80,25 @@
             )
         return self._handle_plain_call(environ, start_response, request_id, body)
 
-    def _read_body(self, environ) -> bytes | Refusal:
-        text = environ.get("CONTENT_LENGTH") or ""
-        if text and (not text.isdigit() or int(text) > self._max_body_bytes):
-            detail = f"at most {self._max_body_bytes} bytes"
-            return Refusal(RefusalType.BODY_TOO_LARGE, detail=detail)
-        is_chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
-        if not text and not is_chunked:
-            return b""
-        limit = int(text) if text else self._max_body_bytes + 1
-        try:
-            data = environ["wsgi.input"].read(limit)
-        except (OSError, ValueError):
-            return Refusal(RefusalType.BAD_REQUEST, detail="the body did not arrive")
-        if len(data) > self._max_body_bytes:
-            return Refusal(RefusalType.BODY_TOO_LARGE)
-        if text and len(data) < int(text):
-            return Refusal(RefusalType.BAD_REQUEST, detail="the body is cut short")
-        return data
+    def refuse(self, req: StrictRequest, exc: BodyRefused) -> None:
+        """Answer a request that was refused before it was read; it has not run."""
+        refusal = Refusal(_REFUSAL_TYPES.get(exc.status, RefusalType.BAD_REQUEST))
+        if exc.bound == "stopping":
+            refusal = Refusal(RefusalType.SHUTTING_DOWN)
+        elif refusal.type is RefusalType.QUEUE_FULL:
+            refusal = attrs.evolve(refusal, retry_after_s=_RETRY_AFTER_S)
+        refusal = attrs.evolve(refusal, detail=str(exc))
+        request_id = self._admission.next_request_id()
+
+        def start_response(status, headers):
+            req.status = status.encode()
+            req.outheaders = [(name.encode(), text.encode()) for name, text in headers]
+
+        parts = _send_refusal(start_response, refusal, request_id)
+        req.close_connection = True
+        req.ensure_headers_sent()
+        for part in parts:
+            req.conn.wfile.write(part)
 
     def _list_models(self, environ, start_response, request_id):
         names = self._admission.list_models(
--- a/src/sesameport/daemon/request_path/http_server.py
+++ b/src/sesameport/daemon/request_path/http_server.py
@@ -1,40 +1,52 @@
-"""Serve WSGI applications with cheroot for the caller and status interfaces."""
+"""Serve WSGI applications for the caller and status interfaces."""
 
-import threading
+from collections.abc import Callable
 
 from cheroot import wsgi
 
-from sesameport.adapters.strict_http import StrictConnection
+from sesameport.adapters.caller_limits.bounds import (
+    BodyRefused,
+    CallerBounds,
+    CallerLimits,
+)
+from sesameport.adapters.caller_limits.listener import HttpListener, refuse_as_text
+from sesameport.adapters.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.strict_http import StrictRequest
 
 __all__ = ["HttpServer"]
 
-_SPARE_THREADS = 8
-"""A request keeps its thread while it waits and streams, so idle threads are kept for
-new connections."""
-
 
 class _Gateway(wsgi.Gateway_10):
-    """Add the connection's socket to the environment, to detect disconnects."""
+    """Pass one request, whose body is complete, to a WSGI application."""
+
+    def __init__(self, req: StrictRequest, body: bytes, app):
+        self._body = body
+        self._app = app
+        super().__init__(req)
 
     def get_environ(self):
         environ = super().get_environ()
+        # The application uses the socket to detect that the caller has disconnected.
         environ["sesameport.socket"] = self.req.conn.socket
-        if self.req.chunked_read:
-            environ["wsgi.input"] = self.req.chunked_body()
-            # Trailers are not read, so the connection cannot be used again.
-            self.req.close_connection = True
+        environ["sesameport.body"] = self._body
         return environ
 
-
-class _Server(wsgi.Server):
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self.gateway = _Gateway
-        self.ConnectionClass = StrictConnection
+    def respond(self) -> None:
+        """Send what the application returns."""
+        response = self._app(self.env, self.start_response)
+        try:
+            for part in filter(None, response):
+                self.write(part)
+        finally:
+            self.req.ensure_headers_sent()
+            if hasattr(response, "close"):
+                response.close()
 
 
 class HttpServer:
-    """Serve one WSGI application on ``IP:port``.
+    """Serve one WSGI application on ``IP:port`` within the bounds of the process.
+
+    The application finds the complete body as ``sesameport.body`` in its environment.
 
     Parameters
     ----------
@@ -42,66 +54,63 @@
         ``IP:port``; port 0 binds a free port.
     app : callable
         WSGI application.
+    bounds : CallerBounds
+        Bounds on what clients can make the server hold.
+    limits : CallerLimits
+        Size limits of one request, and the longest silence of a connection.
     threads : int
-        Number of threads at start.
-    max_threads : int
-        Largest number of concurrent requests; threads are added on demand.
-    read_timeout_s : float
-        Longest time without data from a client during a request, seconds.
-    max_header_bytes, max_body_bytes : int
-        Size limits of one request.
-    on_error : callable
-        Called with the text of each error that cheroot logs.
+        Number of threads at start; threads are added on demand.
+    account : MemoryAccount or None
+        Memory that is held for callers; by default, the server has one of its own.
+    report : callable
+        Called with the address of a client and the name of a bound that it reached.
+    refuse : callable
+        Answers a `StrictRequest` that is refused for a `BodyRefused`.
     """
 
     def __init__(
         self,
         address: str,
         app,
-        threads: int = 16,
-        max_threads: int = 16,
-        read_timeout_s: float = 10.0,
-        max_header_bytes: int = 32_768,
-        max_body_bytes: int = 4_000_000,
-        on_error=None,
+        bounds: CallerBounds,
+        limits: CallerLimits,
+        threads: int = 2,
+        account: MemoryAccount | None = None,
+        report: Callable[[str | None, str], None] = lambda address, bound: None,
+        refuse: Callable[[StrictRequest, BodyRefused], None] = refuse_as_text,
     ):
-        host, _, port = address.rpartition(":")
-        self._server = _Server(
-            (host, int(port)),
-            self._handle,
-            numthreads=threads,
-            max=max_threads,
-            request_queue_size=512,
+        self._listener = HttpListener(
+            address,
+            lambda req, body: _Gateway(req, body, app).respond(),
+            min(threads, bounds.max_threads),
+            bounds.max_threads,
+            bounds,
+            account,
+            report,
+            refuse=refuse,
         )
-        self._app = app
-        self._grow_lock = threading.Lock()
-        self._server.timeout = read_timeout_s
-        self._server.max_request_header_size = max_header_bytes
-        # The application refuses large bodies with a problem document. This limit only
-        # applies to bodies that do not declare their length.
-        self._server.max_request_body_size = 2 * max_body_bytes
-        self._server.shutdown_timeout = 1.0
-        self._server.error_log = lambda msg="", level=20, traceback=False: (
-            on_error(msg) if on_error else None
-        )
-        self._server.prepare()
-        bound_host, bound_port = self._server.bind_addr[:2]
-        self.address = f"{bound_host}:{bound_port}"
+        self._listener.set_limits(limits)
+        self.address = self._listener.address
 
     def start(self) -> "HttpServer":
         """Start serving on a background thread and return the server."""
-        threading.Thread(
-            target=self._server.serve, name=f"http-{self.address}", daemon=True
-        ).start()
+        self._listener.start()
         return self
 
-    def _handle(self, environ, start_response):
-        pool = self._server.requests
-        with self._grow_lock:
-            if pool.idle < _SPARE_THREADS:
-                pool.grow(_SPARE_THREADS)
-        return self._app(environ, start_response)
+    def has_failed(self) -> bool:
+        """Return whether the server has ended although it was not stopped."""
+        return self._listener.has_failed()
+
+    def add_threads(self) -> None:
+        """Add threads if few are idle; blocks while they start."""
+        self._listener.add_threads()
+
+    def enforce_limits(self) -> None:
+        """Cut off clients that exceed their time or hold threads that others need."""
+        self._listener.enforce_limits()
 
     def stop(self) -> None:
-        """Stop accepting connections and close idle ones."""
-        self._server.stop()
+        """Stop accepting connections, and refuse requests that are being read."""
+        self._listener.stop_accepting()
+        self._listener.end_open_bodies()
+        self._listener.stop()
--- a/src/sesameport/documents/settings.py
+++ b/src/sesameport/documents/settings.py
@@ -7,6 +7,13 @@
 
 __all__ = ["HostSettings", "PlatformSettings", "Settings", "load_settings"]
 
+PROCESS_MB = 96.0
+"""Memory of a daemon without requests, with its threads, MB."""
+
+MB_PER_THREAD = 0.5
+"""Memory for the request of a thread, MB: bodies that arrive, and the buffers of its
+connection."""
+
 
 @attrs.frozen
 class HostSettings:
@@ -14,6 +21,10 @@
 
     ``max_threads`` limits the number of requests that are handled concurrently. The
     last ``urgent_threads`` of these threads are reserved for urgent requests.
+
+    ``memory_mb`` and ``max_fds`` are the memory, MB, and the descriptors of the
+    machine. What clients can make the host hold follows from them. A memory of 0 stands
+    for `default_memory_mb`.
     """
 
     name: str
@@ -24,6 +35,12 @@
     threads: int = 32
     max_threads: int = 512
     urgent_threads: int = 64
+    memory_mb: float = 0.0
+    max_fds: int = 1_638
+
+    def default_memory_mb(self) -> float:
+        """Return the memory of the process and of requests on all threads, MB."""
+        return PROCESS_MB + MB_PER_THREAD * self.max_threads
 
 
 @attrs.frozen
--- a/src/sesameport/entry/host_listeners.py
+++ b/src/sesameport/entry/host_listeners.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from sesameport.adapters.caller_limits.bounds import CallerBounds, CallerLimits
+from sesameport.adapters.caller_limits.bounds import SIDE_BOUNDS, SIDE_LIMITS
 from sesameport.adapters.caller_limits.listener import HttpListener
 from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 from sesameport.adapters.caller_limits.reports import LimitReporter
@@ -14,14 +14,6 @@
 
 __all__ = ["HostListeners"]
 
-SIDE_BOUNDS = CallerBounds.for_machine(
-    account_bytes=1_000_000, max_connections=32, max_threads=8
-)
-"""Bounds of the listeners for readiness and for metrics. Each has a small account
-of its own, so that it responds when that of the callers is full."""
-
-SIDE_LIMITS = CallerLimits(body_bytes=16_384)
-
 Handler = Callable[[StrictRequest, bytes], None]
 
 log = get_logger("http")
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -94,6 +94,7 @@
     _gauge("document_findings", "Findings of a refused version.", "service"),
     _gauge("members", "Hosts in the membership view.", "member_data_centre", "state"),
     _gauge("leases_held", "Leases that this host holds.", "kind"),
+    _counter("limit_refusals", "Clients refused or cut off.", "bound"),
     _gauge("ready", "1 while the host accepts requests, else 0."),
 )
 """Metrics of a daemon.
