--- a/src/sesameport/platform/callers.py
+++ b/src/sesameport/platform/callers.py
@@ -16,7 +16,11 @@
 """
 
 MAX_COUNT_DIGITS = 9
-"""Longest number of tokens of a part that is read, in digits."""
+"""Longest number of tokens that is read, in digits. Hosts exchange sums of them, which
+must fit into 64 bits."""
+
+MAX_CALLER_WAIT_S = 86_400.0
+"""Longest wait of a caller that counts, seconds."""
 
 
 def extract_key(headers: Iterable[tuple[str, str]]) -> str:
@@ -98,9 +102,10 @@
     if text is None:
         return default
     try:
-        return max(0.0, float(text))
+        value = float(text)
     except ValueError:
         return default
+    return min(max(0.0, value), MAX_CALLER_WAIT_S * 1000)
 
 
 def _parse_prompt_parts(value_by_name: Mapping[str, str]) -> list[tuple[str, int]]:
@@ -114,8 +119,7 @@
         name, _, count = entry.partition(":")
         name, count = name.strip().lower(), count.strip()
         if name:
-            is_number = count.isdecimal() and len(count) <= MAX_COUNT_DIGITS
-            parts.append((name, int(count) if is_number else 0))
+            parts.append((name, int(count) if _is_count(count) else 0))
     return parts
 
 
@@ -124,6 +128,14 @@
     if text is None:
         return None
     prompt, _, output = text.partition(",")
-    hint = value_by_name.get(header_names.LENGTH_HINT, "")
-    expected = int(hint) if hint.strip().isdigit() else None
-    return TokenCounts(int(prompt), int(output or 0), expected)
+    prompt, output = prompt.strip(), output.strip() or "0"
+    if not _is_count(prompt) or not _is_count(output):
+        raise ValueError("not two numbers of tokens")
+    hint = value_by_name.get(header_names.LENGTH_HINT, "").strip()
+    expected = int(hint) if _is_count(hint) else None
+    return TokenCounts(int(prompt), int(output), expected)
+
+
+def _is_count(text: str) -> bool:
+    """Return whether a text is a number of tokens that is read."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -159,6 +159,23 @@
     assert callers.decode_request("GET", "/", headers, b"", 0.0).is_err()
 
 
+@pytest.mark.parametrize(
+    "counts", ["-1,2", "1,-2", "-99999999999999999999999,1", "1,9999999999", "1_0,2"]
+)
+def test_token_counts_beyond_any_prompt_are_refused(counts):
+    # Guards against sums that no message between hosts can carry. The entry actor
+    # stopped at the first one.
+    headers = (("X-Request-Id", "r"), ("X-Token-Count", counts))
+    assert callers.decode_request("GET", "/", headers, b"", 0.0).is_err()
+
+
+@pytest.mark.parametrize("wait_ms", ["inf", "1e300", "nan", "-1"])
+def test_stated_wait_of_a_caller_is_finite(wait_ms):
+    headers = (("X-Request-Id", "r"), ("X-Deadline-Ms", wait_ms))
+    req = callers.decode_request("GET", "/", headers, b"", 0.0).unwrap()
+    assert 0.0 <= req.caller_wait_s <= 86_400.0
+
+
 def test_platform_settings_are_loaded():
     assert is_platform_settings(SETTINGS)
     assert not is_platform_settings('[host]\nname = "h"')
