--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -1,5 +1,7 @@
 """Handle the messages of one entry host and exchange state with the other hosts."""
 
+import contextlib
+import queue
 import time
 
 import pykka
@@ -213,7 +215,9 @@
             refused = m.Refused("internal-error", self._admission.retry_delay_s())
             if isinstance(message, m.AdmitGeneration):
                 self._admission.discard_waiting(message.key)
-                message.future.set(refused)
+                # The failure may have come after the answer was set.
+                with contextlib.suppress(queue.Full):
+                    message.future.set(refused)
             return refused if isinstance(message, m.AdmitPlain) else None
 
     def _record_notice(self, message: m.ServerNoticed, now: float) -> None:
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -262,6 +262,8 @@
             reasons.append("configuration or evacuations not known yet")
         if self._stop.has_begun:
             reasons.append("draining")
+        if not self._actor.is_alive():
+            reasons.append("admission has ended")
         if self._listeners.callers.has_failed():
             reasons.append("listener for callers has ended")
         return reasons
