--- a/src/sesameport/entry/process.py
+++ b/src/sesameport/entry/process.py
@@ -1,7 +1,9 @@
 """Run one entry host as a process."""
 
+import contextlib
 import os
 import pathlib
+import queue
 import signal
 import sys
 import threading
@@ -23,6 +25,10 @@
 LOG_CLOSE_S = 0.3
 """Time to flush the last log lines, seconds."""
 
+SIGNAL_CHECK_S = 1.0
+"""Period at which the main thread looks for signals, seconds. While signals come in
+series, the system may deliver one to another thread, which does not wake this one."""
+
 log = get_logger("threads")
 
 
@@ -71,17 +77,25 @@
 
 
 def wait_for_stop_signal(on_second_signal: Callable[[], None]) -> None:
-    """Wait for SIGTERM or SIGINT; a second one calls ``on_second_signal``."""
-    stopped = threading.Event()
+    """Wait for SIGTERM or SIGINT; each later one calls ``on_second_signal``.
 
-    def stop(number, frame):
-        if stopped.is_set():
+    That call is made on a thread of its own, because a signal handler may interrupt
+    code that holds the lock of what is called.
+    """
+    signals = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda number, frame: signals.put(number))
+    while True:
+        with contextlib.suppress(queue.Empty):
+            signals.get(timeout=SIGNAL_CHECK_S)
+            break
+
+    def handle_later_signals() -> None:
+        while True:
+            signals.get()
             on_second_signal()
-        stopped.set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, stop)
-    stopped.wait()
+    threading.Thread(target=handle_later_signals, name="signals", daemon=True).start()
 
 
 def _log_thread_error(args) -> None:
--- a/src/sesameport/entry/settings_reloader.py
+++ b/src/sesameport/entry/settings_reloader.py
@@ -6,6 +6,7 @@
 
 from sesameport.domain import Finding, format_findings
 from sesameport.entry.settings import EntrySettings
+from sesameport.reload_signal import ReloadSignal
 from sesameport.telemetry.logs import get_logger
 
 __all__ = ["SettingsReloader"]
@@ -43,7 +44,7 @@
         self._reload = reload
         self._text = text
 
-    def run(self, stopped: threading.Event, signalled: threading.Event) -> None:
+    def run(self, stopped: threading.Event, signalled: ReloadSignal) -> None:
         """Check the file immediately after a signal, and periodically without one."""
         while not stopped.is_set():
             was_signalled = signalled.wait(POLL_PERIOD_S)
--- a/src/sesameport/entry/tests/test_settings_reloader.py
+++ b/src/sesameport/entry/tests/test_settings_reloader.py
@@ -11,6 +11,7 @@
     settings_requiring_restart,
 )
 from sesameport.entry.settings_reloader import SettingsReloader
+from sesameport.reload_signal import ReloadSignal
 
 SETTINGS = EntrySettings("h", "a", "10.0.0.1", "10.0.0.1:1", "10.0.0.1:2", 3, "s:4")
 
@@ -55,7 +56,7 @@
 def test_signal_triggers_an_immediate_check(tmp_path, monkeypatch):
     monkeypatch.setattr("sesameport.entry.settings_reloader.POLL_PERIOD_S", 30.0)
     path, applied, reloader = start_reloader(tmp_path)
-    stopped, signalled = threading.Event(), threading.Event()
+    stopped, signalled = threading.Event(), ReloadSignal()
     thread = threading.Thread(target=reloader.run, args=(stopped, signalled))
     thread.start()
     path.write_text("4")
--- a/src/sesameport/platform/tests/test_reload_signal.py
+++ b/src/sesameport/platform/tests/test_reload_signal.py
@@ -11,6 +11,9 @@
 import pytest
 
 import sesameport
+from sesameport.platform.tests.conftest import wait_until
+
+SIGNALS = 20_000
 
 ROOT = pathlib.Path(sesameport.__file__).parents[2]
 
@@ -77,3 +80,29 @@
         process.send_signal(signal.SIGKILL)
         process.wait(10)
         process.stdout.close()
+
+
+def test_series_of_signals_leaves_a_process_able_to_stop(tmp_path):
+    # Guards against a handler that is interrupted by the next signal while it holds a
+    # lock. The process then hung until it was killed, and SIGTERM had no effect.
+    settings = tmp_path / "node.toml"
+    settings.write_text(SETTINGS.format(os.getpid() % 250, 9, *free_ports(3)))
+    log = tmp_path / "host.log"
+    with log.open("wb") as file:
+        process = subprocess.Popen(
+            [sys.executable, "deploy/sesameport.py"],
+            cwd=ROOT,
+            env={"SESAMEPORT_CONFIG": str(settings), "PYTHONPATH": "src"},
+            stdout=file,
+            stderr=subprocess.STDOUT,
+        )
+    try:
+        wait_until(lambda: b'"event":"started"' in log.read_bytes(), 30.0)
+        for _ in range(SIGNALS):
+            process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(60.0) >= 0
+    finally:
+        process.kill()
+        process.wait()
