--- a/src/sesameport/adapters/caller_limits/listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -28,7 +28,7 @@
 from sesameport.adapters.strict_http import FramingError, StrictRequest
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["HttpListener", "refuse_as_text"]
+__all__ = ["RETRY_AFTER_S", "HttpListener", "refuse_as_text"]
 
 LISTEN_BACKLOG = 1_024
 """Length of the accept queue. A full queue delays callers by seconds."""
--- a/src/sesameport/adapters/strict_http.py
+++ b/src/sesameport/adapters/strict_http.py
@@ -10,13 +10,12 @@
 import struct
 
 from cheroot.makefile import MakeFile, StreamWriter
-from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
+from cheroot.server import HTTPConnection, HTTPRequest
 
 from sesameport.adapters.http_framing import (
     FieldReader,
     field_values,
     find_field_error,
-    is_chunk_size,
 )
 
 __all__ = ["FramingError", "StrictConnection", "StrictRequest", "find_framing_error"]
@@ -39,30 +38,6 @@
     """Report a request body with malformed framing."""
 
 
-class _ChunkSizeReader:
-    """Validate chunk sizes, because cheroot's parser accepts invalid ones."""
-
-    def __init__(self, rfile):
-        self._inner = rfile
-
-    def readline(self, *args) -> bytes:
-        """Read a chunk-size line.
-
-        Raises
-        ------
-        FramingError
-            If the size is not a hexadecimal number.
-        """
-        line = self._inner.readline(*args)
-        if not is_chunk_size(line):
-            raise FramingError("chunk size is no hexadecimal number")
-        return line
-
-    def read(self, *args) -> bytes:
-        """Read bytes of a chunk."""
-        return self._inner.read(*args)
-
-
 def find_framing_error(lines: list[bytes], is_http_11: bool) -> str:
     r"""Return the framing error in a request's header lines, or an empty string.
 
@@ -140,11 +115,6 @@
         if self.method != b"HEAD":
             self.conn.wfile.write(body)
 
-    def chunked_body(self) -> ChunkedRFile:
-        """Return a reader of a chunked body that validates the chunk sizes."""
-        limit = self.server.max_request_body_size
-        return ChunkedRFile(_ChunkSizeReader(self.conn.rfile), limit)
-
 
 class _DirectWriter(StreamWriter):
     """Write to a socket at once.
--- a/src/sesameport/daemon/host.py
+++ b/src/sesameport/daemon/host.py
@@ -58,10 +58,8 @@
 _KEY_CHECK_PERIOD_S = 0.5
 
 _LIMIT_PERIOD_S = 0.25
-"""Period at which clients that exceed their time or memory are cut off, seconds."""
-
-_THREAD_PERIOD_S = 0.5
-"""Period at which threads are added for connections that wait, seconds."""
+"""Period at which clients that exceed their time or memory are cut off, and threads are
+added for connections that wait, seconds."""
 
 
 class Daemon:
@@ -200,7 +198,6 @@
         period_s = self.cfg.requests.load_period_s
         self.timers.subscribe("load", period_s, self.poller.tick)
         self.timers.subscribe("limits", _LIMIT_PERIOD_S, self._enforce_limits)
-        self.timers.subscribe("threads", _THREAD_PERIOD_S, self._add_threads)
         self.request_components.start(self.timers)
         self.timers.start()
         self.http.start()
@@ -254,9 +251,6 @@
     def _enforce_limits(self, now: float) -> None:
         for server in (self.http, self.status_http):
             server.enforce_limits()
-
-    def _add_threads(self, now: float) -> None:
-        for server in (self.http, self.status_http):
             server.add_threads()
 
     def _refuse_new_requests(self) -> None:
--- a/src/sesameport/daemon/request_path/caller_api.py
+++ b/src/sesameport/daemon/request_path/caller_api.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sesameport.adapters.caller_limits.bounds import BodyRefused
+from sesameport.adapters.caller_limits.listener import RETRY_AFTER_S
 from sesameport.adapters.strict_http import StrictRequest
 from sesameport.daemon.request_path.caller_requests import (
     COMPLETION_PATHS,
@@ -46,10 +47,6 @@
 }
 """Types of refusals before a request is read; all others are bad requests."""
 
-_RETRY_AFTER_S = 1.0
-"""Time after which a request that was refused for memory or threads may be repeated,
-seconds."""
-
 
 class CallerApi:
     """Answer callers as a WSGI application.
@@ -86,7 +83,7 @@
         if exc.bound == "stopping":
             refusal = Refusal(RefusalType.SHUTTING_DOWN)
         elif refusal.type is RefusalType.QUEUE_FULL:
-            refusal = attrs.evolve(refusal, retry_after_s=_RETRY_AFTER_S)
+            refusal = attrs.evolve(refusal, retry_after_s=RETRY_AFTER_S)
         refusal = attrs.evolve(refusal, detail=str(exc))
         request_id = self._admission.next_request_id()
 
--- a/src/sesameport/daemon/request_path/http_server.py
+++ b/src/sesameport/daemon/request_path/http_server.py
@@ -10,7 +10,6 @@
     CallerLimits,
 )
 from sesameport.adapters.caller_limits.listener import HttpListener, refuse_as_text
-from sesameport.adapters.caller_limits.memory_account import MemoryAccount
 from sesameport.adapters.strict_http import StrictRequest
 
 __all__ = ["HttpServer"]
@@ -60,8 +59,6 @@
         Size limits of one request, and the longest silence of a connection.
     threads : int
         Number of threads at start; threads are added on demand.
-    account : MemoryAccount or None
-        Memory that is held for callers; by default, the server has one of its own.
     report : callable
         Called with the address of a client and the name of a bound that it reached.
     refuse : callable
@@ -75,7 +72,6 @@
         bounds: CallerBounds,
         limits: CallerLimits,
         threads: int = 2,
-        account: MemoryAccount | None = None,
         report: Callable[[str | None, str], None] = lambda address, bound: None,
         refuse: Callable[[StrictRequest, BodyRefused], None] = refuse_as_text,
     ):
@@ -85,8 +81,7 @@
             min(threads, bounds.max_threads),
             bounds.max_threads,
             bounds,
-            account,
-            report,
+            report=report,
             refuse=refuse,
         )
         self._listener.set_limits(limits)
--- a/src/sesameport/documents/settings.py
+++ b/src/sesameport/documents/settings.py
@@ -7,7 +7,7 @@
 
 __all__ = ["HostSettings", "PlatformSettings", "Settings", "load_settings"]
 
-PROCESS_MB = 96.0
+IDLE_MEMORY_MB = 96.0
 """Memory of a daemon without requests, with its threads, MB."""
 
 MB_PER_THREAD = 0.5
@@ -40,7 +40,7 @@
 
     def default_memory_mb(self) -> float:
         """Return the memory of the process and of requests on all threads, MB."""
-        return PROCESS_MB + MB_PER_THREAD * self.max_threads
+        return IDLE_MEMORY_MB + MB_PER_THREAD * self.max_threads
 
 
 @attrs.frozen
