--- a/review/common-3/crowd.py
+++ b/review/common-3/crowd.py
@@ -124,18 +124,6 @@
         sock.close()
 
 
-def plain_heads(size):
-    """Return a function that makes heads of a few ordinary lines without their end."""
-
-    def begin(number):
-        return (
-            f"GET /look/stock HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n"
-            f"X-Request-Id: crowd-{number}\r\nX-Deadline-Ms: 2500\r\n"
-        ).encode()
-
-    return begin
-
-
 def bodies_after_short_lines(size):
     """Return a function that makes a whole head of short lines and most of a body.
 
@@ -158,7 +146,7 @@
     return begin
 
 
-KINDS = {"heads": plain_heads, "bodies": bodies_after_short_lines}
+KINDS = {"bodies": bodies_after_short_lines}
 
 
 def main():
--- a/review/common-3/replica.py
+++ b/review/common-3/replica.py
@@ -114,6 +114,11 @@
             self.write_entry()
         self.close()
 
+    def crash(self):
+        """End without a word: the entry stays."""
+        self._ended.set()
+        self.close()
+
     # Requests ----------------------------------------------------------------
 
     def handle(self, handler, body):
