--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -37,6 +37,7 @@
 from sesameport.entry.server_calls import EvacuationOrderClient, NoticedServerClient
 from sesameport.entry.settings import EntrySettings, settings_requiring_restart
 from sesameport.entry.stopping import HostDrain, InFlight, ProcessStop
+from sesameport.entry.store_era import StoreEra
 from sesameport.entry.store_follower import StoreFollower
 from sesameport.entry.suspect_store import SuspectStore
 from sesameport.telemetry.logs import get_logger
@@ -106,7 +107,9 @@
             bounds.max_peer_queue_bytes,
             bounds.socket_buffer_bytes,
         )
-        self._store = adapter.create_store_client(settings.store_address, account)
+        self._era = era = StoreEra()
+        era.subscribe(lambda era: self.metrics.set("sesameport_entry_store_era", era))
+        self._store = adapter.create_store_client(settings.store_address, account, era)
         self._guard = CrashGuard(
             self._timers,
             self._tell,
@@ -155,7 +158,7 @@
             self._stop,
         )
         self._follower = StoreFollower(
-            lambda: adapter.create_store_client(settings.store_address, account),
+            lambda: adapter.create_store_client(settings.store_address, account, era),
             adapter,
             self._actor,
             self.metrics,
@@ -314,6 +317,7 @@
             lambda: self._actor.ask(m.GetNextRoleChange()),
             self._record_order,
             self.metrics,
+            self._era,
         )
         self._timers.subscribe("roles", ROLE_CHECK_PERIOD_S, self._start_role_control)
 
--- a/src/sesameport/entry/platform_adapter.py
+++ b/src/sesameport/entry/platform_adapter.py
@@ -10,6 +10,7 @@
 from sesameport.entry.role_controller import EngineOrderClient
 from sesameport.entry.server_notices import OnNotice
 from sesameport.entry.servers import EntryServer
+from sesameport.entry.store_era import StoreEra
 from sesameport.interfaces import Platform
 
 __all__ = ["PlatformAdapter"]
@@ -23,8 +24,13 @@
     server_kind: str
     evacuation_kind: str
 
-    def create_store_client(self, address: str, account: Account) -> Platform:
-        """Return a client of the store; its responses are charged to the account."""
+    def create_store_client(
+        self, address: str, account: Account, era: StoreEra
+    ) -> Platform:
+        """Return a client of the store that records the era of each response.
+
+        The responses are charged to the account.
+        """
         ...
 
     def create_server_client(
--- a/src/sesameport/entry/role_controller.py
+++ b/src/sesameport/entry/role_controller.py
@@ -14,9 +14,11 @@
     OrderRecord,
     decode_record,
     encode_record,
+    next_epoch,
 )
 from sesameport.domain import ServerRole
 from sesameport.entry.servers import EntryServer
+from sesameport.entry.store_era import StoreEra
 from sesameport.interfaces import Platform, PlatformErrorKind
 from sesameport.telemetry.logs import get_logger
 
@@ -102,7 +104,7 @@
     lease_s : float
         Minimum time between orders of two hosts, seconds.
     platform : Platform
-        Store that holds the lease record.
+        Store that holds the lease record; it returns an `EraObject` for each object.
     orders : EngineOrderClient
         Sends orders to engines.
     next_change : callable
@@ -111,6 +113,8 @@
         Called with each change that an engine accepted.
     metrics : Metrics
         Counts orders.
+    era : StoreEra or None
+        Era of the store, None if it states none. A lease of an earlier era is none.
     """
 
     def __init__(
@@ -122,7 +126,9 @@
         next_change: Callable[[], RoleChange | None],
         on_ordered: Callable[[RoleChange], None],
         metrics,
+        era: StoreEra | None = None,
     ):
+        self._era = era or StoreEra()
         self._host = host
         self._lease = OrderLease(host, IDLE_LEASE_PERIODS * lease_s)
         self._platform = platform
@@ -148,14 +154,12 @@
             self._run_lock.release()
 
     def _order_change(self, change: RoleChange) -> None:
-        record, version = None, 0
-        match self._platform.get(LEASE_KIND, LEASE_NAME):
-            case Ok(stored):
-                record, version = decode_record(stored.value), stored.version
-            case Err(error) if error.kind != PlatformErrorKind.NOT_FOUND:
-                self._log("lease not read", change, reason=str(error.kind))
-                return
-        step = self._lease.next_step(record, version, _boottime_s())
+        lease = self._read_lease(change)
+        if lease is None:
+            return
+        record, version, era = lease
+        now = self._era.now()
+        step = self._lease.next_step(record, version, now, era, self._era.since)
         if step == LeaseStep.WAIT:
             return
         interval_s = (
@@ -171,11 +175,11 @@
                 pass
         if state.is_changing or state.role == change.role:
             return
-        write_began_at = _boottime_s()
-        epoch = self._write_lease(step, record, version, change)
+        write_began_at = self._era.now()
+        epoch = self._write_lease(step, record, version, era, change)
         if epoch is None:
             return
-        if not self._lease.may_send(write_began_at, _boottime_s()):
+        if not self._lease.may_send(write_began_at, self._era.now()):
             self._log("order not sent; the lease write took too long", change)
             return
         result = self._orders.change_role(change, self._host, epoch, state.orders_taken)
@@ -192,33 +196,54 @@
             orders_taken=state.orders_taken,
         )
 
-    def _write_lease(self, step, record, version, change) -> int | None:
-        """Write the lease record conditionally; return its epoch, None on failure."""
-        epoch = record.epoch if record else 1
-        if step == LeaseStep.TAKE_OVER:
-            epoch += 1
+    def _read_lease(
+        self, change: RoleChange
+    ) -> tuple[OrderRecord | None, int, int] | None:
+        """Return the record, its version and the era in which it was read, or None."""
+        match self._platform.get(LEASE_KIND, LEASE_NAME):
+            case Ok(stored):
+                lease = decode_record(stored.value), stored.version, stored.era
+            case Err(error) if error.kind == PlatformErrorKind.NOT_FOUND:
+                lease = None, 0, error.era
+            case Err(error):
+                self._log("lease not read", change, reason=str(error.kind))
+                return None
+        era = lease[2]
+        if era != self._era.current or era < self._era.highest:
+            self._log("lease not read", change, reason=f"it is of the era {era}")
+            return None
+        return lease
+
+    def _write_lease(self, step, record, version, era, change) -> int | None:
+        """Write the lease record conditionally; return its epoch, None on failure.
+
+        The write must be of the era of the record that was read: in a new era, another
+        object may have been given the version that is the condition.
+        """
+        epoch = next_epoch(step, record, version, era)
+        if epoch is None:
+            reason = f"no fencing number in the era {era} after the version {version}"
+            self._log("lease not written", change, step=str(step), reason=reason)
+            return None
         value = encode_record(
             OrderRecord(
                 self._host, epoch, change.server.name, str(change.role), time.time()
             )
         )
-        if step == LeaseStep.CREATE and version == 0:
+        if step == LeaseStep.CREATE:
             result = self._platform.create(LEASE_KIND, LEASE_NAME, value)
         else:
             result = self._platform.update(LEASE_KIND, LEASE_NAME, value, version)
         match result:
-            case Ok(_):
+            case Ok(stored) if stored.era == era == self._era.current:
                 return epoch
+            case Ok(stored):
+                reason = f"read in the era {era}, written in {stored.era}"
             case Err(error):
                 reason = f"{error.kind} {error.detail}"
-                self._log("lease not written", change, step=str(step), reason=reason)
-                return None
+        self._log("lease not written", change, step=str(step), reason=reason)
+        return None
 
     def _log(self, event: str, change: RoleChange, **fields) -> None:
         server, role = change.server.name, str(change.role)
         log.info(event, extra={"server": server, "role": role, **fields})
-
-
-def _boottime_s() -> float:
-    """Return a clock that advances while the machine is suspended, seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/sesameport/interfaces/__init__.py
+++ b/src/sesameport/interfaces/__init__.py
@@ -9,6 +9,7 @@
     "Engine",
     "EngineError",
     "EngineErrorKind",
+    "EraObject",
     "Hold",
     "HoldKind",
     "HostList",
@@ -59,6 +60,7 @@
             "Sender",
         ),
         "platform": (
+            "EraObject",
             "HostList",
             "ObjectList",
             "Platform",
--- a/src/sesameport/interfaces/platform.py
+++ b/src/sesameport/interfaces/platform.py
@@ -9,6 +9,7 @@
 from sesameport.domain import BackendServer, Host
 
 __all__ = [
+    "EraObject",
     "HostList",
     "ObjectList",
     "Platform",
@@ -48,11 +49,14 @@
         Text for the log.
     current_version : int
         Current version in the platform, for ``EXISTS`` and ``CONFLICT``; otherwise 0.
+    era : int
+        Era of the answer; see `EraObject`.
     """
 
     kind: PlatformErrorKind
     detail: str = ""
     current_version: int = 0
+    era: int = 0
 
 
 @attrs.frozen
@@ -69,20 +73,38 @@
     deleted: bool = False
 
 
+@attrs.frozen
+class EraObject(StoredObject):
+    """Represent an object with the era of the platform's answer about it.
+
+    A platform that comes back from an older copy of itself gives out versions again and
+    begins a new era, so versions of different eras can't be compared. A platform that
+    forgets nothing has the era 0. Daemons send each other the class without the era.
+    """
+
+    era: int = 0
+
+
 @attrs.frozen
 class ObjectList:
-    """Hold the objects of one kind and the version at which they were read."""
+    """Hold the objects of one kind, and the version and era at which they were read."""
 
     objects: tuple[StoredObject, ...]
     version: int
+    era: int = 0
 
 
 @attrs.frozen
 class WatchBatch:
-    """Hold the changes after a version, oldest first; empty after a timeout."""
+    """Hold the changes after a version, oldest first; empty after a timeout.
+
+    ``era`` is that of the answer. In another era than that of the version there may be
+    changes that are missing.
+    """
 
     changes: tuple[StoredObject, ...]
     version: int
+    era: int = 0
 
 
 @attrs.frozen
--- a/src/sesameport/platform/__init__.py
+++ b/src/sesameport/platform/__init__.py
@@ -11,6 +11,7 @@
 from sesameport.entry.requests import EntryRequest
 from sesameport.entry.server_notices import OnNotice
 from sesameport.entry.servers import EntryServer
+from sesameport.entry.store_era import StoreEra
 from sesameport.platform import callers, configuration, evacuations, servers
 from sesameport.platform.engines import ReplicaClient
 from sesameport.platform.orders import ReplicaOrderClient
@@ -34,9 +35,11 @@
     server_kind = servers.SERVER_KIND
     evacuation_kind = evacuations.EVACUATION_KIND
 
-    def create_store_client(self, address: str, account: Account) -> ObjectStoreClient:
+    def create_store_client(
+        self, address: str, account: Account, era: StoreEra
+    ) -> ObjectStoreClient:
         """Return a client of the object store at an address."""
-        return ObjectStoreClient(address, account=account)
+        return ObjectStoreClient(address, account=account, era=era)
 
     def create_server_client(
         self,
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -21,6 +21,7 @@
     "SERVER_LEAVING",
     "SERVER_LIMIT",
     "STAGE",
+    "STORE_ERA",
     "TENANT",
     "TOKEN_COUNT",
 ]
@@ -45,6 +46,7 @@
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
 COLD_REMAINING_MS = "x-cold-remaining-ms"
+STORE_ERA = "store-era"
 
 ROUTER_HEADERS = frozenset(
     {
--- a/src/sesameport/platform/tests/fakes.py
+++ b/src/sesameport/platform/tests/fakes.py
@@ -1,6 +1,7 @@
 """Provide a fake object store that serves HTTP on loopback."""
 
 import contextlib
+import copy
 import http.server
 import json
 import socket
@@ -135,6 +136,22 @@
         """Return the names of the stored objects of a kind."""
         return [name for object_kind, name in self._objects if object_kind == kind]
 
+    def copy(self):
+        """Return a copy from which `come_back` serves."""
+        with self._changed:
+            return copy.deepcopy((self._objects, self._history, self.revision))
+
+    def come_back(self, stored, era):
+        """Serve from a copy, as after a drill, and state a new era in all answers.
+
+        Revisions are given out again. Calls that wait get what the copy has.
+        """
+        with self._changed:
+            stored = copy.deepcopy(stored)
+            self._objects, self._history, self.revision = stored
+            self.says["Store-Era"] = str(era)
+            self._changed.notify_all()
+
     def compact_history(self):
         """Remove all events; a watch from an older revision then gets 410."""
         with self._changed:
@@ -230,7 +247,7 @@
         deadline = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
             while True:
-                if since < self._compacted_revision:
+                if not self._compacted_revision <= since <= self.revision:
                     return 410, {}
                 events = [
                     event
--- a/src/sesameport/telemetry/metrics.py
+++ b/src/sesameport/telemetry/metrics.py
@@ -153,6 +153,7 @@
     ),
     _gauge("entry_refused_subjects", "Subjects refused for crashing servers."),
     _gauge("entry_store_reachable", "1 while the store answers, else 0."),
+    _gauge("entry_store_era", "Era that the store states, 0 without one."),
     _gauge("ready", "1 while the host accepts requests, else 0."),
 )
 """Metrics of an entry host that runs on its users' platform."""
