--- a/src/sesameport/admission/server_registry.py
+++ b/src/sesameport/admission/server_registry.py
@@ -17,6 +17,9 @@
 
 __all__ = ["EXPIRY_GRACE_S", "ServerRegistry"]
 
+MAX_DEPARTED = 1_000
+"""Number of removed servers whose last entry is kept."""
+
 EXPIRY_GRACE_S = 2.0
 """Time after a store recovery within which servers renew expired entries, seconds, as
 specified by the users."""
@@ -34,6 +37,7 @@
     _grace_ends_at: dict[str, float] = attrs.field(factory=dict)
     _store_recovered_at: float = float("-inf")
     _name_by_address: dict[str, str] = attrs.field(factory=dict)
+    _departed: dict[str, EntryServer] = attrs.field(factory=dict)
     _live: dict[str, tuple[EntryServer, ...]] = attrs.field(factory=dict)
     """Result of `live_servers` by service, until an entry of the service changes."""
 
@@ -62,6 +66,7 @@
         if before is not None:
             self._live.pop(before.service, None)
         self._live.pop(server.service, None)
+        self._departed.pop(server.name, None)
         self._servers[server.name] = server
         self._name_by_address[server.address] = server.name
         self._grace_ends_at.pop(server.name, None)
@@ -96,6 +101,14 @@
         """Return the server with a name, or None if it is unknown."""
         return self._servers.get(name)
 
+    def last_known(self, name: str) -> EntryServer | None:
+        """Return the last entry of a server, also after its removal.
+
+        A server goes on answering after the removal, and its entry may come back with
+        the same start time.
+        """
+        return self._servers.get(name) or self._departed.get(name)
+
     def near_removal(self, now: float) -> set[str]:
         """Return the servers for which `is_near_removal` is true."""
         return {name for name in self._grace_ends_at if self.is_near_removal(name, now)}
@@ -120,10 +133,14 @@
     def _delete(self, name: str) -> None:
         self._grace_ends_at.pop(name, None)
         server = self._servers.pop(name, None)
-        if server is not None:
-            self._live.pop(server.service, None)
-        if server is not None and self._name_by_address.get(server.address) == name:
+        if server is None:
+            return
+        self._live.pop(server.service, None)
+        if self._name_by_address.get(server.address) == name:
             del self._name_by_address[server.address]
+        self._departed[name] = server
+        while len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
 
 
 def _started_before(server: EntryServer, other: EntryServer) -> bool:
--- a/src/sesameport/entry/cold_exchange.py
+++ b/src/sesameport/entry/cold_exchange.py
@@ -101,8 +101,8 @@
         self._has_listing = True
 
     def record_answer(self, name: str, remaining_s: float, now: float) -> None:
-        """Record the cold time in an answer of a server."""
-        server = self._registry.get(name)
+        """Record the cold time in an answer of a server, with or without an entry."""
+        server = self._registry.last_known(name)
         if server is not None and remaining_s > 0.0:
             self._cold.record(name, server.started_at_ms, remaining_s, now)
             self._apply_change("answer", now)
--- a/src/sesameport/entry/notice_exchange.py
+++ b/src/sesameport/entry/notice_exchange.py
@@ -52,23 +52,23 @@
         self._sent_at = float("-inf")
 
     def record(self, message: m.ServerNoticed, now: float) -> bool:
-        """Record the notice of an answer; return whether it changed."""
-        server = self._registry.get(message.server)
-        if server is None:
+        """Record the notice of an answer; return whether it changed.
+
+        A server goes on answering after the removal of its entry, which may come back.
+        """
+        name, started_at_ms = message.server, self._find_start(message.server)
+        if started_at_ms is None:
             return False
         if message.notice.pause_s > 0:
             pause_s = round(message.notice.pause_s, 3)
             log.info(
-                "server asks for a pause",
-                extra={"server": server.name, "pause_s": pause_s},
+                "server asks for a pause", extra={"server": name, "pause_s": pause_s}
             )
-        before = self._state(server.name)
-        changed = self._notices.record(
-            server.name, server.started_at_ms, message.notice, now
-        )
+        before = self._state(name)
+        changed = self._notices.record(name, started_at_ms, message.notice, now)
         if not changed:
             return False
-        self._log_change(server.name, before, "answer")
+        self._log_change(name, before, "answer")
         interval_s = max(MIN_INTERVAL_S, MIN_INTERVAL_PER_HOST_S * self._trickle.hosts)
         if now - self._sent_at >= interval_s:
             self._send(now)
@@ -81,11 +81,11 @@
         named = set()
         for report in message.reports:
             named.add(report.server)
-            server = self._registry.get(report.server)
-            if server is None:
+            started_at_ms = self._find_start(report.server, report.started_at_ms)
+            if started_at_ms is None:
                 continue
             before = self._state(report.server)
-            if self._notices.merge(report, server.started_at_ms, now):
+            if self._notices.merge(report, started_at_ms, now):
                 differs = True
             if self._state(report.server) != before:
                 changed = True
@@ -107,6 +107,18 @@
         if self._trickle.take_send(now):
             self._send(now)
 
+    def _find_start(self, name: str, stated: int = 0) -> int | None:
+        """Return the last known start time of a server, Unix milliseconds.
+
+        It is the stated one if the server is not known. Return None if the server could
+        not be told from its next start, because it has no entry and no start time.
+        """
+        server = self._registry.last_known(name)
+        started_at_ms = server.started_at_ms if server is not None else stated
+        if started_at_ms == 0 and self._registry.get(name) is None:
+            return None
+        return started_at_ms
+
     def _send(self, now: float) -> None:
         self._sent_at = now
         self._publish(m.NoticeReports(tuple(self._notices.reports(now))))
--- a/src/sesameport/platform/tests/test_leaving_servers.py
+++ b/src/sesameport/platform/tests/test_leaving_servers.py
@@ -1,6 +1,7 @@
 """Test that no host sends new requests to servers that say they are leaving."""
 
 import itertools
+import threading
 
 import pytest
 
@@ -83,3 +84,29 @@
         )
         assert response.status == 200
     assert len(leaving.received_requests) == before
+
+
+def test_server_that_said_it_leaves_without_entry_is_not_used_after_a_drill(
+    cluster, send
+):
+    # Its entry was removed before its last answers came. The copy of the store had the
+    # entry, and the host that had passed on these answers used it again (review/12).
+    leaving = cluster.replicas["s1"]
+    cluster.store.put("servers", "s1", leaving.registration("desk", born=1_700))
+    wait_until(lambda: all(uses(host, "s1") for host in cluster.hosts))
+    copy, leaving.pause_s = cluster.store.copy(), 1.2
+    threads = [threading.Thread(target=send, args=("book",)) for _ in range(12)]
+    for thread in threads:
+        thread.start()
+    wait_until(lambda: leaving.executed_ids)
+    leaving.says["Server-Leaving"] = "1"
+    cluster.store.remove("servers", "s1")
+    wait_until(lambda: not any(uses(host, "s1") for host in cluster.hosts))
+    for thread in threads:
+        thread.join()
+    before = len(leaving.received_requests)
+    cluster.store.come_back(copy, 2)
+    wait_until(lambda: all(host.server_count() >= 6 for host in cluster.hosts))
+    assert not any(uses(host, "s1") for host in cluster.hosts)
+    assert [send("book").status for _ in range(12)] == [200] * 12
+    assert len(leaving.received_requests) == before
