--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -191,6 +191,7 @@
             m.HostAnnounced: self._add_host,
             m.FleetSnapshot: self._apply_snapshot,
             m.StoreConnectivity: self._apply_connectivity,
+            m.StoreEraBegan: self._begin_era,
             m.GetFleetCounts: queries.counts,
             m.GetUsableServers: queries.usable_servers,
             m.GetExpiredHosts: queries.expired_hosts,
@@ -412,6 +413,10 @@
             log.warning("store lost")
         self._metrics.set("sesameport_entry_store_reachable", int(is_reachable))
 
+    def _begin_era(self, message: m.StoreEraBegan, now: float) -> None:
+        """Keep what the store may have forgotten; see `StoreEra`."""
+        self._revisions.begin_era(message.era, now)
+
     def _handle_tick(self, message: m.Tick, now: float) -> None:
         silent = self._admission.use.expire(now, self._reports.scheduler.expiry_s())
         for host in silent:
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -108,7 +108,9 @@
             bounds.socket_buffer_bytes,
         )
         self._era = era = StoreEra()
-        era.subscribe(lambda era: self.metrics.set("sesameport_entry_store_era", era))
+        era.subscribe(
+            lambda era, _: self.metrics.set("sesameport_entry_store_era", era)
+        )
         self._store = adapter.create_store_client(settings.store_address, account, era)
         self._guard = CrashGuard(
             self._timers,
@@ -165,7 +167,9 @@
             self._closing,
             settings.bounds,
             self._timers.call_at,
+            era,
         )
+        era.subscribe(lambda era, first: self._tell(m.StoreEraBegan(era, first)))
         self._registration = HostRegistration(
             HostDirectory(self._store, settings.name, self._peers.address, self._tell),
             self._timers,
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -126,12 +126,13 @@
     """Report the revisions of the newest changes that a host has read from the store.
 
     There is one for each kind in the order of ``messages.REVISION_KINDS``, 0 without a
-    change. A host that has read up to an earlier revision reads the store again; the
-    report itself changes nothing.
+    change. A host that has read up to an earlier revision reads the store again, and so
+    does one that knows only an earlier era; the report itself changes nothing.
     """
 
     host: str
     revisions: tuple[int, ...]
+    era: int = 0
 
 
 @attrs.frozen
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -80,6 +80,7 @@
     "ConsumeRetry",
     "REVISION_KINDS",
     "StoreConnectivity",
+    "StoreEraBegan",
     "StoreRead",
     "SuspectReports",
     "Tick",
@@ -87,8 +88,8 @@
 ]
 
 REVISION_KINDS = (Missed.CONFIGURATION, Missed.SERVERS, Missed.EVACUATIONS)
-"""Order of the kinds in `AppliedRevisions`. New kinds go to the end, so that older
-builds ignore them."""
+"""Order of the kinds in `AppliedRevisions`. In the encoding, the era follows them, and
+older builds ignore what they do not know at the end."""
 
 
 @attrs.frozen
@@ -346,6 +347,18 @@
     is_reachable: bool
 
 
+@attrs.frozen
+class StoreEraBegan:
+    """Report that the store states a new era; see `StoreEra`.
+
+    It precedes everything that is read in this era. The era of the first answer says
+    nothing of what the store has forgotten.
+    """
+
+    era: int
+    is_first: bool
+
+
 @attrs.frozen
 class StoreRead:
     """Report a response of the store, after the changes in it.
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -58,6 +58,9 @@
     "encode_suspects",
 ]
 
+REVISION_COUNT = 3
+"""Number of revisions in `AppliedRevisions`."""
+
 _Use = tuple[int, int, int, int]
 _Waiting = tuple[int, int]
 _Suspect = tuple[str, dict[str, bool], int]
@@ -272,14 +275,23 @@
 
 
 def encode_revisions(message: AppliedRevisions) -> bytes:
-    """Return the revisions of the newest changes as MessagePack."""
-    return msgspec.msgpack.encode(attrs.astuple(message))
+    """Return the revisions of the newest changes as MessagePack.
+
+    The era, if there is one, follows the revisions. Older builds ignore it.
+    """
+    revisions = message.revisions
+    if message.era:
+        missing = REVISION_COUNT - len(revisions)
+        revisions = (*revisions, *(0,) * missing, message.era)
+    return msgspec.msgpack.encode((message.host, revisions))
 
 
 def decode_revisions(data: bytes) -> Result[AppliedRevisions, str]:
     """Return what `encode_revisions` encoded, or an Err with the reason."""
     try:
-        return Ok(AppliedRevisions(*_REVISIONS.decode(data)))
+        host, revisions = _REVISIONS.decode(data)
+        era = revisions[REVISION_COUNT] if len(revisions) > REVISION_COUNT else 0
+        return Ok(AppliedRevisions(host, revisions[:REVISION_COUNT], era))
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
         return Err(str(exc))
 
--- a/src/sesameport/entry/revision_check.py
+++ b/src/sesameport/entry/revision_check.py
@@ -91,15 +91,22 @@
         self._lock = threading.Lock()
         self._store: Platform | None = None
         self._call: object | None = None
+        self._era = 0
         self._confirmed = 0
         self._other_changes: set[int] = set()
 
-    def record(self, revision: int, other_changes: Iterable[int] = ()) -> None:
+    def record(
+        self, revision: int, other_changes: Iterable[int] = (), era: int = 0
+    ) -> None:
         """Record a revision of the store, and check what was missed up to it.
 
-        ``other_changes`` are revisions of changes of another kind.
+        ``other_changes`` are revisions of changes of another kind. The store gives out
+        revisions again in a new era.
         """
         with self._lock:
+            if era != self._era:
+                self._era, self._confirmed = era, 0
+                self._other_changes.clear()
             is_confirmed = self._confirm(revision, other_changes)
             if is_confirmed or self._call is not None or not self._is_behind(revision):
                 return
--- a/src/sesameport/entry/revision_exchange.py
+++ b/src/sesameport/entry/revision_exchange.py
@@ -6,6 +6,7 @@
 sooner than it would notice by itself; see `WatchTimes` and `RevisionCheck`.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -25,6 +26,10 @@
 """Time without a report of any host after which this host must notice missed changes
 by itself, seconds. It is the longest interval between two reports of one idle host."""
 
+ERA_RETRY_S = 1.0
+"""Shortest time between two readings because another host knows a newer era, seconds.
+The answer of the first states the era, unless it is lost."""
+
 log = get_logger("entry")
 
 
@@ -67,6 +72,8 @@
         self._lags = {kind: VersionLag() for kind in m.REVISION_KINDS}
         self._changed = dict.fromkeys(m.REVISION_KINDS, 0)
         self._read: dict[Missed, int] = {}
+        self._era = 0
+        self._asked_era_at = -math.inf
         self._heard_at: float | None = None
         self._is_alone = False
 
@@ -74,6 +81,19 @@
         """Return the handlers of what the store and other hosts state."""
         return {m.StoreRead: self.apply_read, m.AppliedRevisions: self.apply_report}
 
+    def begin_era(self, era: int, now: float) -> None:
+        """Forget the revisions that were read, which the store gives out again.
+
+        Configurations have versions of their own. Who reported one is believed again,
+        because the operator writes it again.
+        """
+        self._era = era
+        self._versions = MissedConfiguration(self._read_again)
+        self._lags = {kind: VersionLag() for kind in m.REVISION_KINDS}
+        self._changed = dict.fromkeys(m.REVISION_KINDS, 0)
+        self._read.clear()
+        self._trickle.reset(now)
+
     def record(self, report: m.HostReport, now: float) -> None:
         """Record the version in a report of another host, and that it reports."""
         self._heard_at = now
@@ -97,6 +117,9 @@
     def apply_report(self, message: m.AppliedRevisions, now: float) -> None:
         """Record which changes another host has read."""
         self._heard_at = now
+        if message.era != self._era:
+            self._handle_other_era(message.era, now)
+            return
         is_equal = True
         for kind, revision in zip(m.REVISION_KINDS, message.revisions, strict=False):
             self._lags[kind].record(revision, now, message.host)
@@ -106,6 +129,16 @@
         if is_equal:
             self._trickle.record_equal()
 
+    def _handle_other_era(self, era: int, now: float) -> None:
+        """Ask the store if another host knows a newer era, or tell that host soon."""
+        if era < self._era:
+            self._trickle.reset(now)
+        elif now >= self._asked_era_at + ERA_RETRY_S:
+            self._asked_era_at = now
+            fields = {"era": self._era, "newest": era}
+            log.warning("another host knows a newer era; reading again", extra=fields)
+            self._read_again(Missed.SERVERS)
+
     def repeat(self, hosts: int, are_new: bool, now: float) -> None:
         """Report again what was read if it is time; sooner if there are new hosts."""
         self._trickle.hosts = max(1, hosts)
@@ -153,4 +186,4 @@
 
     def _send(self) -> None:
         revisions = tuple(self._changed[kind] for kind in m.REVISION_KINDS)
-        self._publish(m.AppliedRevisions(self._host, revisions))
+        self._publish(m.AppliedRevisions(self._host, revisions, self._era))
--- a/src/sesameport/entry/store_era.py
+++ b/src/sesameport/entry/store_era.py
@@ -13,7 +13,11 @@
 
 from sesameport.telemetry.logs import get_logger
 
-__all__ = ["StoreEra", "boottime_s"]
+__all__ = ["OnEra", "StoreEra", "boottime_s"]
+
+OnEra = Callable[[int, bool], None]
+"""Called with a new era, and whether it is that of the first answer of the store. Only
+a later one shows that the store has forgotten something."""
 
 LOWER_ERA_AFTER_S = 15.0
 """Time after the last answer of the era in force from which answers to new calls with a
@@ -52,7 +56,7 @@
         self._current = self._highest = 0
         self._since = -math.inf
         self._confirmed_at = -math.inf
-        self._subscribers: list[Callable[[int], None]] = []
+        self._subscribers: list[OnEra] = []
 
     @property
     def current(self) -> int:
@@ -76,13 +80,13 @@
         """Return the time of the clock, seconds."""
         return self._clock()
 
-    def subscribe(self, on_change: Callable[[int], None]) -> None:
-        """Call a function with each later era, in the order of the subscriptions.
+    def subscribe(self, on_era: OnEra) -> None:
+        """Call a function for each new era, in the order of the subscriptions.
 
         It is called on the thread of an answer, before this answer is handled, and must
         not wait for the store.
         """
-        self._subscribers.append(on_change)
+        self._subscribers.append(on_era)
 
     def accept(self, era: int, called_at: float) -> bool:
         """Record the era of an answer; return whether the answer still holds.
@@ -105,10 +109,11 @@
             elif era == self._current:
                 self._confirmed_at = self._clock()
                 return True
+            is_first = self._confirmed_at == -math.inf
             before, self._current = self._current, era
             self._highest = max(self._highest, era)
             self._since = self._confirmed_at = self._clock()
             log.warning("store era", extra={"era": era, "before": before})
-            for on_change in self._subscribers:
-                on_change(era)
+            for on_era in self._subscribers:
+                on_era(era, is_first)
             return True
--- a/src/sesameport/entry/store_follower.py
+++ b/src/sesameport/entry/store_follower.py
@@ -11,6 +11,7 @@
 from sesameport.entry.platform_adapter import PlatformAdapter
 from sesameport.entry.revision_check import RevisionCheck
 from sesameport.entry.settings import FleetBounds
+from sesameport.entry.store_era import StoreEra
 from sesameport.entry.store_handlers import (
     ConfigurationHandler,
     EvacuationHandler,
@@ -50,6 +51,8 @@
         Times within which changes must be known.
     call_at : callable
         Calls a function at a monotonic time, see `TimerService.call_at`.
+    era : StoreEra or None
+        Era of the store, None if it states none. All kinds are listed anew in each.
     """
 
     def __init__(
@@ -61,7 +64,10 @@
         closing: threading.Event,
         bounds: FleetBounds,
         call_at: Callable[[str, float, Callable[[float], None]], None],
+        era: StoreEra | None = None,
     ):
+        self._era = era or StoreEra()
+        self._era.subscribe(self._begin_era)
         self._bounds = bounds
         self._call_at = call_at
         self._connect = connect
@@ -129,9 +135,15 @@
             return WatchTimes.within(self._bounds.contact_s)
         return WatchTimes.checked(self._bounds.contact_s)
 
-    def _check(self, revision: int, changes: Iterable[int]) -> None:
+    def _begin_era(self, era: int, is_first: bool) -> None:
+        for watcher in list(self._watchers.values()):
+            watcher.begin_era()
+
+    def _check(self, revision: int, changes: Iterable[int], era: int) -> None:
+        if era != self._era.current:
+            return
         for check in list(self._checks):
-            check.record(revision, changes)
+            check.record(revision, changes, era)
 
     def _check_now(self) -> None:
         for check in list(self._checks):
@@ -174,8 +186,9 @@
             lists_again=followed == Missed.CONFIGURATION,
             times=times,
             call_at=self._call_at,
-            on_revision=self._check if is_leading else lambda revision, changes: None,
+            on_revision=self._check if is_leading else lambda *revision: None,
             on_lost=self._check_now if is_leading else lambda: None,
+            era=self._era,
         )
         self._watchers[followed] = watcher.start()
         if is_leading:
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -17,6 +17,7 @@
 import attrs
 from result import Err, Ok
 
+from sesameport.entry.store_era import StoreEra
 from sesameport.entry.store_health import StoreHealth
 from sesameport.entry.watch_times import WatchTimes
 from sesameport.interfaces import (
@@ -159,10 +160,12 @@
     call_at : callable
         Calls a function at a monotonic time, see `TimerService.call_at`.
     on_revision : callable
-        Called with the revision of the store in each response, and with those of the
-        changes in it.
+        Called with the revision of the store in each response, with those of the
+        changes in it, and with the era of the store.
     on_lost : callable
         Called when a response counts as lost.
+    era : StoreEra or None
+        Era of the store, None if it states none.
 
     Attributes
     ----------
@@ -187,11 +190,13 @@
         call_at: Callable[
             [str, float, Callable[[float], None]], None
         ] = lambda name, when, callback: None,
-        on_revision: Callable[[int, Iterable[int]], None] = lambda revision, changes: (
-            None
+        on_revision: Callable[[int, Iterable[int], int], None] = (
+            lambda revision, changes, era: None
         ),
         on_lost: Callable[[], None] = lambda: None,
+        era: StoreEra | None = None,
     ):
+        self._era = era or StoreEra()
         self._on_lost = on_lost
         self._on_revision = on_revision
         self.times = times
@@ -249,6 +254,18 @@
         if since is not None and now > since + CLOSE_WATCH_TIMEOUT_S + CLOSE_ANSWER_S:
             self.restart()
 
+    def begin_era(self) -> None:
+        """List the kind anew, because the store states a new era.
+
+        Nothing that was read in another era says what the store has now: revisions are
+        given out again, so a watch from an earlier one may miss changes.
+        """
+        with self._lock:
+            if self._version is None:
+                return  # the kind is being listed
+            self._version = None
+        self._start_again(time.monotonic())
+
     @property
     def version(self) -> int | None:
         """Return the revision up to which the kind has been read, None without one."""
@@ -384,7 +401,7 @@
                     )
                     changes = () if is_listing else batch.changes
                     revisions = [stored.version for stored in changes]
-                    self._on_revision(batch.version, revisions)
+                    self._on_revision(batch.version, revisions, batch.era)
                     if not is_handled:
                         continue
                     is_repeat = False
@@ -418,6 +435,8 @@
     ) -> bool:
         """Handle a response; return False if another one was handled meanwhile."""
         with self._lock:
+            if batch.era != self._era.current:
+                return False
             is_from_here = since == self._version
             if not is_from_here and not self._is_unchanged_since(since):
                 return False
--- a/src/sesameport/entry/tests/test_revision_check.py
+++ b/src/sesameport/entry/tests/test_revision_check.py
@@ -123,3 +123,12 @@
     check.record(105)
     timers.run()
     assert store.calls == 0
+
+
+def test_revisions_of_an_earlier_era_confirm_nothing(parts):
+    check, watcher, store, timers = parts
+    check.record(500, range(101, 501), era=1)
+    watcher.version = 90
+    check.record(95, era=2)
+    timers.run()
+    assert store.calls == 1
--- a/src/sesameport/entry/tests/test_revision_exchange.py
+++ b/src/sesameport/entry/tests/test_revision_exchange.py
@@ -42,8 +42,8 @@
     def read(self, kind, changed, revision, now, is_repeat=False):
         self.exchange.apply_read(m.StoreRead(kind, changed, revision, is_repeat), now)
 
-    def hear(self, revisions, now, host="h1"):
-        self.exchange.apply_report(m.AppliedRevisions(host, revisions), now)
+    def hear(self, revisions, now, host="h1", era=0):
+        self.exchange.apply_report(m.AppliedRevisions(host, revisions, era), now)
 
     def run(self, since, until, is_reachable=True):
         """Check at each tick, and return when something was read again."""
@@ -90,6 +90,32 @@
     assert host.missed == ["servers"]
 
 
+def test_revisions_of_another_era_cause_no_read():
+    # The store gives out revisions again, so those of the earlier era are higher.
+    host = Host.create()
+    host.hear((95, 180, 90), 0.5)
+    host.exchange.begin_era(2, 1.0)
+    host.read(Missed.SERVERS, 104, 104, 1.1)
+    host.hear((0, 190, 0), 1.2, era=1)
+    assert host.run(1.2, 3.0) == []
+    host.hear((0, 105, 0), 3.1, era=2)
+    assert host.run(3.1, 4.2) != []
+
+
+def test_newer_era_of_another_host_causes_a_read():
+    host = Host.create()
+    host.exchange.begin_era(2, 1.0)
+    for step in range(20):
+        host.hear((0, 3, 0), 1.0 + 0.1 * step, era=3)
+    assert host.missed == [Missed.SERVERS] * 2
+    host.read(Missed.SERVERS, 0, 104, 3.5)
+    sent = len(host.sent)
+    host.hear((0, 500, 0), 4.0, era=1)
+    host.exchange.repeat(3, False, 4.0)
+    host.exchange.repeat(3, False, 5.0)
+    assert [message.era for message in host.sent[sent:]] == [2]
+
+
 def test_host_does_not_read_again_while_the_store_is_lost():
     host = Host.create()
     host.hear((0, 101, 0), 1.0)
@@ -179,5 +205,9 @@
     topic, data = encode_message(message)
     assert (topic, data) == (b"a", b"\x92\xa1h\x93\x01\xcd\x01\x2c\x00")
     assert DECODERS[topic](data).unwrap() == message
+    with_era = m.AppliedRevisions("h", (1, 300, 0), 7)
+    topic, data_with_era = encode_message(with_era)
+    assert data_with_era == b"\x92\xa1h\x94\x01\xcd\x01\x2c\x00\x07"
+    assert DECODERS[topic](data_with_era).unwrap() == with_era
     for other in (b"", b"\xc1", data[:-1], b"\x91\xa1h", b"\x92\xa1h\x91\xa1a"):
         assert DECODERS[topic](other).is_err()
--- a/src/sesameport/entry/tests/test_store_watch.py
+++ b/src/sesameport/entry/tests/test_store_watch.py
@@ -9,6 +9,7 @@
 
 from sesameport.adapters.timers import TimerService
 from sesameport.entry import store_watch
+from sesameport.entry.store_era import StoreEra
 from sesameport.entry.store_watch import (
     WATCH_INTERVAL_S,
     ListWatcher,
@@ -450,3 +451,39 @@
     changes = [StoredObject("servers", "s", rev, b"", gone) for rev, gone in events]
     batch = WatchBatch(tuple(changes), 20)
     assert store_watch._newest_change(batch, 10, has_waited, False) == changed
+
+
+class TwoEras:
+    """Answer the first listing late, after the next era has begun."""
+
+    def __init__(self, era):
+        self.era, self.calls = era, []
+
+    def list(self, kind):
+        self.calls.append("list")
+        if len(self.calls) == 1:
+            self.era.accept(2, self.era.now())
+            return Ok(ObjectList((StoredObject(kind, "old", 90, b""),), 90, 1))
+        return Ok(ObjectList((StoredObject(kind, "new", 5, b""),), 7, 2))
+
+    def watch(self, kind, version, timeout_s):
+        self.calls.append(("watch", version))
+        time.sleep(min(timeout_s, 0.5))
+        return Ok(WatchBatch((), version, self.era.current))
+
+
+def test_listing_of_an_earlier_era_is_not_handled():
+    era, closing, handler = StoreEra(), threading.Event(), Handler()
+    era.accept(1, era.now())
+    store = TwoEras(era)
+    health = StoreHealth(lambda is_reachable: None)
+    watcher = ListWatcher(
+        lambda: store, "servers", handler, health, Metrics(), closing, era=era
+    )
+    era.subscribe(lambda number, is_first: watcher.begin_era())
+    watcher.start()
+    wait_until(lambda: ("watch", 7) in store.calls)
+    era.accept(3, era.now())
+    wait_until(lambda: store.calls.count("list") > 2)
+    closing.set()
+    assert {name for _, name in handler.seen} == {"new"}
--- a/src/sesameport/platform/tests/fakes.py
+++ b/src/sesameport/platform/tests/fakes.py
@@ -115,6 +115,7 @@
         self._objects = {}
         self._history = []
         self._compacted_revision = 0
+        self._returns = 0
         self.revision = first_revision
 
     def put(self, kind, name, spec):
@@ -141,15 +142,19 @@
         with self._changed:
             return copy.deepcopy((self._objects, self._history, self.revision))
 
-    def come_back(self, stored, era):
+    def come_back(self, stored, era, written=()):
         """Serve from a copy, as after a drill, and state a new era in all answers.
 
-        Revisions are given out again. Calls that wait get what the copy has.
+        Revisions are given out again, at once to the objects in ``written``, which are
+        kinds, names and specs. Connections with calls that wait are closed.
         """
         with self._changed:
             stored = copy.deepcopy(stored)
             self._objects, self._history, self.revision = stored
             self.says["Store-Era"] = str(era)
+            self._returns += 1
+            for key in written:
+                self._write(*key)
             self._changed.notify_all()
 
     def compact_history(self):
@@ -196,7 +201,7 @@
             status, data = self._watch(parts[0], query)
         else:
             status, data = self._call(handler.command, parts, query, body)
-        if self.fault == "lost":
+        if self.fault == "lost" or status == 0:
             handler.drop_connection()
             return
         handler.send_reply(status, data)
@@ -246,7 +251,8 @@
         since = int(query["watch"])
         deadline = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
-            while True:
+            returns = self._returns
+            while returns == self._returns:
                 if not self._compacted_revision <= since <= self.revision:
                     return 410, {}
                 events = [
@@ -258,3 +264,4 @@
                 if events or remaining_s <= 0 or self.fault:
                     return 200, {"events": events, "at": self.revision}
                 self._changed.wait(min(remaining_s, 0.2))
+        return 0, {}
--- /dev/null
+++ b/src/sesameport/platform/tests/test_store_copies.py
@@ -0,0 +1,81 @@
+"""Test what hosts read and write again when the store comes back from an older copy."""
+
+import time
+
+import pytest
+
+from sesameport.entry.settings import FleetBounds
+from sesameport.platform.tests.conftest import make_configuration, wait_until
+
+READ_S = 1.5
+"""Time in which hosts must have read what the store has in a new era, seconds."""
+
+
+@pytest.fixture
+def fleet(cluster):
+    """Return a cluster with two hosts and the server s2, before a store with an era."""
+    cluster.store.says["Store-Era"] = "1"
+    cluster.add_replica("s2", "desk")
+    for name, born in (("s1", 1_700), ("s2", 1_800)):
+        register(cluster, name, born=born)
+    for name in ("h1", "h2"):
+        bounds = FleetBounds(evacuate_s=5.0)
+        cluster.start_host(name, bounds=bounds)
+    wait_until(lambda: all_use(cluster, "s1", "s2"))
+    wait_until(lambda: len(cluster.store.names("entry-hosts")) == 2)
+    wait_until(lambda: all(host.peer_count() == 1 for host in cluster.hosts))
+    return cluster
+
+
+def register(cluster, name, **fields):
+    registration = cluster.replicas[name].registration("desk", **fields)
+    cluster.store.put("servers", name, registration)
+
+
+def all_use(cluster, *names):
+    return all(set(names) <= set(host.usable_servers()) for host in cluster.hosts)
+
+
+def any_uses(cluster, name):
+    return any(name in host.usable_servers() for host in cluster.hosts)
+
+
+def test_changes_at_revisions_given_out_again_are_read(fleet):
+    # A watch from a revision of the earlier era got only what was written after the
+    # same revision of the new one, so the hosts missed the changes before it.
+    copy = fleet.store.copy()
+    for number in range(6):
+        register(fleet, "s2", born=1_800, slots=number + 2)
+    time.sleep(0.6)  # the hosts have read it
+    s2 = fleet.replicas["s2"].registration("desk", born=1_800, state="draining")
+    fleet.store.come_back(
+        copy,
+        2,
+        [
+            ("config", "main", make_configuration(2)),
+            ("servers", "s2", s2),
+            *(("notes", f"n{number}", {}) for number in range(10)),
+        ],
+    )
+    wait_until(lambda: not any_uses(fleet, "s2"), READ_S)
+    wait_until(
+        lambda: all(host.configuration_version() == 2 for host in fleet.hosts), READ_S
+    )
+
+
+def test_era_costs_two_listings_of_each_kind_at_most(fleet):
+    # The answer that states it may be a listing of this kind already.
+    time.sleep(1.0)
+    before = len(fleet.store.calls)
+    fleet.store.come_back(fleet.store.copy(), 2)
+    time.sleep(1.5)
+    paths = [path for method, path in fleet.store.calls[before:] if "?" not in path]
+    for kind in ("config", "servers", "evacuations"):
+        count = paths.count(f"/v1/objects/{kind}")
+        assert len(fleet.hosts) <= count <= 2 * len(fleet.hosts)
+
+
+def test_host_is_ready_in_an_era_that_it_starts_in(fleet):
+    fleet.store.says["Store-Era"] = "7"
+    fleet.start_host("h3")
+    wait_until(lambda: all_use(fleet, "s1", "s2"), READ_S)
