--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -59,7 +59,7 @@
 from sesameport.admission.routes import RouteTable
 from sesameport.admission.server_health import ServerHealth
 from sesameport.admission.server_notices import NoticeReport, ServerNotices
-from sesameport.admission.server_registry import ServerRegistry
+from sesameport.admission.server_registry import EXPIRY_GRACE_S, ServerRegistry
 from sesameport.admission.server_speeds import ServerSpeeds
 from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
 from sesameport.admission.trickle import Trickle
@@ -79,6 +79,7 @@
 )
 
 __all__ = [
+    "EXPIRY_GRACE_S",
     "COLD_PACING",
     "ColdBounds",
     "ColdReport",
--- a/src/sesameport/admission/server_registry.py
+++ b/src/sesameport/admission/server_registry.py
@@ -6,8 +6,13 @@
 
 The entry of a crashed server remains for seconds, and a new server may already answer
 at the same address. The server with the later start time is then the current one.
+
+A store that comes back from an older copy may have entries of servers that have left
+since, and states of servers that announced their leaving later. Such an entry gets no
+work until the store would have removed it, if its server did not write it again.
 """
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -38,6 +43,9 @@
     _store_recovered_at: float = float("-inf")
     _name_by_address: dict[str, str] = attrs.field(factory=dict)
     _departed: dict[str, EntryServer] = attrs.field(factory=dict)
+    _gone: dict[str, int] = attrs.field(factory=dict)
+    _doubted: dict[str, EntryServer] = attrs.field(factory=dict)
+    _doubt_until: float = -math.inf
     _live: dict[str, tuple[EntryServer, ...]] = attrs.field(factory=dict)
     """Result of `live_servers` by service, until an entry of the service changes."""
 
@@ -45,6 +53,25 @@
         """Record that the store recovered from an outage."""
         self._store_recovered_at = now
 
+    def begin_era(self, now: float, doubt_s: float) -> None:
+        """Record that the store came back from an older copy of itself.
+
+        Entries that are missing in the copy are written again. Until ``doubt_s``
+        seconds have passed, an entry of a server that was removed or leaving counts as
+        leaving, unless the server has started again.
+        """
+        self.record_store_recovery(now)
+        leaving = [
+            server
+            for server in self._servers.values()
+            if server.state == ServerState.LEAVING
+        ]
+        self._gone |= {
+            server.name: server.started_at_ms
+            for server in (*self._departed.values(), *leaving)
+        }
+        self._doubt_until = now + doubt_s
+
     def replace(self, servers: Iterable[EntryServer], now: float) -> None:
         """Apply a complete listing; servers missing from it are passed to `remove`."""
         listed = {server.name: server for server in servers}
@@ -62,6 +89,11 @@
                 return
             if _started_before(other, server):
                 self._delete(other.name)
+        self._doubted.pop(server.name, None)
+        is_gone = self._gone.get(server.name) == server.started_at_ms
+        if is_gone and server.state == ServerState.LIVE:
+            self._doubted[server.name] = server
+            server = attrs.evolve(server, state=ServerState.LEAVING)
         before = self._servers.get(server.name)
         if before is not None:
             self._live.pop(before.service, None)
@@ -89,6 +121,20 @@
             self._delete(name)
         return names
 
+    def end_doubts(self, now: float) -> list[str]:
+        """Use the entries that have outlived the doubt, and return their names."""
+        if now < self._doubt_until or not self._gone:
+            return []
+        self._gone.clear()
+        doubted, self._doubted = self._doubted, {}
+        for server in doubted.values():
+            self.put(server)
+        return list(doubted)
+
+    def doubted(self) -> set[str]:
+        """Return the servers whose entries are in doubt."""
+        return set(self._doubted)
+
     def is_near_removal(self, name: str, now: float) -> bool:
         """Return whether a grace period is too close to its end for new work.
 
@@ -138,6 +184,7 @@
         self._live.pop(server.service, None)
         if self._name_by_address.get(server.address) == name:
             del self._name_by_address[server.address]
+        self._doubted.pop(name, None)
         self._departed[name] = server
         while len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
--- a/src/sesameport/admission/tests/test_server_registry.py
+++ b/src/sesameport/admission/tests/test_server_registry.py
@@ -100,3 +100,28 @@
                 for item in registry.all()
                 if item.service == service and item.state == ServerState.LIVE
             ]
+
+
+def test_entries_that_return_with_an_older_copy_are_in_doubt():
+    # A server that had left got requests, because the copy still had its entry, or the
+    # state before it announced that.
+    registry = ServerRegistry()
+    registry.replace([server("a"), server("b"), server("c"), server("d")], 0.0)
+    registry.remove("a", 1.0)
+    registry.put(server("b", state=ServerState.LEAVING))
+    registry.remove("d", 2.0)
+    registry.begin_era(3.0, 5.0)
+    registry.replace(
+        [server("a"), server("b"), server("c"), server("d", started_at_ms=9)], 3.1
+    )
+    assert names(registry) == ["c", "d"]
+    registry.put(server("a"))
+    registry.begin_era(6.0, 5.0)  # once more
+    registry.replace([server("a"), server("b"), server("c")], 6.1)
+    registry.remove("b", 7.0)
+    registry.expire(8.0)
+    assert registry.end_doubts(10.9) == []
+    assert registry.end_doubts(11.0) == ["a"]
+    assert names(registry) == ["a", "c"]
+    registry.put(server("b"))
+    assert names(registry) == ["a", "b", "c"]
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -416,6 +416,9 @@
     def _begin_era(self, message: m.StoreEraBegan, now: float) -> None:
         """Keep what the store may have forgotten; see `StoreEra`."""
         self._revisions.begin_era(message.era, now)
+        if not message.is_first:
+            self._entries.begin_era(self._settings.bounds.heartbeat_s, now)
+            self._evacuations.begin_era(now)
 
     def _handle_tick(self, message: m.Tick, now: float) -> None:
         silent = self._admission.use.expire(now, self._reports.scheduler.expiry_s())
--- a/src/sesameport/entry/evacuation_controller.py
+++ b/src/sesameport/entry/evacuation_controller.py
@@ -18,6 +18,10 @@
 """Time after a report of another host from which the store is read again, seconds. A
 change reaches hosts within about 0.5 s of each other; see ``admission.VersionLag``."""
 
+KEPT_S = 5.0
+"""Time for which evacuations are kept that a listing does not have after the store came
+back from an older copy, seconds. The operator writes them again."""
+
 log = get_logger("entry")
 
 
@@ -67,13 +71,23 @@
         self._on_evacuation_ended = on_evacuation_ended
         self._running: dict[str, int] = {}
         self._retain_at = 0.0
+        self._kept: frozenset[str] = frozenset()
+        self._kept_until = -math.inf
+        self._listed: tuple[str, ...] | None = None
+
+    def begin_era(self, now: float) -> None:
+        """Keep the present evacuations while the store may not have them any more."""
+        self._kept = frozenset(self._evacuations.names())
+        self._kept_until, self._listed = now + KEPT_S, None
 
     def apply(
         self, message: m.EvacuationsListed | m.EvacuationsChanged, now: float
     ) -> bool:
         """Apply a listing or changes of the store; return whether anything changed."""
         if isinstance(message, m.EvacuationsListed):
-            has_changed = self._replace(message.names, "store", now)
+            self._listed = message.names
+            names = tuple({*message.names, *self._kept})
+            has_changed = self._replace(names, "store", now)
         else:
             has_changed = self._apply_changes(message, now)
         if has_changed:
@@ -96,6 +110,10 @@
         ended = [
             name for name in message.removed if self._evacuations.remove(name, now)
         ]
+        self._kept -= {*message.added, *message.removed}
+        if self._listed is not None:
+            listed = {*self._listed, *message.added} - {*message.removed}
+            self._listed = tuple(listed)
         self._evacuations.updated_at = now
         self._record(began, ended, "store", now)
         return bool(began or ended)
@@ -126,6 +144,7 @@
 
     def check_progress(self, now: float) -> None:
         """Log when the last request of an evacuated data centre has ended here."""
+        self._end_kept(now)
         for name in self._evacuations.names():
             running = self._count_running(name)
             if running == 0 and self._running.get(name) != 0:
@@ -145,6 +164,14 @@
                 server.name for server in self._registry.all()
             )
 
+    def _end_kept(self, now: float) -> None:
+        """End evacuations that the operator has not written again."""
+        if not self._kept or now < self._kept_until:
+            return
+        self._kept = frozenset()
+        if self._listed is not None:
+            self._replace(self._listed, "store", now)
+
     def _record(self, began, ended, source: str, now: float) -> None:
         for name in began:
             fields = {"source": source, "running": self._count_running(name)}
--- a/src/sesameport/entry/server_entries.py
+++ b/src/sesameport/entry/server_entries.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from sesameport.admission import (
+    EXPIRY_GRACE_S,
     Evacuations,
     ServerHealth,
     ServerNotices,
@@ -17,6 +18,9 @@
 
 __all__ = ["ServerEntries"]
 
+HEARTBEATS_OF_SILENCE = 3
+"""Number of heartbeats after which the store removes the entry of a silent server."""
+
 log = get_logger("entry")
 
 
@@ -56,6 +60,15 @@
         self._cold = cold
         self._evacuations = evacuations
         self._learned = learned
+        self._doubted: set[str] = set()
+
+    def begin_era(self, heartbeat_s: float, now: float) -> None:
+        """Doubt entries of servers that had left before the store came back.
+
+        The store removes them after three heartbeats, if their servers do not write.
+        """
+        silence_s = HEARTBEATS_OF_SILENCE * heartbeat_s
+        self._registry.begin_era(now, EXPIRY_GRACE_S + silence_s)
 
     def apply_changes(
         self, changed: Iterable[EntryServer], removed: Iterable[str], now: float
@@ -71,6 +84,7 @@
                 self._notices.end_entry(name)
             log.info("server entry removed", extra={"server": name})
             self._health.remove_server(name)
+        self._log_doubts()
 
     def replace(self, servers: Iterable[EntryServer], now: float) -> None:
         """Apply a complete listing."""
@@ -83,14 +97,23 @@
             log.info("server not listed any more", extra={"server": name})
             self._notices.end_entry(name)
             self._health.remove_server(name)
+        self._log_doubts()
 
     def expire(self, now: float) -> None:
-        """Remove servers whose grace period has ended."""
+        """Remove servers whose grace period has ended, and use doubted ones again."""
+        for name in self._registry.end_doubts(now):
+            log.info("server entry no longer in doubt", extra={"server": name})
         for name in self._registry.expire(now):
             log.info("server entry expired", extra={"server": name})
             self._notices.end_entry(name)
             self._health.remove_server(name)
 
+    def _log_doubts(self) -> None:
+        doubted = self._registry.doubted()
+        for name in sorted(doubted - self._doubted):
+            log.warning("server entry in doubt", extra={"server": name})
+        self._doubted = doubted
+
     def _record_loss(self, name: str, now: float) -> None:
         server = self._registry.get(name)
         if server is not None:
--- a/src/sesameport/entry/settings.py
+++ b/src/sesameport/entry/settings.py
@@ -32,6 +32,8 @@
         Time after which no request reaches a server that leaves, seconds.
     contact_s : float
         Time after a disturbance from which the bounds hold for a host, seconds.
+    heartbeat_s : float
+        Time between two writes of a server to its entry, seconds.
     """
 
     grace_s: float = 8.0
@@ -45,6 +47,7 @@
     evacuate_s: float | None = None
     drain_s: float | None = None
     contact_s: float = 3.0
+    heartbeat_s: float = 1.2
 
 
 @attrs.frozen
--- a/src/sesameport/platform/settings.py
+++ b/src/sesameport/platform/settings.py
@@ -31,12 +31,16 @@
     "evacuate_s": "evacuateMs",
     "drain_s": "drainMs",
     "contact_s": "contactMs",
+    "heartbeat_s": "heartbeatMs",
 }
 """Platform's names of the fields of ``FleetBounds``.
 
 Values whose name ends in ``Ms`` are in milliseconds.
 """
 
+_FIELDS_OUTSIDE_BOUNDS = frozenset({"heartbeatMs"})
+"""Fields among them that do not stand in the table ``bounds``."""
+
 _MACHINE_LIMIT_NAMES = {"memory_mb": "memoryMb", "max_fds": "maxFds"}
 """Platform's names of what `CallerBounds.for_machine` derives the bounds from."""
 
@@ -104,7 +108,7 @@
         len(ports) == 2 and all(type(port) is int for port in ports)
     ):
         findings.append(Finding(file, "internalPorts", "expected two port numbers"))
-    bounds, bound_findings = _parse_bounds(data.get("bounds", {}), file)
+    bounds, bound_findings = _parse_bounds(data, file)
     findings.extend(bound_findings)
     regions = data.get("zones", {})
     if not isinstance(regions, dict) or not all(
@@ -144,14 +148,17 @@
     return tuple(f"{host}:{peer_port}" for host in hosts if host)
 
 
-def _parse_bounds(table, file: str) -> tuple[FleetBounds, list[Finding]]:
-    findings, values = [], {}
+def _parse_bounds(data: dict, file: str) -> tuple[FleetBounds, list[Finding]]:
+    findings, values, table = [], {}, data.get("bounds", {})
     if not isinstance(table, dict):
         return FleetBounds(), [Finding(file, "bounds", "expected a table")]
     for name, platform_name in _PLATFORM_BOUND_NAMES.items():
-        if platform_name not in table:
+        is_outside = platform_name in _FIELDS_OUTSIDE_BOUNDS
+        path = platform_name if is_outside else f"bounds.{platform_name}"
+        fields = data if is_outside else table
+        if platform_name not in fields:
             continue
-        value = table[platform_name]
+        value = fields[platform_name]
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         must_be_positive = platform_name in _POSITIVE_BOUNDS
         if (
@@ -161,7 +168,7 @@
         ):
             expected = "above 0" if must_be_positive else "of 0 or more"
             message = f"expected a number {expected}, got {value!r}"
-            findings.append(Finding(file, f"bounds.{platform_name}", message))
+            findings.append(Finding(file, path, message))
             continue
         values[name] = value / 1000.0 if platform_name.endswith("Ms") else float(value)
     return FleetBounds(**values), findings
--- a/src/sesameport/platform/tests/test_store_copies.py
+++ b/src/sesameport/platform/tests/test_store_copies.py
@@ -7,6 +7,10 @@
 from sesameport.entry.settings import FleetBounds
 from sesameport.platform.tests.conftest import make_configuration, wait_until
 
+HEARTBEAT_S = 0.3
+DOUBT_S = 2.0 + 3 * HEARTBEAT_S
+"""Time after which the store has removed the entry of a silent server, seconds."""
+
 READ_S = 1.5
 """Time in which hosts must have read what the store has in a new era, seconds."""
 
@@ -19,7 +23,7 @@
     for name, born in (("s1", 1_700), ("s2", 1_800)):
         register(cluster, name, born=born)
     for name in ("h1", "h2"):
-        bounds = FleetBounds(evacuate_s=5.0)
+        bounds = FleetBounds(heartbeat_s=HEARTBEAT_S, evacuate_s=5.0)
         cluster.start_host(name, bounds=bounds)
     wait_until(lambda: all_use(cluster, "s1", "s2"))
     wait_until(lambda: len(cluster.store.names("entry-hosts")) == 2)
@@ -63,6 +67,63 @@
     )
 
 
+@pytest.mark.parametrize("way", ["removed", "draining"])
+def test_server_that_left_is_not_used_from_the_copy(fleet, way):
+    copy = fleet.store.copy()
+    if way == "removed":
+        fleet.store.remove("servers", "s2")
+    else:
+        register(fleet, "s2", born=1_800, state="draining")
+    wait_until(lambda: not any_uses(fleet, "s2"))
+    fleet.store.come_back(copy, 2)
+    came_back_at = time.monotonic()
+    while time.monotonic() < came_back_at + DOUBT_S - 0.3:
+        assert not any_uses(fleet, "s2")
+        assert all_use(fleet, "s1")
+        time.sleep(0.02)
+    # Its entry is still there, so it writes.
+    wait_until(lambda: all_use(fleet, "s2"), 2.0)
+
+
+def test_next_start_of_a_server_that_left_is_used_at_once(fleet):
+    copy = fleet.store.copy()
+    fleet.store.remove("servers", "s2")
+    wait_until(lambda: not any_uses(fleet, "s2"))
+    fleet.store.come_back(copy, 2)
+    register(fleet, "s2", born=1_900)
+    wait_until(lambda: all_use(fleet, "s2"), READ_S)
+
+
+def test_server_that_the_copy_lacks_is_used_until_it_registers_again(fleet):
+    copy = fleet.store.copy()
+    fleet.add_replica("s3", "desk")
+    register(fleet, "s3", born=1_900)
+    wait_until(lambda: all_use(fleet, "s3"))
+    fleet.store.come_back(copy, 2)
+    began_at = time.monotonic()
+    while time.monotonic() < began_at + 1.0:
+        assert all_use(fleet, "s3")
+        time.sleep(0.02)
+    register(fleet, "s3", born=1_900)
+    time.sleep(2.5)
+    assert all_use(fleet, "s3")
+
+
+def test_evacuation_that_the_copy_lacks_stays_in_force_until_it_is_written(fleet):
+    copy = fleet.store.copy()
+    fleet.store.put("evacuations", "a", {})
+    wait_until(lambda: not any_uses(fleet, "s1"))
+    fleet.store.come_back(copy, 2)
+    began_at = time.monotonic()
+    while time.monotonic() < began_at + 1.5:
+        assert not any_uses(fleet, "s1")
+        time.sleep(0.02)
+    fleet.store.put("evacuations", "a", {})
+    time.sleep(0.6)
+    fleet.store.remove("evacuations", "a")
+    wait_until(lambda: all_use(fleet, "s1"), READ_S)
+
+
 def test_era_costs_two_listings_of_each_kind_at_most(fleet):
     # The answer that states it may be a listing of this kind already.
     time.sleep(1.0)
