--- a/src/sesameport/admission/crash_suspects.py
+++ b/src/sesameport/admission/crash_suspects.py
@@ -223,6 +223,14 @@
             if suspect.is_refused()
         }
 
+    def cleared(self) -> set[str]:
+        """Return the subjects that were cleared of all their crashes."""
+        return {
+            subject
+            for subject, suspect in self._suspects.items()
+            if not suspect.uncleared()
+        }
+
     def crashes(self, subject: str) -> Mapping[str, bool]:
         """Return the crashes of a suspect and whether it is cleared of each."""
         suspect = self._suspects.get(subject)
@@ -233,12 +241,18 @@
         suspect = self._suspects.get(subject)
         return suspect is not None and suspect.stored > 0
 
-    def unstored(self) -> list[SuspectReport]:
-        """Return the refused suspects with crashes that the store does not have."""
+    def to_store(self) -> list[SuspectReport]:
+        """Return the refused suspects, of which the store should have a record."""
         return [
             SuspectReport(subject, dict(suspect.crashes), suspect.stored)
             for subject, suspect in self._suspects.items()
-            if suspect.is_refused() and suspect.stored < len(suspect.crashes)
+            if suspect.is_refused()
+        ]
+
+    def unstored(self) -> list[SuspectReport]:
+        """Return the refused suspects with crashes that the store does not have."""
+        return [
+            report for report in self.to_store() if report.stored < len(report.crashes)
         ]
 
     def mark_stored(self, subject: str, count: int, now: float) -> None:
--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -159,11 +159,27 @@
                 self._trickle.reset(now)
                 self._schedule(now)
 
+    def begin_era(self) -> None:
+        """Restore the records soon, because the store came back from an older copy."""
+        now = time.monotonic()
+        with self._lock:
+            if not self._suspects:
+                return
+            spread_s = STORE_DELAY_PER_HOST_S * self._suspects.hosts
+            restore_at = now + STORE_DELAY_S + self._rng.uniform(0.0, spread_s)
+        self._timers.call_at("suspects", restore_at, self._restore)
+
     def refused_subjects(self) -> list[str]:
         """Return the refused subjects."""
         with self._lock:
             return sorted(self._suspects.refused())
 
+    def _restore(self, now: float) -> None:
+        with self._lock:
+            refused, cleared = self._suspects.to_store(), self._suspects.cleared()
+        if refused or cleared:
+            self._store.start_restoring(refused, cleared)
+
     def _wake(self, now: float) -> None:
         with self._lock:
             if now < self._wakes_at:
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -170,6 +170,8 @@
             era,
         )
         era.subscribe(lambda era, first: self._tell(m.StoreEraBegan(era, first)))
+        era.subscribe(lambda era, first: first or self._guard.begin_era())
+        era.subscribe(lambda era, first: first or self._registration.begin_era())
         self._registration = HostRegistration(
             HostDirectory(self._store, settings.name, self._peers.address, self._tell),
             self._timers,
--- a/src/sesameport/entry/host_registration.py
+++ b/src/sesameport/entry/host_registration.py
@@ -3,6 +3,7 @@
 The calls block on the store, so each runs on a thread of its own.
 """
 
+import random
 import threading
 from collections.abc import Callable
 
@@ -17,6 +18,13 @@
 
 REGISTRATION_RETRY_S = 1.0
 
+RECENT_S = 60.0
+"""Time after a registration in which the store may forget it when it comes back from an
+older copy, seconds. Later ones are written again by the next cleanup at the latest."""
+
+REJOIN_SPREAD_S = 2.0
+"""Time over which hosts register again after that, seconds."""
+
 log = get_logger("host")
 
 
@@ -42,6 +50,17 @@
         self._directory = directory
         self._timers = timers
         self._find_expired = find_expired
+        self._joined_at: float | None = None
+        self._eras = 0
+        self._rng = random.Random()
+
+    def begin_era(self) -> None:
+        """Register again if the store may have forgotten the registration."""
+        self._eras += 1
+        joined_at, now = self._joined_at, self._timers.now()
+        if joined_at is not None and now < joined_at + RECENT_S:
+            rejoin_at = now + self._rng.uniform(0.0, REJOIN_SPREAD_S)
+            self._timers.call_at("announce", rejoin_at, self._start_registration)
 
     def start(self) -> None:
         """Start to register and to clean up."""
@@ -56,12 +75,15 @@
         threading.Thread(target=self._register, name="announce", daemon=True).start()
 
     def _register(self) -> None:
-        has_joined = False
+        has_joined, eras = False, self._eras
         try:
-            has_joined = self._directory.join()
+            # An era that begins between the two calls may not have the registration.
+            has_joined = self._directory.join() and self._eras == eras
         except Exception as exc:
             log.error("host not registered yet", extra={"reason": repr(exc)})
-        if not has_joined:
+        if has_joined:
+            self._joined_at = self._timers.now()
+        else:
             retry_at = self._timers.now() + REGISTRATION_RETRY_S
             self._timers.call_at("announce", retry_at, self._start_registration)
 
--- a/src/sesameport/entry/suspect_store.py
+++ b/src/sesameport/entry/suspect_store.py
@@ -3,6 +3,7 @@
 Hosts learn of crashes from each other. The store serves only the case that all of them
 stop: a host reads it once after its start. Each crash of a refused subject costs one
 call to write. All calls run on threads of their own, because the store may not answer.
+A store that came back from an older copy may lack records and have deleted ones.
 """
 
 import hashlib
@@ -78,6 +79,10 @@
         """
         self._start(self._save, report, on_saved)
 
+    def start_restoring(self, refused: list[SuspectReport], cleared: set[str]) -> None:
+        """Create missing records of refused subjects; delete those of cleared ones."""
+        self._start(self._restore, refused, cleared)
+
     def start_deleting(self, subject: str) -> None:
         """Delete the records of a subject."""
         self._start(self._delete, subject)
@@ -88,17 +93,43 @@
         ).start()
 
     def _load(self, on_loaded) -> None:
+        def handle(objects: tuple[StoredObject, ...]) -> bool:
+            on_loaded(self._read_records(objects))
+            return True
+
+        self._handle_listing(handle, "suspects not loaded")
+
+    def _restore(self, refused: list[SuspectReport], cleared: set[str]) -> None:
+        def handle(objects: tuple[StoredObject, ...]) -> bool:
+            names = {stored.name for stored in objects}
+            prefixes = tuple(_object_prefix(subject) for subject in cleared)
+            for stored in objects:
+                if stored.name.startswith(prefixes):
+                    self._platform.delete(SUSPECT_KIND, stored.name, stored.version)
+            missing = [
+                report for report in refused if _object_name(report) not in names
+            ]
+            log.info("suspects restored", extra={"count": len(missing)})
+            return all([self._create(report) for report in missing])
+
+        self._handle_listing(handle, "suspects not restored")
+
+    def _handle_listing(
+        self, handle: Callable[[tuple[StoredObject, ...]], bool], event: str
+    ) -> None:
+        """List the records until the store answers and ``handle`` returns True."""
         while not self._closing.is_set():
+            reason = "a record was not written"
             try:
                 match self._platform.list(SUSPECT_KIND):
                     case Ok(listing):
-                        on_loaded(self._read_records(listing.objects))
-                        return
+                        if handle(listing.objects):
+                            return
                     case Err(error):
                         reason = f"list: {error.kind} {error.detail}"
             except Exception as exc:
                 reason = repr(exc)
-            log.info("suspects not loaded", extra={"reason": reason})
+            log.info(event, extra={"reason": reason})
             self._closing.wait(LOAD_RETRY_S)
 
     def _read_records(self, objects: tuple[StoredObject, ...]) -> list[SuspectReport]:
@@ -122,23 +153,24 @@
         return reports
 
     def _save(self, report: SuspectReport, on_saved) -> None:
+        if self._create(report):
+            on_saved(report.subject, len(report.crashes))
+
+    def _create(self, report: SuspectReport) -> bool:
+        """Create a record; return whether it exists afterwards."""
         record = SuspectRecord(report.subject, report.crashes, time.time())
-        count = len(report.crashes)
-        # The count in the name makes a call without a condition enough: hosts that know
-        # the same crashes create the same object, and readers merge all of a subject.
-        name = f"{_object_prefix(report.subject)}{count}"
-        match self._platform.create(SUSPECT_KIND, name, msgspec.json.encode(record)):
+        value = msgspec.json.encode(record)
+        match self._platform.create(SUSPECT_KIND, _object_name(report), value):
             case Ok(_):
-                pass
+                return True
             case Err(error) if error.kind == PlatformErrorKind.EXISTS:
-                pass
+                return True
             case Err(error):
                 log.info(
                     "suspect not stored",
                     extra={"subject": report.subject, "reason": str(error.kind)},
                 )
-                return
-        on_saved(report.subject, count)
+                return False
 
     def _delete(self, subject: str) -> None:
         prefix = _object_prefix(subject)
@@ -155,5 +187,14 @@
                 )
 
 
+def _object_name(report: SuspectReport) -> str:
+    """Return the name of the record of a suspect.
+
+    The count in it makes a call without a condition enough: hosts that know the same
+    crashes create the same object, and readers merge all of a subject.
+    """
+    return f"{_object_prefix(report.subject)}{len(report.crashes)}"
+
+
 def _object_prefix(subject: str) -> str:
     return hashlib.blake2b(subject.encode(), digest_size=16).hexdigest() + "-"
--- a/src/sesameport/platform/tests/test_store_copies.py
+++ b/src/sesameport/platform/tests/test_store_copies.py
@@ -1,11 +1,18 @@
 """Test what hosts read and write again when the store comes back from an older copy."""
 
+import threading
 import time
 
 import pytest
 
+from sesameport.adapters.timers import TimerService
+from sesameport.admission import SuspectReport
+from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.settings import FleetBounds
+from sesameport.entry.suspect_store import SUSPECT_KIND, SuspectStore
+from sesameport.platform.store import ObjectStoreClient
 from sesameport.platform.tests.conftest import make_configuration, wait_until
+from sesameport.platform.tests.fakes import FakeStore
 
 HEARTBEAT_S = 0.3
 DOUBT_S = 2.0 + 3 * HEARTBEAT_S
@@ -109,6 +116,14 @@
     assert all_use(fleet, "s3")
 
 
+def test_registrations_that_the_copy_lacks_are_written_again(fleet):
+    copy = fleet.store.copy()
+    objects, history, revision = copy
+    kept = {key: value for key, value in objects.items() if key[0] != "entry-hosts"}
+    fleet.store.come_back((kept, history, revision), 2)
+    wait_until(lambda: len(fleet.store.names("entry-hosts")) == 2, 4.0)
+
+
 def test_evacuation_that_the_copy_lacks_stays_in_force_until_it_is_written(fleet):
     copy = fleet.store.copy()
     fleet.store.put("evacuations", "a", {})
@@ -140,3 +155,33 @@
     fleet.store.says["Store-Era"] = "7"
     fleet.start_host("h3")
     wait_until(lambda: all_use(fleet, "s1", "s2"), READ_S)
+
+
+class Metrics:
+    def set(self, name, value):
+        """Ignore a gauge."""
+
+
+def test_crash_records_that_the_copy_lacks_are_written_and_cleared_ones_deleted():
+    store, closing, timers = FakeStore(), threading.Event(), TimerService().start()
+    suspects = SuspectStore(ObjectStoreClient(store.address), closing)
+    guard = CrashGuard(timers, lambda message: None, suspects, Metrics())
+
+    def count():
+        return len(store.names(SUSPECT_KIND))
+
+    before = store.copy()
+    guard.apply_reports([SuspectReport("x", {"s1@1": False, "s2@1": False})])
+    wait_until(lambda: count() == 1)
+    with_record = store.copy()
+    store.come_back(before, 2)
+    guard.begin_era()
+    wait_until(lambda: count() == 1)
+    cleared = SuspectReport("x", {"s1@1": True, "s2@1": True}, 2)
+    guard.apply_reports([cleared])
+    store.come_back(with_record, 3)
+    guard.begin_era()
+    wait_until(lambda: count() == 0)
+    closing.set()
+    timers.stop()
+    store.stop()
