--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -92,6 +92,7 @@
             on_missed,
             lambda: self._admission.configuration,
             metrics,
+            is_registered=lambda name: self._admission.registry.get(name) is not None,
         )
         self._reports = ReportSender(
             settings.name, peers.publish, self._call_for_report
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -25,6 +25,7 @@
     "PermitReply",
     "PermitRequest",
     "PrefixReports",
+    "RemovedServers",
     "RetryReport",
     "SpeedReports",
     "SuspectReports",
@@ -135,6 +136,28 @@
     era: int = 0
 
 
+@attrs.frozen
+class RemovedServers:
+    """Report removals of server entries that a host has read from the store.
+
+    The event of a removal need not have a revision of its own, by which a host could
+    tell that it missed it.
+
+    Attributes
+    ----------
+    host : str
+        Name of the reporting host.
+    era : int
+        Era of the store.
+    removed : tuple of (str, int)
+        Name of each entry and the revision in the event.
+    """
+
+    host: str
+    era: int
+    removed: tuple[tuple[str, int], ...]
+
+
 @attrs.frozen
 class SpeedReports:
     """Report samples of the speeds of servers; see ``admission.ServerSpeeds``."""
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -19,6 +19,7 @@
     PermitReply,
     PermitRequest,
     PrefixReports,
+    RemovedServers,
     RetryReport,
     SpeedReports,
     SuspectReports,
@@ -66,6 +67,7 @@
     "PrefillEnded",
     "ProbeResult",
     "Refused",
+    "RemovedServers",
     "ApplySettings",
     "ReportDue",
     "RoleChangeOrdered",
@@ -370,6 +372,7 @@
     changed: int
     revision: int
     is_repeat: bool
+    removed: tuple[tuple[str, int], ...] = ()
 
 
 @attrs.frozen
--- a/src/sesameport/entry/peer_topics.py
+++ b/src/sesameport/entry/peer_topics.py
@@ -16,6 +16,7 @@
     PermitReply,
     PermitRequest,
     PrefixReports,
+    RemovedServers,
     RetryReport,
     SpeedReports,
     SuspectReports,
@@ -26,6 +27,7 @@
     decode_notices,
     decode_permits,
     decode_prefixes,
+    decode_removed,
     decode_retries,
     decode_revisions,
     decode_speeds,
@@ -35,6 +37,7 @@
     encode_notices,
     encode_permits,
     encode_prefixes,
+    encode_removed,
     encode_report,
     encode_retries,
     encode_revisions,
@@ -67,6 +70,7 @@
     | PrefixReports
     | RetryReport
     | AppliedRevisions
+    | RemovedServers
     | PermitRequest
     | PermitReply
 )
@@ -88,6 +92,7 @@
 _PREFIXES = b"x"
 _RETRIES = b"b"
 _REVISIONS = b"a"
+_REMOVED = b"d"
 
 _ENCODERS = {
     SuspectReports: (_SUSPECTS, encode_suspects),
@@ -98,6 +103,7 @@
     PrefixReports: (_PREFIXES, encode_prefixes),
     RetryReport: (_RETRIES, encode_retries),
     AppliedRevisions: (_REVISIONS, encode_revisions),
+    RemovedServers: (_REMOVED, encode_removed),
 }
 
 DECODERS = {
@@ -109,6 +115,7 @@
     _PREFIXES: decode_prefixes,
     _RETRIES: decode_retries,
     _REVISIONS: decode_revisions,
+    _REMOVED: decode_removed,
     PERMITS: decode_permits,
     COLD_PERMITS: decode_permits,
 }
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -29,6 +29,7 @@
     PermitReply,
     PermitRequest,
     PrefixReports,
+    RemovedServers,
     RetryReport,
     SpeedReports,
     SuspectReports,
@@ -42,6 +43,7 @@
     "decode_permits",
     "decode_prefixes",
     "decode_report",
+    "decode_removed",
     "decode_retries",
     "decode_revisions",
     "decode_speeds",
@@ -52,6 +54,7 @@
     "encode_permits",
     "encode_prefixes",
     "encode_report",
+    "encode_removed",
     "encode_retries",
     "encode_revisions",
     "encode_speeds",
@@ -68,6 +71,7 @@
 _Cold = tuple[str, int, float, float]
 _Evacuations = tuple[str, tuple[str, ...]]
 _Revisions = tuple[str, tuple[int, ...]]
+_Removed = tuple[str, int, tuple[tuple[str, int], ...]]
 _Speed = tuple[str, int, int, int, int, int, bool]
 _Prefix = tuple[str, int, tuple[int, ...], int]
 _PermitRequest = tuple[str, str, str, float, int, int]
@@ -94,6 +98,7 @@
 _COLD = msgspec.msgpack.Decoder(list[_Cold])
 _EVACUATIONS = msgspec.msgpack.Decoder(_Evacuations)
 _REVISIONS = msgspec.msgpack.Decoder(_Revisions)
+_REMOVED = msgspec.msgpack.Decoder(_Removed)
 _SPEEDS = msgspec.msgpack.Decoder(list[_Speed])
 _PREFIXES = msgspec.msgpack.Decoder(list[_Prefix])
 _PERMIT_KINDS = (
@@ -296,6 +301,19 @@
         return Err(str(exc))
 
 
+def encode_removed(message: RemovedServers) -> bytes:
+    """Return the removed server entries as MessagePack."""
+    return msgspec.msgpack.encode(attrs.astuple(message))
+
+
+def decode_removed(data: bytes) -> Result[RemovedServers, str]:
+    """Return what `encode_removed` encoded, or an Err with the reason."""
+    try:
+        return Ok(RemovedServers(*_REMOVED.decode(data)))
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+
+
 def encode_speeds(message: SpeedReports) -> bytes:
     """Return samples of speeds as MessagePack.
 
--- a/src/sesameport/entry/revision_exchange.py
+++ b/src/sesameport/entry/revision_exchange.py
@@ -4,6 +4,10 @@
 a watch is lost. Some hosts therefore report the revision of each change at once, and
 `Trickle` repeats it. A host that has not read up to a reported revision reads again,
 sooner than it would notice by itself; see `WatchTimes` and `RevisionCheck`.
+
+The event of a removal may name the last write of the entry, and a watch that has just
+begun does not show when the removal was. The names of removed servers are therefore
+reported too.
 """
 
 import math
@@ -30,6 +34,17 @@
 """Shortest time between two readings because another host knows a newer era, seconds.
 The answer of the first states the era, unless it is lost."""
 
+REMOVAL_REPORTED_S = 2.5
+REMOVAL_LIFETIME_S = 10.0
+"""Times for which a removal that was read is reported, and for which it is remembered,
+seconds."""
+
+MAX_REMOVALS = 16
+"""Number of removals in one report."""
+
+MAX_NAME_CHARS = 200
+"""Longest name of a removed entry that is reported."""
+
 log = get_logger("entry")
 
 
@@ -41,7 +56,7 @@
     host : str
         Name of this host.
     publish : callable
-        Sends `AppliedRevisions` to the other hosts.
+        Sends `AppliedRevisions` and `RemovedServers` to the other hosts.
     on_missed : callable
         Called with what should be read again.
     configuration : callable
@@ -50,17 +65,22 @@
         Counter of repeated reads, gauge of the silence of all other hosts.
     rng : random.Random
         Chooses who reports at once.
+    is_registered : callable
+        Returns whether this host knows the entry of a server.
     """
 
     def __init__(
         self,
         host: str,
-        publish: Callable[[m.AppliedRevisions], None],
+        publish: Callable[[m.AppliedRevisions | m.RemovedServers], None],
         on_missed: Callable[[Missed], None],
         configuration: Callable[[], EntryConfiguration | None],
         metrics,
         rng: random.Random | None = None,
+        is_registered: Callable[[str], bool] = lambda server: False,
     ):
+        self._is_registered = is_registered
+        self._removed: dict[tuple[str, int], float] = {}
         self._host = host
         self._publish = publish
         self._on_missed = on_missed
@@ -79,7 +99,11 @@
 
     def handlers(self) -> dict[type, Callable]:
         """Return the handlers of what the store and other hosts state."""
-        return {m.StoreRead: self.apply_read, m.AppliedRevisions: self.apply_report}
+        return {
+            m.StoreRead: self.apply_read,
+            m.AppliedRevisions: self.apply_report,
+            m.RemovedServers: self.apply_removals,
+        }
 
     def begin_era(self, era: int, now: float) -> None:
         """Forget the revisions that were read, which the store gives out again.
@@ -92,6 +116,7 @@
         self._lags = {kind: VersionLag() for kind in m.REVISION_KINDS}
         self._changed = dict.fromkeys(m.REVISION_KINDS, 0)
         self._read.clear()
+        self._removed.clear()
         self._trickle.reset(now)
 
     def record(self, report: m.HostReport, now: float) -> None:
@@ -107,12 +132,15 @@
             self._lags[kind].record_answer(message.revision, now)
             if kind == Missed.CONFIGURATION:
                 self._versions.record_answer(self._configuration(), now)
-        if not message.changed or message.changed == self._changed[kind]:
+        removed = message.removed if kind == Missed.SERVERS else ()
+        self._removed |= dict.fromkeys(removed, now)
+        is_known = not message.changed or message.changed == self._changed[kind]
+        if is_known and not removed:
             return
         self._changed[kind] = message.changed
         self._trickle.reset(now)
         if self._rng.random() * self._trickle.hosts < IMMEDIATE_REPORTS:
-            self._send()
+            self._send(now)
 
     def apply_report(self, message: m.AppliedRevisions, now: float) -> None:
         """Record which changes another host has read."""
@@ -129,6 +157,24 @@
         if is_equal:
             self._trickle.record_equal()
 
+    def apply_removals(self, message: m.RemovedServers, now: float) -> None:
+        """Record which removals of servers another host has read.
+
+        This host has missed one that it has not read, if it knows the entry. So there
+        is a change after what it has read, or its response is on the way.
+        """
+        self._heard_at = now
+        if message.era != self._era:
+            return
+        missed = [
+            removal
+            for removal in message.removed
+            if removal not in self._removed and self._is_registered(removal[0])
+        ]
+        if missed:
+            next_revision = self._read.get(Missed.SERVERS, 0) + 1
+            self._lags[Missed.SERVERS].record(next_revision, now, message.host)
+
     def _handle_other_era(self, era: int, now: float) -> None:
         """Ask the store if another host knows a newer era, or tell that host soon."""
         if era < self._era:
@@ -146,8 +192,13 @@
             return
         if are_new or not self._trickle.is_running():
             self._trickle.reset(now)
+        self._removed = {
+            removal: at
+            for removal, at in self._removed.items()
+            if now < at + REMOVAL_LIFETIME_S
+        }
         if self._trickle.take_send(now):
-            self._send()
+            self._send(now)
 
     def check(self, is_store_reachable: bool, now: float) -> None:
         """Read again what others have had for a while, or all if no host reports.
@@ -184,6 +235,14 @@
         self._metrics.count("sesameport_entry_missed_reads_total", kind=str(kind))
         self._on_missed(kind)
 
-    def _send(self) -> None:
+    def _send(self, now: float) -> None:
         revisions = tuple(self._changed[kind] for kind in m.REVISION_KINDS)
         self._publish(m.AppliedRevisions(self._host, revisions, self._era))
+        removed = [
+            removal
+            for removal, at in self._removed.items()
+            if now < at + REMOVAL_REPORTED_S and len(removal[0]) <= MAX_NAME_CHARS
+        ]
+        if removed:
+            newest = tuple(removed[-MAX_REMOVALS:])
+            self._publish(m.RemovedServers(self._host, self._era, newest))
--- a/src/sesameport/entry/store_watch.py
+++ b/src/sesameport/entry/store_watch.py
@@ -100,11 +100,15 @@
         and differs between hosts that know the same objects.
     is_repeat : bool
         Whether it is the first response after `ListWatcher.restart`.
+    removed : tuple of (str, int)
+        Names of the removed objects and the revisions in their events, which may be
+        those of their last writes.
     """
 
     changed: int
     revision: int
     is_repeat: bool
+    removed: tuple[tuple[str, int], ...] = ()
 
 
 class ObjectHandler(Protocol):
@@ -450,7 +454,9 @@
             self._version = batch.version if is_newer else self._version
             self.failure = ""
             if is_listing or batch.changes or is_repeat:
-                self._on_read(ReadResult(changed, batch.version, is_repeat))
+                removed = () if is_listing else _removals(batch)
+                result = ReadResult(changed, batch.version, is_repeat, removed)
+                self._on_read(result)
             return True
 
     def _is_unchanged_since(self, since: int | None) -> bool:
@@ -483,6 +489,12 @@
         )
 
 
+def _removals(batch: WatchBatch) -> tuple[tuple[str, int], ...]:
+    return tuple(
+        (stored.name, stored.version) for stored in batch.changes if stored.deleted
+    )
+
+
 def _newest_change(batch, since: int | None, has_waited: bool, is_listing: bool) -> int:
     """Return the revision of the newest change of a response, or 0 without one."""
     if is_listing:
--- a/src/sesameport/entry/tests/test_revision_exchange.py
+++ b/src/sesameport/entry/tests/test_revision_exchange.py
@@ -26,10 +26,16 @@
     missed: list
 
     @classmethod
-    def create(cls, name="h0", hosts=3, rng=None):
+    def create(cls, name="h0", hosts=3, rng=None, registered=()):
         sent, missed = [], []
         exchange = RevisionExchange(
-            name, sent.append, missed.append, lambda: None, Metrics(), rng
+            name,
+            sent.append,
+            missed.append,
+            lambda: None,
+            Metrics(),
+            rng,
+            set(registered).__contains__,
         )
         exchange.repeat(hosts, False, 0.0)
         exchange.check(True, 0.0)
@@ -39,8 +45,9 @@
         sent.clear()
         return host
 
-    def read(self, kind, changed, revision, now, is_repeat=False):
-        self.exchange.apply_read(m.StoreRead(kind, changed, revision, is_repeat), now)
+    def read(self, kind, changed, revision, now, is_repeat=False, removed=()):
+        message = m.StoreRead(kind, changed, revision, is_repeat, removed)
+        self.exchange.apply_read(message, now)
 
     def hear(self, revisions, now, host="h1", era=0):
         self.exchange.apply_report(m.AppliedRevisions(host, revisions, era), now)
@@ -90,6 +97,47 @@
     assert host.missed == ["servers"]
 
 
+@pytest.mark.parametrize("is_known", [False, True])
+def test_missed_removal_whose_revision_is_unknown_causes_a_read(is_known):
+    # The event of a removal named the last write of the entry, and hosts whose watch
+    # had just begun reported a revision that the host which missed it had read.
+    host = Host.create(registered={"s2"})
+    reporter = Host.create("h1")
+    removed = (("s2", 93),)
+    reporter.read(Missed.SERVERS, 98, 110, 1.0, removed=removed)
+    assert [type(message) for message in reporter.sent] == [
+        m.AppliedRevisions,
+        m.RemovedServers,
+    ]
+    if is_known:
+        host.read(Missed.SERVERS, 98, 112, 1.0, removed=removed)
+    for message in reporter.sent:
+        host.exchange.handlers()[type(message)](message, 1.1)
+    assert bool(host.run(1.1, 2.2)) != is_known
+    host.missed.clear()
+    host.read(Missed.SERVERS, 110, 112, 2.3, is_repeat=True, removed=removed)
+    assert host.run(2.3, 3.3) == []
+
+
+@pytest.mark.parametrize("names, era", [((), 0), (("s2",), 2)])
+def test_removal_of_an_unknown_server_or_in_another_era_causes_no_read(names, era):
+    host = Host.create(registered=names)
+    host.exchange.apply_removals(m.RemovedServers("h1", era, (("s2", 93),)), 1.0)
+    assert host.run(1.0, 3.0) == []
+
+
+def test_report_of_removals_is_bounded_and_keeps_its_encoding():
+    host = Host.create()
+    removed = tuple((f"s{n}", n) for n in range(40))
+    host.read(Missed.SERVERS, 98, 110, 1.0, removed=(*removed, ("x" * 201, 1)))
+    assert host.sent[-1].removed == removed[-16:]
+    message = m.RemovedServers("h", 2, (("s", 300),))
+    topic, data = encode_message(message)
+    assert (topic, data) == (b"d", b"\x93\xa1h\x02\x91\x92\xa1s\xcd\x01\x2c")
+    assert DECODERS[topic](data).unwrap() == message
+    assert DECODERS[topic](b"\x92\xa1h\x02").is_err()
+
+
 def test_revisions_of_another_era_cause_no_read():
     # The store gives out revisions again, so those of the earlier era are higher.
     host = Host.create()
