--- a/src/sesameport/entry/generation_handler.py
+++ b/src/sesameport/entry/generation_handler.py
@@ -15,10 +15,10 @@
 from sesameport.entry import messages as m
 from sesameport.entry.crash_guard import CrashGuard
 from sesameport.entry.event_buffer import EventBuffer, EventLengthLimit
-from sesameport.entry.local_prefill import LocalPrefill
 from sesameport.entry.memory_leases import MAX_LEASE_REFUSALS, MemoryLeaseHandler
 from sesameport.entry.outcomes import MAX_SENDS, OutcomeReporter
 from sesameport.entry.prefill_handler import PrefillHandler
+from sesameport.entry.prefill_reservation import PrefillReservation
 from sesameport.entry.requests import (
     INTERRUPTED,
     CallerDisconnected,
@@ -119,15 +119,22 @@
                 return
             progress.sends += 1
             progress.waited_s += admitted.waited_s
+            reservation = PrefillReservation(self._actor, admitted.placement)
             began_at = time.monotonic()
             succeeded = False
             try:
                 failure, has_started = self._run_attempt(
-                    progress, admitted, events, has_started, writer, caller
+                    progress,
+                    admitted,
+                    reservation,
+                    events,
+                    has_started,
+                    writer,
+                    caller,
                 )
                 succeeded = failure is None
             finally:
-                self._leases.release(progress)
+                reservation.end()
                 ended = m.RunEnded(
                     placement=admitted.placement,
                     seconds=time.monotonic() - began_at,
@@ -136,6 +143,7 @@
                     events_s=progress.run_events_s(),
                 )
                 self._actor.tell(ended)
+                self._leases.release(progress)
             if failure is None:
                 return
             if failure.kind == FailureKind.CALLER_LEFT:
@@ -189,19 +197,29 @@
                 repeats=progress.repeats(has_prefill=not has_source),
             )
         )
-        while True:
-            try:
-                return future.get(timeout=DISCONNECT_CHECK_PERIOD_S)
-            except pykka.Timeout:
-                pass
-            refused = self._guard.refusal(progress)
-            if refused is None and not caller.is_disconnected():
-                continue
-            self._actor.ask(m.CancelWait(key, service))
-            self._release_late_admission(future)
-            if refused is None:
-                raise CallerDisconnected
-            return refused
+        return self._wait_for_admission(progress, key, service, future, caller)
+
+    def _wait_for_admission(self, progress, key, service, future, caller):
+        """Return the reply of the actor, or a refusal of the guard meanwhile.
+
+        Without a reply, the request is taken out of the queue in any case.
+        """
+        reply = None
+        try:
+            while reply is None:
+                try:
+                    reply = future.get(timeout=DISCONNECT_CHECK_PERIOD_S)
+                except pykka.Timeout:
+                    refused = self._guard.refusal(progress)
+                    if refused is not None:
+                        return refused
+                    if caller.is_disconnected():
+                        raise CallerDisconnected from None
+            return reply
+        finally:
+            if reply is None:
+                self._actor.ask(m.CancelWait(key, service))
+                self._release_late_admission(future)
 
     def _release_late_admission(self, future: pykka.Future) -> None:
         """Release servers granted to a request just before its wait was cancelled."""
@@ -210,41 +228,37 @@
         except pykka.Timeout:
             return
         if isinstance(admitted, m.Admitted):
-            self._actor.tell(m.PrefillEnded(admitted.placement, 0.0, False))
+            PrefillReservation(self._actor, admitted.placement).end()
             self._actor.tell(m.RunEnded(admitted.placement))
 
-    def _run_attempt(self, progress, admitted, events, has_started, writer, caller):
+    def _run_attempt(
+        self, progress, admitted, reservation, events, has_started, writer, caller
+    ):
         placement = admitted.placement
         if self._guard.refusal(progress) is not None:
-            self._actor.tell(m.PrefillEnded(placement, 0.0, False))
             return SUSPECT_FAILURE, has_started
         failure = self._leases.take(progress, placement)
         if failure is not None:
-            self._actor.tell(m.PrefillEnded(placement, 0.0, False))
             return failure, has_started
-        failure = self._prefills.run(progress, placement, caller)
+        failure = self._prefills.run(progress, placement, reservation, caller)
         if failure is not None:
             return failure, has_started
-        local_prefill = LocalPrefill(self._actor, placement)
-        try:
-            if self._guard.refusal(progress) is not None:
-                return SUSPECT_FAILURE, has_started
-            if not self._stop.leaves_time(admitted.expected_s, time.monotonic()):
-                return STOPPING_FAILURE, has_started
-            return self._decode(
-                progress,
-                placement.decode,
-                local_prefill,
-                events,
-                has_started,
-                writer,
-                caller,
-            )
-        finally:
-            local_prefill.report_end(False)
+        if self._guard.refusal(progress) is not None:
+            return SUSPECT_FAILURE, has_started
+        if not self._stop.leaves_time(admitted.expected_s, time.monotonic()):
+            return STOPPING_FAILURE, has_started
+        return self._decode(
+            progress,
+            placement.decode,
+            reservation,
+            events,
+            has_started,
+            writer,
+            caller,
+        )
 
     def _decode(
-        self, progress, decode, local_prefill, events, has_started, writer, caller
+        self, progress, decode, reservation, events, has_started, writer, caller
     ):
         source = progress.source
         progress.prefill_server = source.server if source is not None else ""
@@ -275,7 +289,7 @@
                 progress,
                 decode,
                 response,
-                local_prefill,
+                reservation,
                 events,
                 has_started,
                 writer,
@@ -295,7 +309,7 @@
         self._actor.tell(m.CallOutcome(server, failed=True))
 
     def _stream_response(
-        self, progress, server, response, local_prefill, events, has_started, writer
+        self, progress, server, response, reservation, events, has_started, writer
     ):
         if response.status != 200 or not response.is_signed:
             if has_started:
@@ -310,7 +324,7 @@
         is_settled = False
         try:
             for chunk in response.chunks():
-                local_prefill.report_end(True)
+                reservation.end(succeeded=True)
                 data = checked.feed(chunk)
                 if not data:
                     continue
--- a/src/sesameport/entry/prefill_handler.py
+++ b/src/sesameport/entry/prefill_handler.py
@@ -8,6 +8,7 @@
 from sesameport.admission import DEFAULT_TIMEOUTS, Placement
 from sesameport.entry import messages as m
 from sesameport.entry.outcomes import OutcomeReporter
+from sesameport.entry.prefill_reservation import PrefillReservation
 from sesameport.entry.requests import CallFailure, FailureKind, KvSource, ServerClient
 
 __all__ = ["PrefillHandler"]
@@ -40,7 +41,9 @@
         self._outcomes = outcomes
         self._timeouts = DEFAULT_TIMEOUTS
 
-    def run(self, progress, placement: Placement, caller) -> CallFailure | None:
+    def run(
+        self, progress, placement: Placement, reservation: PrefillReservation, caller
+    ) -> CallFailure | None:
         """Run the prefill if the placement has one; return its failure or None."""
         server = placement.prefill
         if server is None:
@@ -49,9 +52,7 @@
         began_at = time.monotonic()
         result = self._call_prefill(progress, placement, caller)
         now = time.monotonic()
-        self._actor.tell(
-            m.PrefillEnded(placement, now - began_at, isinstance(result, Ok))
-        )
+        reservation.end(now - began_at, isinstance(result, Ok))
         match result:
             case Ok(prefilled):
                 progress.has_arrived |= progress.has_prefilled
--- a/src/sesameport/entry/server_calls.py
+++ b/src/sesameport/entry/server_calls.py
@@ -8,7 +8,9 @@
 from sesameport.admission import Evacuations, RequestLimits
 from sesameport.entry import messages as m
 from sesameport.entry.requests import (
+    CallerDisconnected,
     CallFailure,
+    CallInterrupted,
     FailureKind,
     KvSource,
     ServerClient,
@@ -27,6 +29,8 @@
 STOPPING = CallFailure(FailureKind.NOT_SENT, HOST_STOPPING)
 PAUSED = CallFailure(FailureKind.NOT_SENT, "the server wants nothing now")
 
+_CALLER_ERRORS = (CallerDisconnected, CallInterrupted)
+
 log = get_logger("limits")
 
 
@@ -90,6 +94,10 @@
         try:
             self._record_call(server, "prefill")
             return self._calls.prefill(address, server, req, caller, attempt_timeout_s)
+        except _CALLER_ERRORS:
+            raise
+        except Exception as exc:
+            return Err(self._record_unexpected(server, "prefill", exc))
         finally:
             self._bytes.release(server, len(req.body))
 
@@ -118,6 +126,10 @@
                 address, server, req, caller, source, attempt_timeout_s, lease
             )
             is_open = self._bytes.is_bounded and result.is_ok()
+        except _CALLER_ERRORS:
+            raise
+        except Exception as exc:
+            return Err(self._record_unexpected(server, call, exc))
         finally:
             if not is_open:
                 self._bytes.release(server, size)
@@ -136,7 +148,10 @@
         refusal = self._find_refusal(server, "lease")
         if refusal is not None:
             return Err(refusal)
-        return self._calls.lease_memory(address, server, tokens, seconds)
+        try:
+            return self._calls.lease_memory(address, server, tokens, seconds)
+        except Exception as exc:
+            return Err(self._record_unexpected(server, "lease", exc))
 
     def release_memory(self, lease):
         """Release a lease; see ``ServerClient``.
@@ -145,8 +160,12 @@
         """
         if self._has_limit(lease.server):
             return
-        if self._find_refusal(lease.server, "release") is None:
+        if self._find_refusal(lease.server, "release") is not None:
+            return
+        try:
             self._calls.release_memory(lease)
+        except Exception as exc:
+            self._record_unexpected(lease.server, "release", exc)
 
     def free(self, source: KvSource):
         """Release the KV cache of a prefill; see ``ServerClient``.
@@ -158,7 +177,10 @@
         refusal = self._find_refusal(source.server, "free")
         if refusal is not None:
             return Err(refusal.detail)
-        return self._calls.free(source)
+        try:
+            return self._calls.free(source)
+        except Exception as exc:
+            return Err(self._record_unexpected(source.server, "free", exc).detail)
 
     def refuses_connections(self, address: str) -> bool:
         """Return whether no process listens at the address of a server."""
@@ -183,6 +205,18 @@
         log.info("limit reached", extra={"server": server, "bound": "server-bytes"})
         return FULL
 
+    def _record_unexpected(self, server: str, call: str, exc: Exception) -> CallFailure:
+        """Return the failure of a call that ended by an exception of its client.
+
+        The server has caused it, or a fault of this program, and the request may have
+        arrived. Other servers are not affected.
+        """
+        log.error(
+            "call failed unexpectedly",
+            extra={"server": server, "call": call, "error": repr(exc)},
+        )
+        return CallFailure(FailureKind.BROKEN, f"unexpected: {exc!r}")
+
     def _has_limit(self, server: str) -> bool:
         return self._limits.limit_of(server, time.monotonic()) is not None
 
--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 
 import attrs
-import msgspec
 import urllib3
 from result import Err, Ok, Result
 
@@ -42,6 +41,7 @@
 )
 from sesameport.entry.server_notices import OnNotice
 from sesameport.platform import header_names
+from sesameport.platform.json_members import decode_json
 from sesameport.platform.memory_leases import lease_memory, release_memory
 from sesameport.platform.notices import report_notice
 from sesameport.platform.second_answers import SecondAnswerCheck
@@ -206,11 +206,9 @@
         if response.status != 200:
             detail = f"prefill answered {response.status}"
             return Err(CallFailure(FailureKind.BROKEN, detail))
-        try:
-            data = msgspec.json.decode(body)
-            return Ok(PrefillResult(address, data["kvHandle"], int(data["tokens"])))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
-            return Err(CallFailure(FailureKind.BROKEN, f"prefill answer: {exc!r}"))
+        return _decode_prefill(address, body).map_err(
+            lambda reason: CallFailure(FailureKind.BROKEN, f"prefill answer: {reason}")
+        )
 
     def run(
         self,
@@ -365,6 +363,22 @@
             return
 
 
+def _decode_prefill(address: str, body: bytes) -> Result[PrefillResult, str]:
+    """Return the result of a prefill, or an Err with the reason, for any bytes."""
+    match decode_json(body):
+        case Ok(dict(data)):
+            handle, tokens = data.get("kvHandle"), data.get("tokens")
+        case Ok(_):
+            return Err("no object")
+        case Err(reason):
+            return Err(reason)
+    if not isinstance(handle, str) or not handle:
+        return Err("no handle")
+    if type(tokens) is not int or tokens < 0:
+        return Err("no number of tokens")
+    return Ok(PrefillResult(address, handle, tokens))
+
+
 def _to_call_failure(sock: CancellableSocket, exc: Exception) -> CallFailure:
     if sock.caller_disconnected:
         return CallFailure(FailureKind.CALLER_LEFT)
--- a/src/sesameport/platform/tests/fake_replica.py
+++ b/src/sesameport/platform/tests/fake_replica.py
@@ -19,7 +19,9 @@
     until the caller disconnects) and "encoded" (a Content-Encoding).
 
     The next ``unanswered_prefills`` prefills get no response until the caller
-    disconnects. For the next ``dropped_prefills`` the connection is closed at once.
+    disconnects. For the next ``dropped_prefills`` the connection is closed at once. The
+    next ones are answered with the bodies in ``prefill_bodies``. Others take
+    ``prefill_s`` seconds.
 
     Leases are granted up to ``lease_room`` tokens, or unknown if it is None; ``leases``
     has the granted ones.
@@ -40,6 +42,8 @@
         self.faults = []
         self.unanswered_prefills = 0
         self.dropped_prefills = 0
+        self.prefill_bodies = []
+        self.prefill_s = 0.0
         self.stop_after_prefill = False
         self.received_requests = []
         self.received_at = []
@@ -95,25 +99,8 @@
         if fault == "refuse":
             handler.send_reply(503, b"", [("X-Not-Executed", "1")])
             return
-        if headers.get("x-stage") == "prefill" and self.unanswered_prefills:
-            self.unanswered_prefills -= 1
-            self._wait_for_disconnect(handler)
-            return
-        if headers.get("x-stage") == "prefill" and self.dropped_prefills:
-            self.dropped_prefills -= 1
-            handler.drop_connection()
-            return
         if headers.get("x-stage") == "prefill":
-            tokens = int(headers["x-token-count"].split(",")[0])
-            handle = {
-                "kvHandle": f"h{len(self.received_requests)}",
-                "tokens": tokens,
-                "version": 1,
-            }
-            handler.send_reply(200, handle)
-            if self.stop_after_prefill:
-                self.stop_after_prefill = False
-                threading.Thread(target=self.stop, daemon=True).start()
+            self._run_prefill(handler, headers)
             return
         self.executed_ids.append(headers["x-request-id"])
         if self.crashes_on is not None and self.crashes_on(headers, body):
@@ -121,6 +108,30 @@
             return
         self._execute(handler, headers, fault)
 
+    def _run_prefill(self, handler, headers):
+        if self.unanswered_prefills:
+            self.unanswered_prefills -= 1
+            self._wait_for_disconnect(handler)
+            return
+        if self.dropped_prefills:
+            self.dropped_prefills -= 1
+            handler.drop_connection()
+            return
+        if self.prefill_bodies:
+            handler.send_reply(200, self.prefill_bodies.pop(0))
+            return
+        time.sleep(self.prefill_s)
+        tokens = int(headers["x-token-count"].split(",")[0])
+        handle = {
+            "kvHandle": f"h{len(self.received_requests)}",
+            "tokens": tokens,
+            "version": 1,
+        }
+        handler.send_reply(200, handle)
+        if self.stop_after_prefill:
+            self.stop_after_prefill = False
+            threading.Thread(target=self.stop, daemon=True).start()
+
     def _handle_lease(self, handler, body):
         if handler.command == "DELETE":
             self.released_leases.append(handler.path.rpartition("/")[2])
