--- a/src/sesameport/platform/engines.py
+++ b/src/sesameport/platform/engines.py
@@ -3,9 +3,11 @@
 ``ReplicaClient`` implements the protocol ``ServerClient`` of ``sesameport.entry``.
 """
 
+import re
 import socket
 import time
 from collections.abc import Iterator
+from urllib.parse import quote
 
 import attrs
 import urllib3
@@ -82,6 +84,12 @@
 MAX_PREFILL_RESPONSE_BYTES = 65_536
 """Largest response of a prefill, which contains a handle, bytes."""
 
+_HANDLE = re.compile(r"[!-~]{1,1024}")
+"""Handles that can stand in a header."""
+
+_PATH_CHARS = "/:@!$&'()*+,;=~"
+"""Characters that stand in a path as they are (RFC 3986)."""
+
 MAX_BODY_BYTES = 67_108_864
 """Largest body of a response, bytes. A faulty server may send a body without an end."""
 
@@ -247,7 +255,7 @@
 
         If the call fails, the replica frees the cache when its handle expires.
         """
-        path = f"/v1/kv-handle/{source.handle}"
+        path = f"/v1/kv-handle/{quote(source.handle, safe=_PATH_CHARS)}"
         match make_short_call(source.address, "DELETE", path, {}, FREE_TIMEOUT_S):
             case Err(reason):
                 return Err(reason)
@@ -364,7 +372,10 @@
 
 
 def _decode_prefill(address: str, body: bytes) -> Result[PrefillResult, str]:
-    """Return the result of a prefill, or an Err with the reason, for any bytes."""
+    """Return the result of a prefill, or an Err with the reason, for any bytes.
+
+    The handle is sent to a decode server in a header and to this replica in a path.
+    """
     match decode_json(body):
         case Ok(dict(data)):
             handle, tokens = data.get("kvHandle"), data.get("tokens")
@@ -372,8 +383,8 @@
             return Err("no object")
         case Err(reason):
             return Err(reason)
-    if not isinstance(handle, str) or not handle:
-        return Err("no handle")
+    if not isinstance(handle, str) or not _HANDLE.fullmatch(handle):
+        return Err("no handle that can stand in a header")
     if type(tokens) is not int or tokens < 0:
         return Err("no number of tokens")
     return Ok(PrefillResult(address, handle, tokens))
--- a/src/sesameport/platform/tests/test_spoiled_prefills.py
+++ b/src/sesameport/platform/tests/test_spoiled_prefills.py
@@ -13,6 +13,9 @@
     "list": b"[]",
     "empty": b"",
     "no text": b'{"kvHandle": "\\ud800", "tokens": 1, "version": 1}',
+    "line break": {**GOOD, "kvHandle": "a1\r\nX-Tenant: other"},
+    "beyond ascii": {**GOOD, "kvHandle": "h\u4e2dndle"},
+    "space": {**GOOD, "kvHandle": "a1 b2"},
     "no handle": {**GOOD, "kvHandle": ""},
     "object": {**GOOD, "kvHandle": {"id": "a1"}},
     "number": {**GOOD, "tokens": "1e999"},
@@ -24,7 +27,8 @@
 @pytest.mark.parametrize("spoiled", SPOILED)
 def test_engines_with_spoiled_prefills_are_used_again(cluster, spoiled):
     # Six answers nested 2,000 deep took an engine out of use at all hosts for good: the
-    # reservation of the prompt was never released (review/13).
+    # reservation of the prompt was never released (review/13). A handle that can't
+    # stand in a header failed its request, although other engines were free.
     body = SPOILED[spoiled]
     body = body if isinstance(body, bytes) else json.dumps(body).encode()
     cluster.add_replica("p2", "llm", "prefill")
