--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -164,6 +164,7 @@
             m.ExplainPlacement: explainer.explain,
             m.AdmitPlain: admission.admit_plain,
             m.CancelWait: admission.cancel_wait,
+            m.CancelPlainWait: admission.cancel_plain_wait,
             HostStopping: admission.stop,
             m.MemoryRefused: admission.record_refused_memory,
             m.ConsumeRetry: admission.consume_retry,
--- a/src/sesameport/entry/admission_controller.py
+++ b/src/sesameport/entry/admission_controller.py
@@ -375,6 +375,11 @@
         """Return the time after which a refused caller should retry, seconds."""
         return self._retry_after_policy.choose_delay_s(self._rng)
 
+    def cancel_plain_wait(self, message: m.CancelPlainWait, now: float) -> None:
+        """Give up a plain request that waits for a permit, or its server."""
+        self._plain.cancel_wait(message)
+        self._on_change(now)
+
     def cancel_wait(self, message: m.CancelWait, now: float) -> None:
         """Remove a waiting request whose caller disconnected, and refund its charge."""
         req = self.waiting.discard(message.key)
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -86,6 +86,7 @@
     "StoreRead",
     "SuspectReports",
     "Tick",
+    "CancelPlainWait",
     "CancelWait",
 ]
 
@@ -191,6 +192,16 @@
     service: str
 
 
+@attrs.frozen
+class CancelPlainWait:
+    """Remove a plain request that waits for a permit, or release its server.
+
+    ``reply`` is the future that `AdmitPlain` returned.
+    """
+
+    reply: pykka.Future
+
+
 @attrs.frozen
 class ConsumeRetry:
     """Consume one retry of the fleet-wide budget of a service.
--- a/src/sesameport/entry/plain_admission.py
+++ b/src/sesameport/entry/plain_admission.py
@@ -104,6 +104,18 @@
             self._waiting.remove(waiting)
             waiting.future.set(reply)
 
+    def cancel_wait(self, message: m.CancelPlainWait) -> None:
+        """Remove a request that nobody waits for, or release the server that it got."""
+        before = len(self._waiting)
+        self._waiting = [
+            waiting for waiting in self._waiting if waiting.future is not message.reply
+        ]
+        if len(self._waiting) < before:
+            return
+        admitted = message.reply.get(timeout=0)
+        if isinstance(admitted, m.Admitted):
+            self._use.add_local(admitted.plain.name, ServerUse(0.0, -1, 0.0))
+
     def _place(
         self, waiting: _Waiting, now: float, rank: int
     ) -> m.Admitted | m.Refused | None:
--- a/src/sesameport/entry/plain_handler.py
+++ b/src/sesameport/entry/plain_handler.py
@@ -73,7 +73,7 @@
             )
             reply = self._guard.refusal(progress) or self._actor.ask(admit)
             if isinstance(reply, pykka.Future):
-                reply = _wait_for_permit(reply)
+                reply = self._wait_for_permit(reply)
             if isinstance(reply, m.Refused):
                 if fallback is not None:
                     self._outcomes.send_response(progress, writer, *fallback)
@@ -114,6 +114,15 @@
                     self._outcomes.fail(progress, writer, failure)
                 return
 
+    def _wait_for_permit(self, future: pykka.Future) -> m.Admitted | m.Refused:
+        try:
+            return future.get(timeout=PERMIT_TIMEOUT_S)
+        except pykka.Timeout:
+            # The actor may be late, and would then reserve a server for nobody.
+            self._actor.tell(m.CancelPlainWait(future))
+            log.error("no reply to a request that waits for a permit")
+            return m.Refused("internal-error", PERMIT_TIMEOUT_S)
+
     def _run_attempt(self, progress, server, caller):
         result = self._calls.run(
             server.address,
@@ -171,11 +180,3 @@
         return (
             progress.route.may_retry() and progress.runs < progress.route.max_attempts
         )
-
-
-def _wait_for_permit(future: pykka.Future) -> m.Admitted | m.Refused:
-    try:
-        return future.get(timeout=PERMIT_TIMEOUT_S)
-    except pykka.Timeout:
-        log.error("no reply to a request that waits for a permit")
-        return m.Refused("internal-error", PERMIT_TIMEOUT_S)
