--- a/src/sesameport/adapters/bulkheads.py
+++ b/src/sesameport/adapters/bulkheads.py
@@ -21,6 +21,7 @@
     TokenEvent,
     TokenStream,
 )
+from sesameport.telemetry.logs import get_logger
 
 __all__ = [
     "Bulkhead",
@@ -31,6 +32,8 @@
     "Bulkheads",
 ]
 
+log = get_logger("requests")
+
 _LIMIT_REACHED = EngineError(EngineErrorKind.BUSY, "too many concurrent calls")
 _PLATFORM_LIMIT_REACHED = PlatformError(
     PlatformErrorKind.UNAVAILABLE, "too many concurrent platform calls"
@@ -143,6 +146,8 @@
     def __iter__(self) -> Iterator[Result[TokenEvent, EngineError]]:
         try:
             yield from self._stream
+        except Exception as exc:
+            yield Err(_record_unexpected("stream", exc))
         finally:
             self._permit.release()
 
@@ -178,6 +183,8 @@
             return Err(_LIMIT_REACHED)
         try:
             return self._engine.prefill(call)
+        except Exception as exc:
+            return Err(_record_unexpected("prefill", exc))
         finally:
             permit.release()
 
@@ -196,6 +203,8 @@
         result = None
         try:
             result = call()
+        except Exception as exc:
+            return Err(_record_unexpected("decode", exc))
         finally:
             if result is None or result.is_err():
                 permit.release()
@@ -218,6 +227,8 @@
             return Err(_LIMIT_REACHED)
         try:
             return self._service.call(req, attempt_id, timeout_s)
+        except Exception as exc:
+            return Err(_record_unexpected("call", exc))
         finally:
             permit.release()
 
@@ -264,3 +275,12 @@
             return method(*args)
         finally:
             self._bulkhead.release()
+
+
+def _record_unexpected(call: str, exc: Exception) -> EngineError:
+    """Return the failure of a call that ended by an exception of its client.
+
+    The server has caused it, or a fault of this program, and the call may have run.
+    """
+    log.error("call failed unexpectedly", extra={"call": call, "error": repr(exc)})
+    return EngineError(EngineErrorKind.BROKEN, f"unexpected: {exc!r}")
--- a/src/sesameport/adapters/engine.py
+++ b/src/sesameport/adapters/engine.py
@@ -2,13 +2,16 @@
 
 import json
 from collections.abc import Iterator
+from typing import Any, TypeVar
 
 import attrs
+import msgspec
 import urllib3
 from result import Err, Ok, Result
 
 from sesameport.adapters.http_errors import HTTP_ERRORS, to_engine_error
 from sesameport.adapters.strict_responses import SingleUsePool
+from sesameport.adapters.typed_json import decode_as
 from sesameport.interfaces import (
     CacheEvent,
     CacheEvents,
@@ -16,7 +19,6 @@
     EngineError,
     EngineErrorKind,
     Hold,
-    HoldKind,
     KvHandle,
     LoadReport,
     Order,
@@ -33,12 +35,64 @@
     429: EngineErrorKind.BUSY,
     503: EngineErrorKind.BUSY,
 }
+T = TypeVar("T")
+
 _CONNECT_TIMEOUT_S = 1.0
 _DRAIN_TIMEOUT_S = 0.1
 """Timeout of reading the rest of a response after its last event. The caller already
 has the whole answer, so a server that is slow to close the body must not delay it."""
 
 
+class _Choice(msgspec.Struct):
+    text: str
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    id: str
+    offset: int
+    choices: list[_Choice]
+
+
+class _KvParameters(msgspec.Struct):
+    remote_address: str
+    remote_handle: str
+    lifetime_s: float
+
+
+class _Prefilled(msgspec.Struct):
+    kv_transfer_params: _KvParameters
+
+
+class _Cancelled(msgspec.Struct):
+    held: bool
+
+
+class _Holds(msgspec.Struct):
+    holds: tuple[Hold, ...]
+
+
+class _Load(msgspec.Struct):
+    """Represent a `LoadReport` without the name of its server."""
+
+    running: int
+    waiting: int
+    slots: int
+    prefill_queue_tokens: int = 0
+    kv_pieces_free: int = 0
+    age_s: float = 0.0
+    sequence: int = 0
+    models: list[str] | None = None
+    adapters: list[str] | None = None
+    role: str = ""
+    draining: bool | None = None
+
+
+class _Events(msgspec.Struct):
+    events: tuple[CacheEvent, ...]
+    last_sequence: int
+
+
 class HttpTokenStream:
     """Iterate over the server-sent events of a decode response."""
 
@@ -60,9 +114,13 @@
             for line in _split_lines(self._response):
                 if not line.startswith(b"data: ") or line == b"data: [DONE]":
                     continue
-                event = _parse_token_event(json.loads(line[6:]))
+                result = _parse_token_event(line[6:])
+                if result.is_err():
+                    yield result
+                    return
+                event = result.unwrap()
                 self._start_idle_timeout()
-                yield Ok(event)
+                yield result
                 if event.finish_reason:
                     self._finish()
                     return
@@ -105,11 +163,16 @@
                 yield line
 
 
-def _parse_token_event(body: dict) -> TokenEvent:
-    choice = body["choices"][0]
-    return TokenEvent(
-        body["id"], body["offset"], choice["text"], choice["finish_reason"] or ""
-    )
+def _parse_token_event(data: bytes) -> Result[TokenEvent, EngineError]:
+    match decode_as(data, _Event):
+        case Ok(event) if event.choices:
+            choice, reason = event.choices[0], event.choices[0].finish_reason
+            return Ok(TokenEvent(event.id, event.offset, choice.text, reason or ""))
+        case Ok(_):
+            detail = "an event without a choice"
+        case Err(detail):
+            pass
+    return Err(EngineError(EngineErrorKind.BROKEN, detail))
 
 
 class HttpEngine:
@@ -153,21 +216,22 @@
         }
         headers = {"X-Request-Id": call.attempt_id}
         result = self._request_json(
+            _Prefilled,
             "POST",
             "/v1/completions",
             body,
             headers,
             call.timeout_s or self._prefill_timeout_s,
         )
-        return result.map(self._parse_handle)
+        return result.map(lambda prefilled: self._to_handle(prefilled))
 
-    def _parse_handle(self, body: dict) -> KvHandle:
-        params = body["kv_transfer_params"]
+    def _to_handle(self, prefilled: _Prefilled) -> KvHandle:
+        params = prefilled.kv_transfer_params
         return KvHandle(
             self._server,
-            params["remote_address"],
-            params["remote_handle"],
-            params["lifetime_s"],
+            params.remote_address,
+            params.remote_handle,
+            params.lifetime_s,
         )
 
     def decode(self, call: DecodeCall) -> Result[HttpTokenStream, EngineError]:
@@ -205,31 +269,32 @@
 
     def cancel(self, attempt_id: str) -> Result[bool, EngineError]:
         """Release all holds of an attempt and return whether it had any."""
-        result = self._request_json("DELETE", f"/v1/requests/{attempt_id}")
-        return result.map(lambda body: bool(body["held"]))
+        path = f"/v1/requests/{attempt_id}"
+        return self._request_json(_Cancelled, "DELETE", path).map(
+            lambda cancelled: cancelled.held
+        )
 
     def holds(self) -> Result[tuple[Hold, ...], EngineError]:
         """List the holds of all attempts."""
-        return self._request_json("GET", "/v1/requests").map(_parse_holds)
+        return self._request_json(_Holds, "GET", "/v1/requests").map(
+            lambda listed: listed.holds
+        )
 
     def load(self) -> Result[LoadReport, EngineError]:
         """Read the latest load report, which lags behind the actual load."""
-        result = self._request_json("GET", "/load")
-        return result.map(lambda body: LoadReport(server=self._server, **body))
+        return self._request_json(_Load, "GET", "/load").map(
+            lambda load: LoadReport(self._server, **msgspec.structs.asdict(load))
+        )
 
     def cache_events(self, after: int) -> Result[CacheEvents, EngineError]:
         """Read the cache events after a sequence number."""
-        return self._request_json("GET", f"/kv-events?after={after}").map(
-            self._parse_cache_events
+        return self._request_json(_Events, "GET", f"/kv-events?after={after}").map(
+            lambda body: CacheEvents(self._server, body.events, body.last_sequence)
         )
 
-    def _parse_cache_events(self, body: dict) -> CacheEvents:
-        events = tuple(CacheEvent(**item) for item in body["events"])
-        return CacheEvents(self._server, events, body["last_sequence"])
-
     def order(self, order: Order) -> Result[None, EngineError]:
         """Send an order to the engine."""
-        return self._request_json("POST", "/orders", attrs.asdict(order)).map(
+        return self._request_json(Any, "POST", "/orders", attrs.asdict(order)).map(
             lambda _: None
         )
 
@@ -257,26 +322,24 @@
         response.release_conn()
         return Err(EngineError(kind, detail))
 
-    def _request_json(self, method, path, body=None, headers=None, read_timeout_s=None):
+    def _request_json(
+        self, kind: type[T], method, path, body=None, headers=None, read_timeout_s=None
+    ) -> Result[T, EngineError]:
+        """Return the body of an answer; one of another type is a broken answer."""
         result = self._request(method, path, body, headers, read_timeout_s)
         if result.is_err():
             return result
         response = result.unwrap()
         try:
-            return Ok(json.loads(response.read()))
+            data = response.read()
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
             return Err(EngineError(EngineErrorKind.BROKEN, str(exc)))
         finally:
             response.release_conn()
+        return decode_as(data, kind).map_err(
+            lambda reason: EngineError(EngineErrorKind.BROKEN, reason)
+        )
 
 
 def _model_name(call) -> str:
     return f"{call.model}:{call.adapter}" if call.adapter else call.model
-
-
-def _parse_holds(body: dict) -> tuple[Hold, ...]:
-    holds = []
-    for item in body["holds"]:
-        kind = HoldKind(item["kind"])
-        holds.append(Hold(item["attempt_id"], kind, item["age_s"], item["idle_s"]))
-    return tuple(holds)
--- a/src/sesameport/adapters/http_errors.py
+++ b/src/sesameport/adapters/http_errors.py
@@ -6,7 +6,7 @@
 
 __all__ = ["HTTP_ERRORS", "to_engine_error"]
 
-HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
 _NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
--- a/src/sesameport/adapters/platform.py
+++ b/src/sesameport/adapters/platform.py
@@ -2,13 +2,15 @@
 
 import base64
 import json
+from typing import TypeVar
 from urllib.parse import quote
 
-import cattrs
+import msgspec
 import urllib3
-from result import Err, Ok, Result
+from result import Err, Result
 
 from sesameport.adapters.strict_responses import StrictPoolManager
+from sesameport.adapters.typed_json import decode_as
 from sesameport.interfaces import (
     HostList,
     ObjectList,
@@ -20,8 +22,14 @@
 
 __all__ = ["HttpPlatform"]
 
+T = TypeVar("T")
+
 _WATCH_MARGIN_S = 3.0
-_CONVERTER = cattrs.Converter()
+
+
+class _Problem(msgspec.Struct):
+    detail: str = ""
+    version: int = 0
 
 
 class HttpPlatform:
@@ -44,27 +52,27 @@
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
-        return self._call("GET", self._path(kind, name)).map(_parse_object)
+        return self._call(StoredObject, "GET", self._path(kind, name))
 
     def list(self, kind: str) -> Result[ObjectList, PlatformError]:
         """Read all objects of one kind, tombstones included."""
-        return self._call("GET", self._path(kind)).map(_parse_object_list)
+        return self._call(ObjectList, "GET", self._path(kind))
 
     def create(
         self, kind: str, name: str, value: bytes
     ) -> Result[StoredObject, PlatformError]:
         """Create an object unless one with this name exists."""
         path = self._path(kind, name)
-        return self._call("PUT", path, value, {"If-None-Match": "*"}).map(_parse_object)
+        headers = {"If-None-Match": "*"}
+        return self._call(StoredObject, "PUT", path, value, headers)
 
     def update(
         self, kind: str, name: str, value: bytes, version: int
     ) -> Result[StoredObject, PlatformError]:
         """Replace an object if its current version equals the given one."""
         path = self._path(kind, name)
-        return self._call("PUT", path, value, {"If-Match": str(version)}).map(
-            _parse_object
-        )
+        headers = {"If-Match": str(version)}
+        return self._call(StoredObject, "PUT", path, value, headers)
 
     def delete(
         self, kind: str, name: str, version: int
@@ -72,7 +80,7 @@
         """Replace an object by a tombstone if its version equals the given one."""
         path = self._path(kind, name)
         headers = {"If-Match": str(version)}
-        return self._call("DELETE", path, b"", headers).map(_parse_object)
+        return self._call(StoredObject, "DELETE", path, b"", headers)
 
     def watch(
         self, kind: str, version: int, timeout_s: float
@@ -80,19 +88,18 @@
         """Wait for changes to objects of one kind after a version."""
         path = f"{self._path(kind)}?watch={version}&timeout={timeout_s}"
         read_timeout_s = timeout_s + _WATCH_MARGIN_S
-        return self._call("GET", path, timeout_s=read_timeout_s).map(_parse_watch_batch)
+        return self._call(WatchBatch, "GET", path, timeout_s=read_timeout_s)
 
     def hosts(self) -> Result[HostList, PlatformError]:
         """Read the list of hosts and backend servers, which may be out of date."""
-        result = self._call("GET", "/v1/hosts")
-        return result.map(lambda body: _CONVERTER.structure(body, HostList))
+        return self._call(HostList, "GET", "/v1/hosts")
 
     def _path(self, *parts: str) -> str:
         return "/v1/objects/" + "/".join(quote(part, safe="") for part in parts)
 
     def _call(
-        self, method, path, value=None, headers=None, timeout_s=None
-    ) -> Result[dict, PlatformError]:
+        self, kind: type[T], method, path, value=None, headers=None, timeout_s=None
+    ) -> Result[T, PlatformError]:
         body = None
         if value is not None:
             body = json.dumps({"value": base64.b64encode(value).decode()}).encode()
@@ -107,14 +114,15 @@
                 ),
                 retries=False,
             )
-            return _to_result(response.status, response.data)
         except (urllib3.exceptions.NewConnectionError, ConnectionRefusedError) as exc:
             return Err(PlatformError(PlatformErrorKind.UNAVAILABLE, str(exc)))
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
-            kind = PlatformErrorKind.UNKNOWN
-            if method == "GET":
-                kind = PlatformErrorKind.UNAVAILABLE
-            return Err(PlatformError(kind, str(exc)))
+            return Err(_unanswered(method, str(exc)))
+        if response.status >= 300:
+            return Err(_to_error(response.status, response.data))
+        return decode_as(response.data, kind).map_err(
+            lambda reason: _unanswered(method, reason)
+        )
 
 
 _ERROR_KINDS = {
@@ -126,33 +134,17 @@
 }
 
 
-def _to_result(status: int, data: bytes) -> Result[dict, PlatformError]:
-    if status < 300:
-        return Ok(json.loads(data))
-    if status >= 500 and status != 503:
-        return Err(PlatformError(PlatformErrorKind.UNKNOWN, f"status {status}"))
-    kind = _ERROR_KINDS.get(status, PlatformErrorKind.INVALID)
-    body = json.loads(data) if data else {}
-    return Err(PlatformError(kind, body.get("detail", ""), body.get("version", 0)))
-
-
-def _parse_object(body: dict) -> StoredObject:
-    return StoredObject(
-        body["kind"],
-        body["name"],
-        body["version"],
-        base64.b64decode(body["value"]),
-        body["deleted"],
-    )
-
+def _unanswered(method: str, detail: str) -> PlatformError:
+    """Return the failure of a call without an answer, or with one that is none."""
+    kind = PlatformErrorKind.UNKNOWN
+    if method == "GET":
+        kind = PlatformErrorKind.UNAVAILABLE
+    return PlatformError(kind, detail)
 
-def _parse_object_list(body: dict) -> ObjectList:
-    return ObjectList(
-        tuple(_parse_object(obj) for obj in body["objects"]), body["version"]
-    )
 
-
-def _parse_watch_batch(body: dict) -> WatchBatch:
-    return WatchBatch(
-        tuple(_parse_object(obj) for obj in body["changes"]), body["version"]
-    )
+def _to_error(status: int, data: bytes) -> PlatformError:
+    if status >= 500 and status != 503:
+        return PlatformError(PlatformErrorKind.UNKNOWN, f"status {status}")
+    problem = decode_as(data or b"{}", _Problem).unwrap_or(_Problem())
+    kind = _ERROR_KINDS.get(status, PlatformErrorKind.INVALID)
+    return PlatformError(kind, problem.detail, problem.version)
--- a/src/sesameport/daemon/fleet/hold_manager.py
+++ b/src/sesameport/daemon/fleet/hold_manager.py
@@ -7,6 +7,7 @@
 
 import attrs
 import pykka
+from result import Result
 
 from sesameport.interfaces import Engine, Hold
 from sesameport.requests import (
@@ -20,6 +21,7 @@
     choose_sweeper,
     find_abandoned_attempts,
 )
+from sesameport.telemetry.logs import get_logger
 
 __all__ = [
     "CountHolds",
@@ -29,6 +31,8 @@
     "SweepTick",
 ]
 
+log = get_logger("fleet")
+
 _REMOVAL_DELAY_S = 10.0
 """Time without a listing after which a server counts as removed. The platform may
 return an incomplete list, so a shorter absence has no effect."""
@@ -113,17 +117,27 @@
             call(job)
 
     def _cancel(self, cancel_hold: CancelHold) -> None:
-        engine = self._find_engine(cancel_hold.server)
-        confirmed = engine is not None and engine.cancel(cancel_hold.attempt_id).is_ok()
-        self._report_result(
-            _CancelResult(cancel_hold.server, cancel_hold.attempt_id, confirmed)
-        )
+        server, attempt_id = cancel_hold.server, cancel_hold.attempt_id
+        cancelled = self._call(server, lambda engine: engine.cancel(attempt_id))
+        confirmed = cancelled is not None
+        self._report_result(_CancelResult(server, attempt_id, confirmed))
 
     def _list(self, server: str) -> None:
-        engine = self._find_engine(server)
-        result = None if engine is None else engine.holds()
-        holds = result.unwrap() if result is not None and result.is_ok() else ()
-        self._report_result(_ListResult(server, holds))
+        holds = self._call(server, lambda engine: engine.holds())
+        self._report_result(_ListResult(server, holds or ()))
+
+    def _call(self, server: str, call: Callable[[Engine], Result]):
+        """Return the result of a call, None if it failed in whatever way.
+
+        Each job has a result, or its hold would never be cancelled again.
+        """
+        try:
+            engine = self._find_engine(server)
+            return None if engine is None else call(engine).ok()
+        except Exception as exc:
+            fields = {"server": server, "error": repr(exc)}
+            log.error("call failed unexpectedly", extra=fields)
+            return None
 
 
 class HoldManagerActor(pykka.ThreadingActor):
--- a/src/sesameport/daemon/fleet/load_poller.py
+++ b/src/sesameport/daemon/fleet/load_poller.py
@@ -9,9 +9,12 @@
 
 from sesameport.domain import BackendServer, ServerRole
 from sesameport.interfaces import CacheEvents, LoadReport
+from sesameport.telemetry.logs import get_logger
 
 __all__ = ["LoadPoller"]
 
+log = get_logger("fleet")
+
 _THREADS_PER_DATA_CENTRE = 4
 _POLLS_PER_CACHE_READ = 8
 """Polls of a server per read of its cache events. Engines publish the events with a
@@ -105,6 +108,10 @@
     def _poll(self, name: str, state: _PollState) -> None:
         try:
             self._poll_once(name, state)
+        except Exception as exc:
+            # The pool would keep the exception to itself.
+            fields = {"server": name, "error": repr(exc)}
+            log.error("call failed unexpectedly", extra=fields)
         finally:
             state.is_in_flight = False
 
--- a/src/sesameport/daemon/request_path/completion_runner.py
+++ b/src/sesameport/daemon/request_path/completion_runner.py
@@ -150,8 +150,10 @@
         try:
             yield from self._execute_actions()
         finally:
-            self._clean_up(CallerDisconnected())
-            self._context.dispatcher.tell(RemoveRequest(self._req.request_id))
+            try:
+                self._clean_up(CallerDisconnected())
+            finally:
+                self._context.dispatcher.tell(RemoveRequest(self._req.request_id))
 
     def _execute_actions(
         self,
--- a/src/sesameport/daemon/tests/test_hold_manager.py
+++ b/src/sesameport/daemon/tests/test_hold_manager.py
@@ -1,8 +1,15 @@
 """Test the hold manager with a fake engine and synchronous workers."""
 
+import queue
+
 from result import Err, Ok
 
-from sesameport.daemon.fleet.hold_manager import HoldManagerActor, HoldTick, SweepTick
+from sesameport.daemon.fleet.hold_manager import (
+    HoldManagerActor,
+    HoldTick,
+    HoldWorkers,
+    SweepTick,
+)
 from sesameport.daemon.views.fleet_view import FleetView, MemberView
 from sesameport.daemon.views.sweep_view import build_host_memberships, has_owner_ended
 from sesameport.fleet import EndedIncarnation, MemberState
@@ -124,3 +131,28 @@
         assert removed == expected
         listed_servers.append("d1")
         manager.on_receive(HoldTick())
+
+
+class RaisingEngine(FakeEngine):
+    def cancel(self, attempt_id):
+        super().cancel(attempt_id)
+        raise KeyError("held")
+
+    def holds(self):
+        raise TypeError("holds")
+
+
+def test_workers_outlive_answers_that_raise():
+    # Each such answer ended a thread. After a few of them no hold was cancelled or
+    # listed any more.
+    engine, results = RaisingEngine(), queue.SimpleQueue()
+    workers = HoldWorkers(lambda server: engine, cancel_threads=1, list_threads=1)
+    workers.start(results.put)
+    for _ in range(3):
+        workers.cancel(CancelHold("d1", "a"))
+        workers.list_holds("d1")
+    got = [results.get(timeout=5.0) for _ in range(6)]
+    assert len(engine.cancelled) == 3
+    assert [item.confirmed for item in got if hasattr(item, "confirmed")] == [False] * 3
+    assert [item.holds for item in got if hasattr(item, "holds")] == [()] * 3
+    workers.stop()
