--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -12,6 +12,7 @@
 from sesameport.admission.crash_suspects import (
     CrashSuspects,
     Judgement,
+    SuspectGroup,
     SuspectReport,
 )
 from sesameport.admission.evacuations import Evacuations
@@ -122,6 +123,7 @@
     "STARTING_S",
     "SpeedMeasure",
     "SpeedReport",
+    "SuspectGroup",
     "SuspectReport",
     "Trickle",
     "UrgentMemory",
--- a/src/sesameport/admission/crash_suspects.py
+++ b/src/sesameport/admission/crash_suspects.py
@@ -19,14 +19,19 @@
 
 The state of two hosts is merged by union: a crash stays known, and a cleared one stays
 cleared. The order and the repetition of reports have no effect.
+
+A prompt may have thousands of parts, nearly all of which are in the same crashes as
+others. Suspects with the same crashes are therefore kept, judged, reported and stored
+as one group.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 
 import attrs
 
-__all__ = ["CrashSuspects", "Judgement", "SuspectReport"]
+__all__ = ["CrashSuspects", "Judgement", "SuspectGroup", "SuspectReport"]
 
 REFUSED_CRASHES = 2
 """Number of uncleared crashes from which a subject is refused. A single crash has
@@ -56,8 +61,12 @@
 """Time for which a suspect that is not refused is reported to other hosts after its
 last change, seconds."""
 
-MAX_SUSPECTS = 1_000
-"""Largest number of suspects. Those that changed longest ago are removed first."""
+MAX_SUSPECTS = 8_000
+"""Largest number of suspects, those of several prompts with thousands of parts. Of
+those that are not refused, the ones that changed longest ago are removed first."""
+
+MAX_REPORTED = 4_000
+"""Largest number of suspects in one report, the refused and the latest ones."""
 
 MAX_CRASHES = 16
 """Largest number of crashes that are kept for one suspect."""
@@ -83,6 +92,15 @@
     stored: int = 0
 
 
+@attrs.frozen
+class SuspectGroup:
+    """Report suspects that have the same crashes; see `SuspectReport`."""
+
+    subjects: tuple[str, ...]
+    crashes: dict[str, bool]
+    stored: int = 0
+
+
 @attrs.frozen
 class Judgement:
     """Represent whether a request is refused or a trial.
@@ -99,31 +117,42 @@
     is_trial: bool = False
 
 
-@attrs.define
-class _Suspect:
-    crashes: dict[str, bool] = attrs.field(factory=dict)
+@attrs.define(eq=False)
+class _Group:
+    """Hold the suspects with the same crashes, in the order in which they joined."""
+
+    crashes: dict[str, bool]
     stored: int = 0
+    members: dict[str, None] = attrs.field(factory=dict)
     changed_at: float = 0.0
     crashed_at: float = 0.0
     trial_at: float = 0.0
+    uncleared: frozenset[str] = attrs.field(init=False)
 
-    def uncleared(self) -> frozenset[str]:
-        """Return the crashes that the suspect is not cleared of."""
-        return frozenset(
+    def __attrs_post_init__(self):
+        self.uncleared = frozenset(
             crash for crash, cleared in self.crashes.items() if not cleared
         )
 
+    def key(self) -> tuple[frozenset[tuple[str, bool]], int]:
+        """Return what all members have in common."""
+        return frozenset(self.crashes.items()), self.stored
+
     def is_refused(self) -> bool:
-        """Return whether enough crashes count against the suspect."""
-        count = len(self.uncleared())
+        """Return whether enough crashes count against the suspects."""
+        count = len(self.uncleared)
         was_cleared = count < len(self.crashes)
         return count >= (CLEARED_REFUSED_CRASHES if was_cleared else REFUSED_CRASHES)
 
     def expires_at(self) -> float:
-        """Return the monotonic time at which the suspect is forgotten."""
+        """Return the monotonic time at which the suspects are forgotten."""
         lifetime_s = REFUSED_LIFETIME_S if self.is_refused() else SUSPECT_LIFETIME_S
         return self.crashed_at + lifetime_s
 
+    def report(self) -> SuspectGroup:
+        """Return the report of the group."""
+        return SuspectGroup(tuple(self.members), dict(self.crashes), self.stored)
+
 
 class CrashSuspects:
     """Hold the suspects of one host; not thread-safe.
@@ -146,34 +175,28 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self._suspects: dict[str, _Suspect] = {}
+        self._groups: dict[tuple, _Group] = {}
+        self._group_of: dict[str, _Group] = {}
         self.hosts = 1
 
     def __len__(self) -> int:
-        return len(self._suspects)
+        return len(self._group_of)
 
     def record_crash(self, crash: str, subjects: Iterable[str], now: float) -> None:
         """Record a server's crash on a request with these subjects."""
-        for subject in subjects:
-            self._add(subject, {crash: False}, now)
+        self._add(subjects, {crash: False}, 0, now)
         self._evict()
 
     def is_suspect(self, subjects: Iterable[str]) -> bool:
         """Return whether any crash counts against one of the subjects."""
-        for subject in subjects:
-            suspect = self._suspects.get(subject)
-            if suspect is not None and suspect.uncleared():
-                return True
-        return False
+        return any(group.uncleared for group in self._groups_of(subjects))
 
     def record_answer(self, subjects: Iterable[str], now: float) -> None:
         """Clear the subjects of a request that was answered."""
-        for subject in subjects:
-            suspect = self._suspects.get(subject)
-            if suspect is None or not suspect.uncleared():
-                continue
-            suspect.crashes = dict.fromkeys(suspect.crashes, True)
-            suspect.changed_at = now
+        for group, names in self._groups_of(subjects).items():
+            if group.uncleared:
+                cleared = dict.fromkeys(group.crashes, True)
+                self._move(names, group, cleared, group.stored, now, False)
 
     def judge(self, subjects: Iterable[str], now: float) -> Judgement:
         """Return whether a request with these subjects may be sent to a server.
@@ -182,137 +205,225 @@
         the pause has passed again.
         """
         subjects = frozenset(subjects)
-        blamed = []
-        for subject in subjects:
-            suspect = self._suspects.get(subject)
-            if suspect is None or not suspect.is_refused():
-                continue
-            if self._is_blamed(suspect.uncleared(), subjects):
-                blamed.append(suspect)
+        blamed = [
+            group
+            for group in self._groups_of(subjects)
+            if group.is_refused() and self._is_blamed(group, subjects)
+        ]
         if not blamed:
             return Judgement()
-        until = max(self._refused_until(suspect) for suspect in blamed)
+        until = max(self._refused_until(group) for group in blamed)
         if now < until:
             return Judgement(until - now)
-        for suspect in blamed:
-            suspect.trial_at = now + self._trial_pause_s(suspect)
+        for group in blamed:
+            group.trial_at = now + self._trial_pause_s(group)
         return Judgement(is_trial=True)
 
     def merge(self, reports: Iterable[SuspectReport], now: float) -> bool:
         """Apply reports of a host; return whether it knows all that is known here."""
-        received: dict[str, SuspectReport] = {}
-        for report in reports:
-            received[report.subject] = report
-            self._add(report.subject, report.crashes, now, report.stored)
+        groups = [
+            SuspectGroup((report.subject,), report.crashes, report.stored)
+            for report in reports
+        ]
+        return self.merge_groups(groups, now)
+
+    def merge_groups(self, groups: Iterable[SuspectGroup], now: float) -> bool:
+        """Apply reports of groups; return whether their host knows all that is known.
+
+        Where more is known here than fits into a report, nobody can tell.
+        """
+        received: dict[tuple, set[str]] = {}
+        for group in groups:
+            crashes = {crash: bool(cleared) for crash, cleared in group.crashes.items()}
+            key = (frozenset(crashes.items()), group.stored)
+            received.setdefault(key, set()).update(group.subjects)
+        for (crashes, stored), subjects in received.items():
+            self._add(subjects, dict(crashes), stored, now)
         self._evict()
-        return all(received.get(own.subject) == own for own in self.reports(now))
+        own = self._reported(now)
+        if sum(len(group.members) for group in own) > MAX_REPORTED:
+            return True
+        return all(
+            group.members.keys() <= received.get(group.key(), set()) for group in own
+        )
 
     def reports(self, now: float) -> list[SuspectReport]:
         """Return the refused suspects and those that changed lately."""
         return [
-            SuspectReport(subject, dict(suspect.crashes), suspect.stored)
-            for subject, suspect in self._suspects.items()
-            if suspect.is_refused() or now - suspect.changed_at < REPORTED_S
+            SuspectReport(subject, dict(group.crashes), group.stored)
+            for group in self._reported(now)
+            for subject in group.members
         ]
 
+    def report_groups(
+        self, now: float, changed_since: float = -math.inf
+    ) -> list[SuspectGroup]:
+        """Return the same in groups, at most `MAX_REPORTED` suspects.
+
+        ``changed_since`` leaves out what has not changed since a monotonic time.
+        """
+        reports, left = [], MAX_REPORTED
+        for group in self._reported(now):
+            if group.changed_at < changed_since or left <= 0:
+                continue
+            report = group.report()
+            reports.append(attrs.evolve(report, subjects=report.subjects[:left]))
+            left -= len(report.subjects)
+        return reports
+
     def refused(self) -> set[str]:
         """Return the refused subjects."""
         return {
             subject
-            for subject, suspect in self._suspects.items()
-            if suspect.is_refused()
+            for group in self._groups.values()
+            if group.is_refused()
+            for subject in group.members
         }
 
     def cleared(self) -> set[str]:
         """Return the subjects that were cleared of all their crashes."""
         return {
             subject
-            for subject, suspect in self._suspects.items()
-            if not suspect.uncleared()
+            for group in self._groups.values()
+            if not group.uncleared
+            for subject in group.members
         }
 
     def crashes(self, subject: str) -> Mapping[str, bool]:
         """Return the crashes of a suspect and whether it is cleared of each."""
-        suspect = self._suspects.get(subject)
-        return suspect.crashes if suspect else {}
+        group = self._group_of.get(subject)
+        return group.crashes if group else {}
 
     def is_stored(self, subject: str) -> bool:
         """Return whether the store has a record of a suspect."""
-        suspect = self._suspects.get(subject)
-        return suspect is not None and suspect.stored > 0
+        group = self._group_of.get(subject)
+        return group is not None and group.stored > 0
 
-    def to_store(self) -> list[SuspectReport]:
+    def to_store(self) -> list[SuspectGroup]:
         """Return the refused suspects, of which the store should have a record."""
-        return [
-            SuspectReport(subject, dict(suspect.crashes), suspect.stored)
-            for subject, suspect in self._suspects.items()
-            if suspect.is_refused()
-        ]
+        return [group.report() for group in self._groups.values() if group.is_refused()]
 
-    def unstored(self) -> list[SuspectReport]:
+    def unstored(self) -> list[SuspectGroup]:
         """Return the refused suspects with crashes that the store does not have."""
         return [
             report for report in self.to_store() if report.stored < len(report.crashes)
         ]
 
-    def mark_stored(self, subject: str, count: int, now: float) -> None:
-        """Record with how many crashes the store has a suspect."""
-        suspect = self._suspects.get(subject)
-        if suspect is not None and count > suspect.stored:
-            suspect.stored = count
-            suspect.changed_at = now
+    def mark_stored(self, subjects: Iterable[str], count: int, now: float) -> None:
+        """Record with how many crashes the store has some suspects."""
+        known = [subject for subject in subjects if subject in self._group_of]
+        self._add(known, {}, count, now)
 
     def expire(self, now: float) -> None:
         """Remove the suspects whose last crash is long ago."""
-        for subject, suspect in list(self._suspects.items()):
-            if now >= suspect.expires_at():
-                del self._suspects[subject]
+        for group in list(self._groups.values()):
+            if now >= group.expires_at():
+                self._remove(group, list(group.members))
+
+    def _groups_of(self, subjects: Iterable[str]) -> dict[_Group, list[str]]:
+        """Return the groups of the suspects among some subjects, with these."""
+        groups: dict[_Group, list[str]] = {}
+        for subject in subjects:
+            group = self._group_of.get(subject)
+            if group is not None:
+                groups.setdefault(group, []).append(subject)
+        return groups
+
+    def _reported(self, now: float) -> list[_Group]:
+        """Return the groups that other hosts should know, the refused and latest first.
+
+        Others know those that changed long ago, or will not need them.
+        """
+        groups = [
+            group
+            for group in self._groups.values()
+            if group.is_refused() or now - group.changed_at < REPORTED_S
+        ]
+        return sorted(
+            groups, key=lambda item: (not item.is_refused(), -item.changed_at)
+        )
 
     def _add(
-        self, subject: str, crashes: Mapping[str, bool], now: float, stored: int = 0
+        self,
+        subjects: Iterable[str],
+        crashes: Mapping[str, bool],
+        stored: int,
+        now: float,
+    ) -> None:
+        """Add crashes to some subjects, which become suspects by that."""
+        by_group: dict[_Group | None, list[str]] = {}
+        for subject in subjects:
+            by_group.setdefault(self._group_of.get(subject), []).append(subject)
+        for group, names in by_group.items():
+            merged = dict(group.crashes) if group else {}
+            for crash, cleared in crashes.items():
+                if crash in merged:
+                    merged[crash] = merged[crash] or cleared
+                elif len(merged) < MAX_CRASHES:
+                    merged[crash] = cleared
+            has_new = len(merged) > (len(group.crashes) if group else 0)
+            most_stored = max(stored, group.stored if group else 0)
+            if group and (merged, most_stored) == (group.crashes, group.stored):
+                continue
+            self._move(names, group, merged, most_stored, now, has_new)
+
+    def _move(
+        self,
+        subjects: list[str],
+        source: _Group | None,
+        crashes: dict[str, bool],
+        stored: int,
+        now: float,
+        has_new: bool,
     ) -> None:
-        suspect = self._suspects.setdefault(subject, _Suspect())
-        before = (dict(suspect.crashes), suspect.stored)
-        for crash, cleared in crashes.items():
-            if crash not in suspect.crashes:
-                if len(suspect.crashes) >= MAX_CRASHES:
-                    continue
-                suspect.crashed_at = now
-                suspect.crashes[crash] = cleared
-            suspect.crashes[crash] = suspect.crashes[crash] or cleared
-        suspect.stored = max(suspect.stored, stored)
-        if (suspect.crashes, suspect.stored) != before:
-            suspect.changed_at = now
-        if suspect.crashed_at == now:
-            suspect.trial_at = now + self._trial_pause_s(suspect)
+        """Move subjects to the group with the given crashes."""
+        target = _Group(crashes, stored)
+        target = self._groups.setdefault(target.key(), target)
+        if source is not None:
+            target.crashed_at = max(target.crashed_at, source.crashed_at)
+            target.trial_at = max(target.trial_at, source.trial_at)
+        target.changed_at = now
+        if has_new:
+            target.crashed_at = now
+            target.trial_at = now + self._trial_pause_s(target)
+        if source is not None:
+            self._remove(source, subjects)
+        for subject in subjects:
+            target.members[subject] = None
+            self._group_of[subject] = target
+
+    def _remove(self, group: _Group, subjects: list[str]) -> None:
+        for subject in subjects:
+            del group.members[subject]
+            del self._group_of[subject]
+        if not group.members:
+            del self._groups[group.key()]
 
     def _evict(self) -> None:
-        while len(self._suspects) > MAX_SUSPECTS:
+        while len(self) > MAX_SUSPECTS:
             oldest = min(
-                self._suspects,
-                key=lambda name: (
-                    self._suspects[name].is_refused(),
-                    self._suspects[name].changed_at,
-                ),
+                self._groups.values(),
+                key=lambda group: (group.is_refused(), group.changed_at),
             )
-            del self._suspects[oldest]
+            excess = len(self) - MAX_SUSPECTS
+            self._remove(oldest, list(oldest.members)[:excess])
 
-    def _trial_pause_s(self, suspect: _Suspect) -> float:
-        doublings = max(0, len(suspect.uncleared()) - REFUSED_CRASHES)
+    def _trial_pause_s(self, group: _Group) -> float:
+        doublings = max(0, len(group.uncleared) - REFUSED_CRASHES)
         spread_s = TRIAL_SPREAD_PER_HOST_S * self.hosts
         return FIRST_TRIAL_PAUSE_S * 2**doublings + self._rng.uniform(0.0, spread_s)
 
-    def _refused_until(self, suspect: _Suspect) -> float:
-        if len(suspect.uncleared()) > MAX_TRIED_CRASHES:
-            return suspect.expires_at()
-        return suspect.trial_at
+    def _refused_until(self, group: _Group) -> float:
+        if len(group.uncleared) > MAX_TRIED_CRASHES:
+            return group.expires_at()
+        return group.trial_at
 
-    def _is_blamed(self, crashes: frozenset[str], subjects: frozenset[str]) -> bool:
-        """Return whether a request must be refused for a suspect of these crashes."""
-        for name, other in self._suspects.items():
-            other_crashes = other.uncleared()
-            if other_crashes > crashes:
+    def _is_blamed(self, blamed: _Group, subjects: frozenset[str]) -> bool:
+        """Return whether a request must be refused for suspects of these crashes."""
+        for group in self._groups.values():
+            if group.uncleared > blamed.uncleared:
                 return False
-            if other_crashes == crashes and name not in subjects:
+            is_alike = group.uncleared == blamed.uncleared
+            if is_alike and not group.members.keys() <= subjects:
                 return False
         return True
--- a/src/sesameport/admission/tests/test_crash_suspects.py
+++ b/src/sesameport/admission/tests/test_crash_suspects.py
@@ -8,6 +8,7 @@
 from sesameport.admission import CrashSuspects, SuspectReport
 from sesameport.admission.crash_suspects import (
     FIRST_TRIAL_PAUSE_S,
+    MAX_REPORTED,
     MAX_SUSPECTS,
     REFUSED_LIFETIME_S,
 )
@@ -132,6 +133,37 @@
     assert not suspects.refused()
 
 
+def long_prompt(number, parts=3_000):
+    """Return the subjects of a request with many parts that no other one has."""
+    return ["deadly", *(f"r{number}-{part}" for part in range(parts))]
+
+
+def test_first_part_of_prompts_with_thousands_of_parts_is_refused(suspects):
+    # The first 1,000 of such a prompt were forgotten as soon as they were recorded, so
+    # the part crashed one server after the other (review/14).
+    other = CrashSuspects(random.Random(2))
+    for number in range(6):
+        suspects.record_crash(f"c{number}", long_prompt(number), float(number))
+        other.merge_groups(suspects.report_groups(float(number)), float(number))
+    for host in (suspects, other):
+        assert len(host) <= MAX_SUSPECTS
+        assert is_refused(host, long_prompt(9), 6.0)
+        assert not is_refused(host, long_prompt(5)[1:], 6.0)
+        assert set(host.refused()) == {"deadly"}
+
+
+def test_reports_of_long_prompts_are_bounded_and_name_the_refused_first(suspects):
+    for number in range(6):
+        suspects.record_crash(f"c{number}", long_prompt(number), float(number))
+    groups = suspects.report_groups(6.0)
+    assert groups[0].subjects == ("deadly",)
+    assert sum(len(group.subjects) for group in groups) == MAX_REPORTED
+    changed = suspects.report_groups(6.0, changed_since=5.0)
+    assert sum(len(group.subjects) for group in changed) == 3_001
+    # Nobody can tell whether two hosts know the same, so none repeats on and on.
+    assert suspects.merge_groups(groups, 6.0)
+
+
 def play_load(hosts, deadly_per_s, seed):
     """Return the crashes, and the sound requests that are served and refused, of 40 s.
 
--- a/src/sesameport/entry/crash_guard.py
+++ b/src/sesameport/entry/crash_guard.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from sesameport.admission import CrashSuspects, Judgement, SuspectReport, Trickle
+from sesameport.admission import CrashSuspects, Judgement, SuspectGroup, Trickle
 from sesameport.entry import messages as m
 from sesameport.entry.outcomes import RequestProgress
 from sesameport.entry.requests import EntryRequest
@@ -31,6 +31,9 @@
 STORE_RETRY_S = 10.0
 """Longest time until a record that was not stored is sent again, seconds."""
 
+MAX_LOGGED = 16
+"""Number of subjects that are named in log lines about one event."""
+
 DIGEST_BYTES = 8
 MAX_PART_CHARS = 64
 """Length of an id above which its digest takes its place."""
@@ -69,7 +72,7 @@
         self._suspects = CrashSuspects(self._rng)
         self._trickle = Trickle(self._rng)
         self._wakes_at = float("inf")
-        self._store_at: dict[str, float] = {}
+        self._store_at: dict[tuple[str, int, int], float] = {}
 
     def start(self) -> None:
         """Load the stored records in the background, until the store answers."""
@@ -79,7 +82,7 @@
         """Return the refusal of a request that would crash a server, or None."""
         if not self._suspects or progress.is_trial:
             return None
-        subjects = request_subjects(progress.req, progress.service)
+        subjects = _subjects_of(progress)
         with self._lock:
             judgement = self._suspects.judge(subjects, time.monotonic())
         if judgement == Judgement():
@@ -89,7 +92,7 @@
             "refused subject tried" if judgement.is_trial else "request would crash",
             extra={
                 "request_id": progress.req.request_id,
-                "subjects": ",".join(subjects),
+                "subjects": _name_some(subjects),
                 "retry_after_s": round(judgement.refused_s, 1),
             },
         )
@@ -101,17 +104,17 @@
         """Record that a server crashed as it began to answer a request."""
         progress.is_trial = False
         crash = f"{server.name}@{server.started_at_ms}"
-        subjects = request_subjects(progress.req, progress.service)
+        subjects = _subjects_of(progress)
         now = time.monotonic()
         with self._lock:
             before = self._suspects.refused()
             self._suspects.record_crash(crash, subjects, now)
             self._handle_changes(before, now)
-            for report in self._suspects.unstored():
-                if report.subject in subjects:
-                    self._store_at[report.subject] = now
+            for group in self._suspects.unstored():
+                if not frozenset(subjects).isdisjoint(group.subjects):
+                    self._store_at[_key(group)] = now
             self._store_due(now)
-            self._send(now)
+            self._send_change(now)
             self._trickle.reset(now)
             self._schedule(now)
 
@@ -119,7 +122,7 @@
         """Clear the subjects of a request that a server answers without a crash."""
         if not self._suspects:
             return
-        subjects = request_subjects(progress.req, progress.service)
+        subjects = _subjects_of(progress)
         now = time.monotonic()
         with self._lock:
             if not self._suspects.is_suspect(subjects):
@@ -127,27 +130,33 @@
             before = self._suspects.refused()
             self._suspects.record_answer(subjects, now)
             if self._handle_changes(before, now):
-                self._send(now)
-            for subject in before - self._suspects.refused():
-                if self._suspects.is_stored(subject):
-                    self._store.start_deleting(subject)
+                self._send_change(now)
+            accepted = before - self._suspects.refused()
+            stored = {name for name in accepted if self._suspects.is_stored(name)}
+            if stored:
+                self._store.start_deleting(stored)
+            self._plan_stores(now)
             self._trickle.reset(now)
             self._schedule(now)
 
-    def apply_reports(self, reports: Iterable[SuspectReport]) -> None:
-        """Merge the reports of another host or of the store."""
+    def apply_reports(
+        self, groups: Iterable[SuspectGroup], is_partial: bool = False
+    ) -> None:
+        """Merge the reports of another host or of the store.
+
+        A partial one reaches all hosts, which then know the same.
+        """
         now = time.monotonic()
         with self._lock:
             before = self._suspects.refused()
-            if self._suspects.merge(reports, now):
-                self._trickle.record_equal()
-            else:
-                self._trickle.reset(now)
-            spread_s = STORE_DELAY_PER_HOST_S * self._suspects.hosts
-            store_at = now + STORE_DELAY_S + self._rng.uniform(0.0, spread_s)
+            knows_all = self._suspects.merge_groups(groups, now)
+            if not is_partial:
+                if knows_all:
+                    self._trickle.record_equal()
+                else:
+                    self._trickle.reset(now)
             self._handle_changes(before, now)
-            for report in self._suspects.unstored():
-                self._store_at.setdefault(report.subject, store_at)
+            self._plan_stores(now)
             self._schedule(now)
 
     def record_hosts(self, count: int, are_new: bool) -> None:
@@ -198,38 +207,54 @@
         refused = self._suspects.refused()
         if refused == before:
             return False
-        for subject in sorted(refused - before):
+        for subject in sorted(refused - before)[:MAX_LOGGED]:
             crashes = ",".join(self._suspects.crashes(subject))
             log.warning(
                 "subject refused", extra={"subject": subject, "crashes": crashes}
             )
-        for subject in sorted(before - refused):
+        for subject in sorted(before - refused)[:MAX_LOGGED]:
             log.info("subject accepted again", extra={"subject": subject})
         self._metrics.set("sesameport_entry_refused_subjects", len(refused))
         return True
 
+    def _plan_stores(self, now: float) -> None:
+        """Store what is not stored after the delay, unless a host has done so."""
+        spread_s = STORE_DELAY_PER_HOST_S * self._suspects.hosts
+        store_at = now + STORE_DELAY_S + self._rng.uniform(0.0, spread_s)
+        for group in self._suspects.unstored():
+            self._store_at.setdefault(_key(group), store_at)
+
     def _store_due(self, now: float) -> None:
-        unstored = {report.subject: report for report in self._suspects.unstored()}
-        for subject, at in list(self._store_at.items()):
-            if subject not in unstored:
-                del self._store_at[subject]
+        unstored = {_key(group): group for group in self._suspects.unstored()}
+        for key, at in list(self._store_at.items()):
+            if key not in unstored:
+                del self._store_at[key]
                 continue
             if at > now:
                 continue
-            self._store_at[subject] = now + self._rng.uniform(0.5, 1.0) * STORE_RETRY_S
-            self._store.start_saving(unstored[subject], self._record_stored)
+            self._store_at[key] = now + self._rng.uniform(0.5, 1.0) * STORE_RETRY_S
+            self._store.start_saving(unstored[key], self._record_stored)
 
-    def _record_stored(self, subject: str, count: int) -> None:
+    def _record_stored(self, group: SuspectGroup) -> None:
         """Report that crashes are stored, which saves the other hosts the call."""
         now = time.monotonic()
         with self._lock:
-            self._suspects.mark_stored(subject, count, now)
-            self._send(now)
+            self._suspects.mark_stored(group.subjects, len(group.crashes), now)
+            self._send_change(now)
 
     def _send(self, now: float) -> None:
-        reports = self._suspects.reports(now)
-        if reports:
-            self._publish(m.SuspectReports(tuple(reports)))
+        groups = self._suspects.report_groups(now)
+        if groups:
+            self._publish(m.SuspectReports(tuple(groups)))
+
+    def _send_change(self, now: float) -> None:
+        """Send what has changed now, or all that is known if it is short."""
+        report = m.SuspectReports(tuple(self._suspects.report_groups(now)))
+        if not report.is_short():
+            changed = tuple(self._suspects.report_groups(now, changed_since=now))
+            report = m.SuspectReports(changed, is_partial=True)
+        if report.groups:
+            self._publish(report)
 
     def _schedule(self, now: float) -> None:
         """Schedule the next call of `_wake`, unless there is nothing to repeat."""
@@ -243,6 +268,24 @@
             self._timers.call_at("suspects", wakes_at, self._wake)
 
 
+def _subjects_of(progress: RequestProgress) -> tuple[str, ...]:
+    """Return the subjects of a request, which are found once."""
+    if not progress.crash_subjects:
+        progress.crash_subjects = request_subjects(progress.req, progress.service)
+    return progress.crash_subjects
+
+
+def _key(group: SuspectGroup) -> tuple[str, int, int]:
+    """Return what tells groups apart that are not stored yet."""
+    return group.subjects[0], len(group.subjects), len(group.crashes)
+
+
+def _name_some(subjects: tuple[str, ...]) -> str:
+    more = len(subjects) - MAX_LOGGED
+    names = ",".join(subjects[:MAX_LOGGED])
+    return f"{names} and {more} more" if more > 0 else names
+
+
 def request_subjects(req: EntryRequest, service: str) -> tuple[str, ...]:
     """Return what a request may have in common with others that crash servers.
 
--- a/src/sesameport/entry/host.py
+++ b/src/sesameport/entry/host.py
@@ -303,7 +303,7 @@
 
     def _receive(self, message) -> None:
         if isinstance(message, m.SuspectReports):
-            self._guard.apply_reports(message.reports)
+            self._guard.apply_reports(message.groups, message.is_partial)
             return
         self._actor.tell(message)
 
--- a/src/sesameport/entry/host_messages.py
+++ b/src/sesameport/entry/host_messages.py
@@ -8,7 +8,7 @@
     PrefixReport,
     ServerUse,
     SpeedReport,
-    SuspectReport,
+    SuspectGroup,
     WaitingTokens,
 )
 from sesameport.entry.configuration import EntryConfiguration
@@ -32,6 +32,10 @@
 ]
 
 
+MAX_SHORT_REPORT = 64
+"""Largest number of suspects in a short `SuspectReports`."""
+
+
 @attrs.frozen
 class HostReport:
     """Report the server use and quota charges of a host to the other hosts.
@@ -80,9 +84,18 @@
 
 @attrs.frozen
 class SuspectReports:
-    """Report the suspects that a host knows; see ``admission.CrashSuspects``."""
+    """Report suspects that a host knows; see ``admission.CrashSuspects``.
+
+    A partial one has only what has just changed.
+    """
+
+    groups: tuple[SuspectGroup, ...]
+    is_partial: bool = False
 
-    reports: tuple[SuspectReport, ...]
+    def is_short(self) -> bool:
+        """Return whether the report is sent in the form that older builds know."""
+        count = sum(len(group.subjects) for group in self.groups)
+        return not self.is_partial and count <= MAX_SHORT_REPORT
 
 
 @attrs.frozen
--- a/src/sesameport/entry/outcomes.py
+++ b/src/sesameport/entry/outcomes.py
@@ -104,6 +104,8 @@
         Monotonic time at which the present run was sent to its server, seconds.
     body_bytes : int
         Bytes of servers' bodies that were sent to the caller.
+    crash_subjects : tuple of str
+        What the request has in common with others that crash servers, once known.
     """
 
     req: EntryRequest
@@ -135,6 +137,7 @@
     prefill_server: str = ""
     lease: MemoryLease | None = None
     lease_refusals: int = 0
+    crash_subjects: tuple[str, ...] = ()
 
     def begin_run(self, server: EntryServer) -> None:
         """Record that the request is sent to a server that will run it."""
--- a/src/sesameport/entry/peer_topics.py
+++ b/src/sesameport/entry/peer_topics.py
@@ -31,6 +31,7 @@
     decode_retries,
     decode_revisions,
     decode_speeds,
+    decode_suspect_groups,
     decode_suspects,
     encode_cold,
     encode_evacuations,
@@ -42,6 +43,7 @@
     encode_retries,
     encode_revisions,
     encode_speeds,
+    encode_suspect_groups,
     encode_suspects,
 )
 
@@ -85,6 +87,7 @@
 COLD_PERMITS = b"k"
 """First byte of the topics of single hosts about permits for cold servers."""
 _SUSPECTS = b"c"
+_SUSPECT_GROUPS = b"f"
 _NOTICES = b"n"
 _EVACUATIONS = b"e"
 _COLD = b"w"
@@ -108,6 +111,7 @@
 
 DECODERS = {
     _SUSPECTS: decode_suspects,
+    _SUSPECT_GROUPS: decode_suspect_groups,
     _NOTICES: decode_notices,
     _EVACUATIONS: decode_evacuations,
     _COLD: decode_cold,
@@ -125,12 +129,15 @@
     REPORT,
     PARTIAL_REPORT,
     *(topic for topic, _ in _ENCODERS.values()),
+    _SUSPECT_GROUPS,
 )
 """Topics that every host subscribes to."""
 
 
 def encode_message(message: PublishedMessage) -> list[bytes]:
     """Return the topic and the encoding of a message."""
+    if isinstance(message, SuspectReports) and not message.is_short():
+        return [_SUSPECT_GROUPS, encode_suspect_groups(message)]
     encoder = _ENCODERS.get(type(message))
     if encoder is not None:
         topic, encode = encoder
--- a/src/sesameport/entry/report_codec.py
+++ b/src/sesameport/entry/report_codec.py
@@ -17,7 +17,7 @@
     ServerUse,
     SpeedMeasure,
     SpeedReport,
-    SuspectReport,
+    SuspectGroup,
     WaitingTokens,
 )
 from sesameport.entry.host_messages import (
@@ -47,6 +47,7 @@
     "decode_retries",
     "decode_revisions",
     "decode_speeds",
+    "decode_suspect_groups",
     "decode_suspects",
     "encode_cold",
     "encode_evacuations",
@@ -58,6 +59,7 @@
     "encode_retries",
     "encode_revisions",
     "encode_speeds",
+    "encode_suspect_groups",
     "encode_suspects",
 ]
 
@@ -67,6 +69,7 @@
 _Use = tuple[int, int, int, int]
 _Waiting = tuple[int, int]
 _Suspect = tuple[str, dict[str, bool], int]
+_SuspectGroups = tuple[bool, list[tuple[tuple[str, ...], dict[str, bool], int]]]
 _Notice = tuple[str, int, float | None, bool, float]
 _Cold = tuple[str, int, float, float]
 _Evacuations = tuple[str, tuple[str, ...]]
@@ -93,6 +96,7 @@
 # A decoder that is built for each message costs more than the decoding itself.
 _REPORT = msgspec.msgpack.Decoder(_Report)
 _SUSPECTS = msgspec.msgpack.Decoder(list[_Suspect])
+_SUSPECT_GROUPS = msgspec.msgpack.Decoder(_SuspectGroups)
 _NOTICES = msgspec.msgpack.Decoder(list[_Notice])
 _RETRIES = msgspec.msgpack.Decoder(tuple[str, dict[str, int]])
 _COLD = msgspec.msgpack.Decoder(list[_Cold])
@@ -181,8 +185,14 @@
 
 
 def encode_suspects(message: SuspectReports) -> bytes:
-    """Return reports of suspects as MessagePack."""
-    return msgspec.msgpack.encode([attrs.astuple(item) for item in message.reports])
+    """Return a short report of suspects as MessagePack, as older builds know it."""
+    return msgspec.msgpack.encode(
+        [
+            (subject, group.crashes, group.stored)
+            for group in message.groups
+            for subject in group.subjects
+        ]
+    )
 
 
 def decode_suspects(data: bytes) -> Result[SuspectReports, str]:
@@ -191,7 +201,24 @@
         fields = _SUSPECTS.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
         return Err(str(exc))
-    return Ok(SuspectReports(tuple(SuspectReport(*item) for item in fields)))
+    groups = [SuspectGroup((subject,), *rest) for subject, *rest in fields]
+    return Ok(SuspectReports(tuple(groups)))
+
+
+def encode_suspect_groups(message: SuspectReports) -> bytes:
+    """Return a report of many suspects as MessagePack."""
+    groups = [attrs.astuple(group, recurse=False) for group in message.groups]
+    return msgspec.msgpack.encode((message.is_partial, groups))
+
+
+def decode_suspect_groups(data: bytes) -> Result[SuspectReports, str]:
+    """Return what `encode_suspect_groups` encoded, or an Err with the reason."""
+    try:
+        is_partial, fields = _SUSPECT_GROUPS.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        return Err(str(exc))
+    groups = tuple(SuspectGroup(*item) for item in fields)
+    return Ok(SuspectReports(groups, is_partial))
 
 
 def encode_notices(message: NoticeReports) -> bytes:
