--- a/src/sesameport/adapters/caller_limits/body_reader.py
+++ b/src/sesameport/adapters/caller_limits/body_reader.py
@@ -20,6 +20,7 @@
     choose_largest,
 )
 from sesameport.adapters.caller_limits.open_bodies import OpenBodies
+from sesameport.adapters.caller_limits.open_heads import OpenHeads
 from sesameport.adapters.caller_limits.slow_readers import SlowReaders
 from sesameport.adapters.strict_http import FramingError, StrictRequest
 
@@ -78,6 +79,11 @@
         seconds.
     slow_readers : SlowReaders or None
         Responses that callers do not read, which hold memory too.
+
+    Attributes
+    ----------
+    heads : OpenHeads
+        Heads that are being read, which hold memory too.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         self._open_bodies = open_bodies
         self._stated_wait_s = stated_wait_s
         self._slow_readers = slow_readers or SlowReaders(account)
+        self.heads = OpenHeads(account, self._close_largest)
         self._expensive = threading.Semaphore(bounds.max_expensive_bodies)
 
     @contextlib.contextmanager
@@ -150,18 +157,24 @@
 
     def _close_largest(self, now: float, waited_s: float) -> bool:
         """Close the body or response that must give way; return whether one does."""
-        holders = [*self._open_bodies.holders(), *self._slow_readers.holders()]
+        holders = [
+            *self._open_bodies.holders(),
+            *self._slow_readers.holders(),
+            *self.heads.holders(),
+        ]
         found = choose_largest(holders, now, waited_s)
         if found is None:
             return False
         self._open_bodies.close(found, "memory")
         self._slow_readers.close(found, "unread")
+        self.heads.close(found, "memory")
         return True
 
     def _read_slowly(self, req: StrictRequest, parser) -> tuple[bytes, int]:
         conn, now = req.conn, time.monotonic()
         wait_s = min(self._bounds.body_s, self._stated_wait_s(req.header_pairs))
         holder = Holder(conn.remote_addr or "", now, now + wait_s, now)
+        holder.head_bytes = conn.head.held if conn.head is not None else 0
         refused_for = self._open_bodies.add(holder, conn)
         if refused_for:
             raise _refusal(refused_for)
--- a/src/sesameport/adapters/caller_limits/connections.py
+++ b/src/sesameport/adapters/caller_limits/connections.py
@@ -14,6 +14,8 @@
 from cheroot.connections import ConnectionManager, _ThreadsafeSelector
 
 from sesameport.adapters.caller_limits.bounds import BodyRefused
+from sesameport.adapters.caller_limits.memory_account import Holder
+from sesameport.adapters.caller_limits.open_heads import HeadReader
 from sesameport.adapters.caller_limits.slow_readers import CallerWriter
 from sesameport.adapters.strict_http import StrictConnection, StrictRequest
 
@@ -27,6 +29,15 @@
 
 
 class _Request(StrictRequest):
+    def read_request_headers(self) -> bool:
+        """Read the headers and charge large ones; return whether they are valid."""
+        self.rfile = reader = HeadReader(self.rfile, self.conn)
+        try:
+            return super().read_request_headers()
+        finally:
+            self.rfile = reader.inner
+            self.server.bodies.heads.complete(self.conn)
+
     def simple_response(self, status, msg="") -> None:
         """Answer a head that is refused before its body is read.
 
@@ -59,6 +70,8 @@
         Bound for which the connection was cut off, or an empty string.
     is_closed : bool
         Whether the connection has been closed.
+    head : Holder or None
+        Memory of the head of the present request, if it is charged.
     """
 
     RequestHandlerClass = _Request
@@ -67,6 +80,7 @@
     has_served = False
     closed_for = ""
     is_closed = False
+    head: Holder | None = None
 
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
@@ -81,6 +95,7 @@
         finally:
             self.head_since = 0.0
             self.has_served = True
+            self.server.bodies.heads.release(self)
 
     def cut_off(self, bound: str, how: int = socket.SHUT_RD) -> None:
         """Let the thread that reads or writes see the end of the connection."""
--- a/src/sesameport/adapters/caller_limits/memory_account.py
+++ b/src/sesameport/adapters/caller_limits/memory_account.py
@@ -35,7 +35,7 @@
 
 @attrs.define(eq=False)
 class Holder:
-    """Represent a body that is being received, or a response that is not read.
+    """Represent a head or body that is being received, or a response that is not read.
 
     Attributes
     ----------
@@ -47,6 +47,8 @@
         Monotonic time by which the body must be complete, seconds.
     held : int
         Bytes that are charged to the account.
+    head_bytes : int
+        Bytes that are charged for the head of the same request besides.
     received : int
         Bytes of a body that arrived, or of a response that wait in the process.
     is_held_back : bool
@@ -60,6 +62,7 @@
     deadline: float
     last_at: float = 0.0
     held: int = 0
+    head_bytes: int = 0
     received: int = 0
     is_held_back: bool = False
     closed_for: str = ""
@@ -89,7 +92,8 @@
 
 
 def _rank(holder: Holder, now: float) -> tuple[bool, int, float]:
-    return holder.is_stalled(now), holder.held, -holder.started_at
+    held = holder.held + holder.head_bytes
+    return holder.is_stalled(now), held, -holder.started_at
 
 
 class MemoryAccount:
--- a/src/sesameport/adapters/caller_limits/tests/test_body_reader.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_body_reader.py
@@ -36,7 +36,7 @@
     def read(self, sock, length=None):
         """Return the body of a request on a socket, or the exception."""
         conn = types.SimpleNamespace(
-            socket=sock, rfile=MakeFile(sock, "rb"), remote_addr="10.0.0.1"
+            socket=sock, rfile=MakeFile(sock, "rb"), remote_addr="10.0.0.1", head=None
         )
         req = types.SimpleNamespace(
             conn=conn,
