--- a/src/sesameport/adapters/caller_limits/listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -64,6 +64,24 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.open_connections = set()
+        self._pool_lock = threading.Lock()
+        self._has_ended = False
+
+    def grow_pool(self, count: int) -> None:
+        """Add threads, unless the server ends."""
+        with self._pool_lock:
+            if not self._has_ended:
+                self.requests.grow(count)
+
+    def stop(self) -> None:
+        """End the server and its threads.
+
+        cheroot asks each thread once to end. One that is added after that takes the
+        request of another, which is then waited for without end.
+        """
+        with self._pool_lock:
+            self._has_ended = True
+        super().stop()
 
     def prepare(self) -> None:
         """Listen, and accept a bounded number of connections."""
@@ -223,7 +241,7 @@
         pool = self._server.requests
         if pool.idle < self._min_idle_threads:
             waiting = min(pool.qsize, MAX_NEW_THREADS)
-            pool.grow(max(self._min_idle_threads, waiting))
+            self._server.grow_pool(max(self._min_idle_threads, waiting))
 
     def enforce_limits(self) -> None:
         """Cut off clients that exceed their time or hold threads that others need."""
