--- a/src/sesameport/admission/order_lease.py
+++ b/src/sesameport/admission/order_lease.py
@@ -6,11 +6,11 @@
 only when the record has been unchanged for longer than an order of the holder can be in
 transit, and it increments the fencing number.
 
-A store that comes back from an older copy forgets records, or has older ones. Each
-return begins a new era of the store. Fencing numbers therefore begin with the era of
-the write that they belong to, so that none is given out again, whatever the store
-remembers. A record of an earlier era proves nothing, and neither does the absence of a
-record in a new one: the last order may just have been sent.
+A store that is restored from an older copy lacks recent records, or has earlier
+versions of them. Each restoration begins a new era of the store. The high bits of a
+fencing number are therefore the era of its write, so that no number is used twice,
+whatever records the copy has. A record of an earlier era proves nothing, and neither
+does the absence of a record in a new one: the last order may just have been sent.
 """
 
 import enum
@@ -93,8 +93,8 @@
 
     Within an era each number is that of one holder, and they increase. The store loses
     no write of an era, so the next number after a record of the same era is a new one.
-    A record of an earlier era, or one that is no record, may have replaced others. Each
-    number before had a write of its own, so that the version is above all of them.
+    A record of an earlier era, or an invalid one, may have replaced others. Each number
+    before needed one write, so the object's version is greater than all of them.
 
     Parameters
     ----------
--- a/src/sesameport/admission/server_registry.py
+++ b/src/sesameport/admission/server_registry.py
@@ -7,8 +7,8 @@
 The entry of a crashed server remains for seconds, and a new server may already answer
 at the same address. The server with the later start time is then the current one.
 
-A store that comes back from an older copy may have entries of servers that have left
-since, and states of servers that announced their leaving later. Such an entry gets no
+A store that is restored from an older copy may contain entries of servers that were
+removed later, and outdated states of servers that are leaving. Such an entry gets no
 work until the store would have removed it, if its server did not write it again.
 """
 
@@ -150,8 +150,8 @@
     def last_known(self, name: str) -> EntryServer | None:
         """Return the last entry of a server, also after its removal.
 
-        A server goes on answering after the removal, and its entry may come back with
-        the same start time.
+        A server may still answer requests after the removal of its entry, and the entry
+        may be written again with the same start time.
         """
         return self._servers.get(name) or self._departed.get(name)
 
--- a/src/sesameport/admission/tests/test_order_lease.py
+++ b/src/sesameport/admission/tests/test_order_lease.py
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize("seed", range(50))
 def test_no_number_has_two_holders_whatever_the_store_remembers(seed):
     # Writes are carried out late, also in a new era, and their answers are lost. Few
-    # other objects change, so that versions are often those of the record again.
+    # other objects change, so a restored store often assigns the same versions again.
     rng, store, now = random.Random(seed), Store(), 0.0
     store.copies.append((store.version, store.stored))
     leases = [OrderLease(f"h{number}", 6.0) for number in range(3)]
