--- a/src/sesameport/adapters/caller_limits/open_heads.py
+++ b/src/sesameport/adapters/caller_limits/open_heads.py
@@ -9,7 +9,11 @@
 import time
 from collections.abc import Callable
 
-from sesameport.adapters.caller_limits.memory_account import Holder, MemoryAccount
+from sesameport.adapters.caller_limits.memory_account import (
+    HOLD_BACK_S,
+    Holder,
+    MemoryAccount,
+)
 
 __all__ = ["FREE_HEAD_BYTES", "HeadReader", "OpenHeads", "line_bytes"]
 
@@ -24,8 +28,9 @@
 HEAD_STEP_BYTES = 16_384
 """Step in which the memory of a larger head is charged, bytes."""
 
-MAX_WAITS = 4
-"""Waits for memory after which a head is refused."""
+MAX_WAIT_S = 2 * HOLD_BACK_S
+"""Time for which a head waits for memory before it is refused, seconds. Half of it is
+left for the largest holder to end once it has been closed."""
 
 
 def line_bytes(line: bytes) -> int:
@@ -102,18 +107,20 @@
         self._account.release(holder.held)
 
     def _charge(self, holder: Holder) -> bool:
-        waiting_since = time.monotonic()
+        if self._account.charge_open(HEAD_STEP_BYTES):
+            return True
+        started = waiting_since = time.monotonic()
         holder.is_held_back = True
         try:
-            for _ in range(MAX_WAITS):
-                if self._account.charge_open(HEAD_STEP_BYTES):
-                    return True
+            # Others may take what is released, so wakeups are not counted.
+            while not self._account.charge_open(HEAD_STEP_BYTES):
                 now = time.monotonic()
-                self._close_largest(now, now - waiting_since)
-                self._account.wait_for_release()
-                if holder.closed_for:
+                if holder.closed_for or now - started >= MAX_WAIT_S:
                     return False
-            return self._account.charge_open(HEAD_STEP_BYTES)
+                if self._close_largest(now, now - waiting_since):
+                    waiting_since = now
+                self._account.wait_for_release()
+            return True
         finally:
             holder.is_held_back = False
             holder.last_at = time.monotonic()
--- a/src/sesameport/adapters/caller_limits/tests/test_open_heads.py
+++ b/src/sesameport/adapters/caller_limits/tests/test_open_heads.py
@@ -2,12 +2,14 @@
 
 import socket
 import time
+from unittest.mock import Mock
 
 import pytest
 
 from sesameport.adapters.caller_limits.bounds import CallerBounds
 from sesameport.adapters.caller_limits.listener import HttpListener
 from sesameport.adapters.caller_limits.memory_account import MemoryAccount
+from sesameport.adapters.caller_limits.open_heads import OpenHeads
 from sesameport.entry.caller_connection import HttpResponseWriter
 from sesameport.platform.tests.conftest import wait_until
 
@@ -97,3 +99,12 @@
         wait_until(lambda: listener.account.used == 0)
         sock.sendall(REQUEST + b"Content-Length: 0\r\n\r\n")
         assert read_status(sock) == b"HTTP/1.1 200 OK"
+
+
+def test_head_waits_for_memory_however_often_others_take_what_is_released():
+    # Guards against a head that is refused at once on a busy host, as each release of
+    # memory that another request took counted as one of its few waits.
+    account = Mock()
+    account.charge_open.side_effect = [False] * 10 + [True]
+    heads = OpenHeads(account, lambda now, waited_s: False)
+    assert heads.grow(Mock(remote_addr="10.0.0.1", head=None))
