--- a/src/sesameport/adapters/caller_limits/body_reader.py
+++ b/src/sesameport/adapters/caller_limits/body_reader.py
@@ -48,8 +48,8 @@
 its head. Many clients send both in two packets, and such a body must not be refused
 because slow ones from its address are in progress."""
 
-MAX_CLOSED_FOR_REQUEST = 4
-"""Stalled bodies that are closed for one small request if the account is full."""
+MAX_ATTEMPTS = 4
+"""Attempts to make room for one small request if the account is full."""
 
 _REFUSALS = {
     "body-deadline": (408, "body did not arrive in time"),
@@ -79,6 +79,9 @@
         seconds.
     slow_readers : SlowReaders or None
         Responses that callers do not read, which hold memory too.
+    release_unread : callable
+        Called with the monotonic time and the bytes that a small request needs; lets
+        unread bytes of connections give way, and returns whether any soon will.
 
     Attributes
     ----------
@@ -93,12 +96,14 @@
         open_bodies: OpenBodies,
         stated_wait_s: Callable[[tuple], float],
         slow_readers: SlowReaders | None = None,
+        release_unread: Callable[[float, int], bool] = lambda now, size: False,
     ):
         self._bounds = bounds
         self._account = account
         self._open_bodies = open_bodies
         self._stated_wait_s = stated_wait_s
         self._slow_readers = slow_readers or SlowReaders(account)
+        self._release_unread = release_unread
         self.heads = OpenHeads(account, self._close_largest)
         self._expensive = threading.Semaphore(bounds.max_expensive_bodies)
 
@@ -146,9 +151,16 @@
         return parser.body(), size
 
     def _make_room(self, size: int) -> None:
-        """Close stalled bodies until a small request is charged, or refuse it."""
-        for _ in range(MAX_CLOSED_FOR_REQUEST):
-            if not self._close_largest(time.monotonic(), 0.0):
+        """Charge a small request for which others give way, or refuse it.
+
+        Bytes that wait unread in sockets give way, and stalled bodies.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            now = time.monotonic()
+            is_closing = self._release_unread(now, size)
+            if self._account.charge(size):
+                return
+            if not self._close_largest(now, 0.0) and not is_closing:
                 break
             self._account.wait_for_release()
             if self._account.charge(size):
--- a/src/sesameport/adapters/caller_limits/listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -182,7 +182,12 @@
         self._open_bodies = open_bodies = OpenBodies(bounds)
         self._server.slow_readers = SlowReaders(account)
         self._server.bodies = BodyReader(
-            bounds, account, open_bodies, stated_wait_s, self._server.slow_readers
+            bounds,
+            account,
+            open_bodies,
+            stated_wait_s,
+            self._server.slow_readers,
+            lambda now, size: self._supervisor.release_unread(now, size),
         )
         self._server.max_connections = bounds.max_connections
         self._server.report = report
--- a/src/sesameport/adapters/caller_limits/memory_account.py
+++ b/src/sesameport/adapters/caller_limits/memory_account.py
@@ -141,9 +141,9 @@
         with self._lock:
             self._used += size
 
-    def excess(self) -> int:
-        """Return the bytes that are charged beyond the limit."""
-        return max(0, self._used - self._limit)
+    def excess(self, wanted: int = 0) -> int:
+        """Return the bytes beyond the limit if ``wanted`` more were charged."""
+        return max(0, self._used + wanted - self._limit)
 
     def release(self, size: int) -> None:
         """Release what was charged."""
--- a/src/sesameport/adapters/caller_limits/supervisor.py
+++ b/src/sesameport/adapters/caller_limits/supervisor.py
@@ -1,5 +1,6 @@
 """Close the connections that hold threads for too long without progress."""
 
+import math
 import socket
 
 from sesameport.adapters.caller_limits.bounds import CallerBounds
@@ -21,6 +22,9 @@
 """Time for which a caller may not read before it is cut off for other requests,
 seconds."""
 
+RECOUNT_S = 0.02
+"""Shortest time between two counts of the unread bytes for requests that find the
+account full, seconds. Each count takes a system call per connection."""
 
 MAX_CUT_OFF_AT_ONCE = 32
 """Connections that are cut off in one turn for others that wait. Each choice looks at
@@ -75,6 +79,8 @@
         self._open_bodies = open_bodies
         self._bounds = bounds
         self._unread_bytes = unread_bytes
+        self._recounted_at = -math.inf
+        self._is_releasing = False
 
     def enforce(self, now: float, idle_s: float) -> None:
         """Cut off what exceeds its time, and more if requests wait for threads.
@@ -102,6 +108,22 @@
             if not self.close_one(now, "threads"):
                 break
 
+    def release_unread(self, now: float, size: int) -> bool:
+        """Release unread bytes for a request of ``size`` bytes that has arrived.
+
+        Connections that have ended since the last count are charged no longer, and
+        those with most unread bytes are cut off. Return whether more may be released
+        soon.
+        """
+        if now - self._recounted_at < RECOUNT_S:
+            return self._is_releasing
+        self._recounted_at = now
+        connections = self._connections_with_data()
+        for conn in self._unread_bytes.update(connections, size):
+            self._refuse(conn, "memory")
+        self._is_releasing = any(conn.closed_for for conn in connections)
+        return self._is_releasing
+
     def close_one(self, now: float, bound: str) -> bool:
         """Cut off the connection that holds a thread with least progress, if any."""
         conn = choose_blocked(self._connections(), now)
--- a/src/sesameport/adapters/caller_limits/unread_bytes.py
+++ b/src/sesameport/adapters/caller_limits/unread_bytes.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+import threading
 from collections.abc import Iterable, Mapping
 
 from sesameport.adapters.caller_limits.memory_account import MemoryAccount
@@ -49,7 +50,7 @@
 class UnreadBytes:
     """Charge the unread bytes of one listener's connections to the account.
 
-    Only one thread may call `update`.
+    Thread-safe.
 
     Parameters
     ----------
@@ -60,22 +61,34 @@
     def __init__(self, account: MemoryAccount):
         self._account = account
         self._charged = 0
+        self._lock = threading.Lock()
 
-    def update(self, connections: Iterable) -> list:
+    def update(self, connections: Iterable, wanted: int = 0) -> list:
         """Charge what is unread now; return the connections to cut off for it.
 
         The bytes are received already, so they are charged above the limit, too.
+
+        Parameters
+        ----------
+        connections : iterable
+            Connections that may have unread bytes.
+        wanted : int
+            Bytes that a request needs besides. For these, only connections with more
+            unread bytes than that are cut off.
         """
-        sizes = {conn: _unread_bytes(conn.socket) for conn in connections}
-        total = sum(sizes.values())
-        change, self._charged = total - self._charged, total
-        if change > 0:
-            self._account.charge_held(change)
-        elif change < 0:
-            self._account.release(-change)
+        with self._lock:
+            sizes = {conn: _unread_bytes(conn.socket) for conn in connections}
+            total = sum(sizes.values())
+            change, self._charged = total - self._charged, total
+            if change > 0:
+                self._account.charge_held(change)
+            elif change < 0:
+                self._account.release(-change)
         open_sizes = {conn: n for conn, n in sizes.items() if not conn.closed_for}
         closing = total - sum(open_sizes.values())
-        return choose_most_unread(open_sizes, self._account.excess(), closing)
+        if wanted:
+            open_sizes = {conn: n for conn, n in open_sizes.items() if n > wanted}
+        return choose_most_unread(open_sizes, self._account.excess(wanted), closing)
 
 
 def _unread_bytes(sock: socket.socket) -> int:
