--- a/src/sesameport/admission/__init__.py
+++ b/src/sesameport/admission/__init__.py
@@ -9,12 +9,7 @@
     ColdReport,
     ColdServers,
 )
-from sesameport.admission.crash_suspects import (
-    CrashSuspects,
-    Judgement,
-    SuspectGroup,
-    SuspectReport,
-)
+from sesameport.admission.crash_suspects import CrashSuspects, Judgement
 from sesameport.admission.evacuations import Evacuations
 from sesameport.admission.fleet_use import FleetUse, ServerUse
 from sesameport.admission.forecast import forecast_fit_s, forecast_wait_s
@@ -63,6 +58,7 @@
 from sesameport.admission.server_registry import EXPIRY_GRACE_S, ServerRegistry
 from sesameport.admission.server_speeds import ServerSpeeds
 from sesameport.admission.speed_estimates import SpeedMeasure, SpeedReport
+from sesameport.admission.suspect_groups import SuspectGroup, SuspectReport
 from sesameport.admission.trickle import Trickle
 from sesameport.admission.urgency import clamp_rank, ranked_services
 from sesameport.admission.urgent_memory import (
--- a/src/sesameport/admission/crash_suspects.py
+++ b/src/sesameport/admission/crash_suspects.py
@@ -31,14 +31,14 @@
 
 import attrs
 
-__all__ = ["CrashSuspects", "Judgement", "SuspectGroup", "SuspectReport"]
+from sesameport.admission.suspect_groups import (
+    REFUSED_CRASHES,
+    CrashGroup,
+    SuspectGroup,
+    SuspectReport,
+)
 
-REFUSED_CRASHES = 2
-"""Number of uncleared crashes from which a subject is refused. A single crash has
-bystanders whose stream had just begun as well."""
-
-CLEARED_REFUSED_CRASHES = 4
-"""The same number for a subject that was cleared of earlier crashes."""
+__all__ = ["CrashSuspects", "Judgement"]
 
 MAX_TRIED_CRASHES = 4
 """Number of crashes up to which single requests of a refused subject are tried. The
@@ -52,11 +52,6 @@
 """Upper limit per host of a random addition to that time, seconds. It lets the first
 trial end before another host starts one."""
 
-REFUSED_LIFETIME_S = 3_600.0
-SUSPECT_LIFETIME_S = 600.0
-"""Time after the last crash at which a refused subject and another suspect are
-forgotten, seconds."""
-
 REPORTED_S = 60.0
 """Time for which a suspect that is not refused is reported to other hosts after its
 last change, seconds."""
@@ -72,35 +67,6 @@
 """Largest number of crashes that are kept for one suspect."""
 
 
-@attrs.frozen
-class SuspectReport:
-    """Report the crashes of one suspect to other hosts.
-
-    Attributes
-    ----------
-    subject : str
-        What the requests have in common.
-    crashes : dict of str to bool
-        Ids of the crashes, the same at each host, and whether the subject was cleared
-        of each.
-    stored : int
-        Number of crashes in the record of the platform's store, 0 without one.
-    """
-
-    subject: str
-    crashes: dict[str, bool]
-    stored: int = 0
-
-
-@attrs.frozen
-class SuspectGroup:
-    """Report suspects that have the same crashes; see `SuspectReport`."""
-
-    subjects: tuple[str, ...]
-    crashes: dict[str, bool]
-    stored: int = 0
-
-
 @attrs.frozen
 class Judgement:
     """Represent whether a request is refused or a trial.
@@ -117,43 +83,6 @@
     is_trial: bool = False
 
 
-@attrs.define(eq=False)
-class _Group:
-    """Hold the suspects with the same crashes, in the order in which they joined."""
-
-    crashes: dict[str, bool]
-    stored: int = 0
-    members: dict[str, None] = attrs.field(factory=dict)
-    changed_at: float = 0.0
-    crashed_at: float = 0.0
-    trial_at: float = 0.0
-    uncleared: frozenset[str] = attrs.field(init=False)
-
-    def __attrs_post_init__(self):
-        self.uncleared = frozenset(
-            crash for crash, cleared in self.crashes.items() if not cleared
-        )
-
-    def key(self) -> tuple[frozenset[tuple[str, bool]], int]:
-        """Return what all members have in common."""
-        return frozenset(self.crashes.items()), self.stored
-
-    def is_refused(self) -> bool:
-        """Return whether enough crashes count against the suspects."""
-        count = len(self.uncleared)
-        was_cleared = count < len(self.crashes)
-        return count >= (CLEARED_REFUSED_CRASHES if was_cleared else REFUSED_CRASHES)
-
-    def expires_at(self) -> float:
-        """Return the monotonic time at which the suspects are forgotten."""
-        lifetime_s = REFUSED_LIFETIME_S if self.is_refused() else SUSPECT_LIFETIME_S
-        return self.crashed_at + lifetime_s
-
-    def report(self) -> SuspectGroup:
-        """Return the report of the group."""
-        return SuspectGroup(tuple(self.members), dict(self.crashes), self.stored)
-
-
 class CrashSuspects:
     """Hold the suspects of one host; not thread-safe.
 
@@ -175,8 +104,8 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self._groups: dict[tuple, _Group] = {}
-        self._group_of: dict[str, _Group] = {}
+        self._groups: dict[tuple, CrashGroup] = {}
+        self._group_of: dict[str, CrashGroup] = {}
         self.hosts = 1
 
     def __len__(self) -> int:
@@ -320,16 +249,16 @@
             if now >= group.expires_at():
                 self._remove(group, list(group.members))
 
-    def _groups_of(self, subjects: Iterable[str]) -> dict[_Group, list[str]]:
+    def _groups_of(self, subjects: Iterable[str]) -> dict[CrashGroup, list[str]]:
         """Return the groups of the suspects among some subjects, with these."""
-        groups: dict[_Group, list[str]] = {}
+        groups: dict[CrashGroup, list[str]] = {}
         for subject in subjects:
             group = self._group_of.get(subject)
             if group is not None:
                 groups.setdefault(group, []).append(subject)
         return groups
 
-    def _reported(self, now: float) -> list[_Group]:
+    def _reported(self, now: float) -> list[CrashGroup]:
         """Return the groups that other hosts should know, the refused and latest first.
 
         Others know those that changed long ago, or will not need them.
@@ -351,7 +280,7 @@
         now: float,
     ) -> None:
         """Add crashes to some subjects, which become suspects by that."""
-        by_group: dict[_Group | None, list[str]] = {}
+        by_group: dict[CrashGroup | None, list[str]] = {}
         for subject in subjects:
             by_group.setdefault(self._group_of.get(subject), []).append(subject)
         for group, names in by_group.items():
@@ -370,14 +299,14 @@
     def _move(
         self,
         subjects: list[str],
-        source: _Group | None,
+        source: CrashGroup | None,
         crashes: dict[str, bool],
         stored: int,
         now: float,
         has_new: bool,
     ) -> None:
         """Move subjects to the group with the given crashes."""
-        target = _Group(crashes, stored)
+        target = CrashGroup(crashes, stored)
         target = self._groups.setdefault(target.key(), target)
         if source is not None:
             target.crashed_at = max(target.crashed_at, source.crashed_at)
@@ -392,7 +321,7 @@
             target.members[subject] = None
             self._group_of[subject] = target
 
-    def _remove(self, group: _Group, subjects: list[str]) -> None:
+    def _remove(self, group: CrashGroup, subjects: list[str]) -> None:
         for subject in subjects:
             del group.members[subject]
             del self._group_of[subject]
@@ -408,17 +337,17 @@
             excess = len(self) - MAX_SUSPECTS
             self._remove(oldest, list(oldest.members)[:excess])
 
-    def _trial_pause_s(self, group: _Group) -> float:
+    def _trial_pause_s(self, group: CrashGroup) -> float:
         doublings = max(0, len(group.uncleared) - REFUSED_CRASHES)
         spread_s = TRIAL_SPREAD_PER_HOST_S * self.hosts
         return FIRST_TRIAL_PAUSE_S * 2**doublings + self._rng.uniform(0.0, spread_s)
 
-    def _refused_until(self, group: _Group) -> float:
+    def _refused_until(self, group: CrashGroup) -> float:
         if len(group.uncleared) > MAX_TRIED_CRASHES:
             return group.expires_at()
         return group.trial_at
 
-    def _is_blamed(self, blamed: _Group, subjects: frozenset[str]) -> bool:
+    def _is_blamed(self, blamed: CrashGroup, subjects: frozenset[str]) -> bool:
         """Return whether a request must be refused for suspects of these crashes."""
         for group in self._groups.values():
             if group.uncleared > blamed.uncleared:
--- a/src/sesameport/admission/tests/test_crash_suspects.py
+++ b/src/sesameport/admission/tests/test_crash_suspects.py
@@ -10,8 +10,8 @@
     FIRST_TRIAL_PAUSE_S,
     MAX_REPORTED,
     MAX_SUSPECTS,
-    REFUSED_LIFETIME_S,
 )
+from sesameport.admission.suspect_groups import REFUSED_LIFETIME_S
 
 
 @pytest.fixture
--- a/src/sesameport/admission/tests/test_order_lease.py
+++ b/src/sesameport/admission/tests/test_order_lease.py
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize("seed", range(50))
-def test_no_number_has_two_holders_whatever_the_store_remembers(seed):
+def test_no_number_has_two_holders_after_restores_of_the_store(seed):
     # Writes are carried out late, also in a new era, and their answers are lost. Few
     # other objects change, so a restored store often assigns the same versions again.
     rng, store, now = random.Random(seed), Store(), 0.0
--- a/src/sesameport/entry/actor.py
+++ b/src/sesameport/entry/actor.py
@@ -416,7 +416,7 @@
         self._metrics.set("sesameport_entry_store_reachable", int(is_reachable))
 
     def _begin_era(self, message: m.StoreEraBegan, now: float) -> None:
-        """Keep what the store may have forgotten; see `StoreEra`."""
+        """Keep what the store may have lost; see `StoreEra`."""
         self._revisions.begin_era(message.era, now)
         if not message.is_first:
             self._entries.begin_era(self._settings.bounds.heartbeat_s, now)
--- a/src/sesameport/entry/host_registration.py
+++ b/src/sesameport/entry/host_registration.py
@@ -55,7 +55,7 @@
         self._rng = random.Random()
 
     def begin_era(self) -> None:
-        """Register again if the store may have forgotten the registration."""
+        """Register again if the store may have lost the registration."""
         self._eras += 1
         joined_at, now = self._joined_at, self._timers.now()
         if joined_at is not None and now < joined_at + RECENT_S:
--- a/src/sesameport/entry/messages.py
+++ b/src/sesameport/entry/messages.py
@@ -365,7 +365,7 @@
     """Report that the store states a new era; see `StoreEra`.
 
     It precedes everything that is read in this era. The era of the first answer says
-    nothing of what the store has forgotten.
+    nothing of what the store has lost.
     """
 
     era: int
--- a/src/sesameport/entry/store_era.py
+++ b/src/sesameport/entry/store_era.py
@@ -17,7 +17,7 @@
 
 OnEra = Callable[[int, bool], None]
 """Called with a new era, and whether it is that of the first answer of the store. Only
-a later one shows that the store has forgotten something."""
+a later one shows that the store has lost something."""
 
 LOWER_ERA_AFTER_S = 15.0
 """Time after the last answer of the era in force from which answers to new calls with a
