--- a/src/sesameport/platform/callers.py
+++ b/src/sesameport/platform/callers.py
@@ -67,14 +67,15 @@
         return Err("X-Token-Count is not two numbers")
     connection_options = {
         option.strip().lower()
-        for option in value_by_name.get("connection", "").split(",")
-        if option
+        for name, value in headers
+        if name.lower() == "connection"
+        for option in value.split(",")
     }
     parts = _parse_prompt_parts(value_by_name)
     removed_names = (
         header_names.ROUTER_HEADERS
         | header_names.HOP_BY_HOP_HEADERS
-        | connection_options
+        | (connection_options - header_names.FORWARDED_HEADERS)
     )
     return Ok(
         EntryRequest(
--- a/src/sesameport/platform/header_names.py
+++ b/src/sesameport/platform/header_names.py
@@ -6,11 +6,14 @@
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "EXPECT_VERSION",
+    "FORWARDED_HEADERS",
     "HOP_BY_HOP_HEADERS",
+    "HOST",
     "KV_LEASE",
     "KV_SOURCE",
     "LAST_EVENT_ID",
     "LENGTH_HINT",
+    "MODEL",
     "NOT_EXECUTED",
     "PROMPT_PREFIX",
     "REQUEST_ID",
@@ -26,6 +29,7 @@
     "TOKEN_COUNT",
 ]
 
+HOST = "host"
 REQUEST_ID = "x-request-id"
 REQUEST_PRIORITY = "x-request-priority"
 DEADLINE_MS = "x-deadline-ms"
@@ -35,6 +39,7 @@
 LENGTH_HINT = "x-length-hint"
 PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
+MODEL = "x-model"
 STAGE = "x-stage"
 KV_LEASE = "x-kv-hold"
 KV_SOURCE = "x-kv-source"
@@ -67,6 +72,12 @@
 )
 """Headers whose values only the router decides; callers' values are not forwarded."""
 
+FORWARDED_HEADERS = frozenset(
+    {HOST, LENGTH_HINT, MODEL, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT}
+)
+"""Headers that a server needs for any request. They concern all recipients, so that a
+caller cannot have them removed by a connection option (RFC 9110, section 7.6.1)."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
--- a/src/sesameport/platform/tests/test_decoding.py
+++ b/src/sesameport/platform/tests/test_decoding.py
@@ -153,6 +153,25 @@
     assert callers.extract_key(headers) == "secret"
 
 
+def test_caller_cannot_have_headers_removed_that_servers_need():
+    # Guards against a server that refuses each such request, as it lacks an id. The
+    # refusals made all hosts pause the server for the requests of other callers.
+    headers = (
+        ("Host", "h"),
+        ("X-Request-Id", "r1"),
+        ("X-Model", "m"),
+        ("X-Token-Count", "1460,80"),
+        ("X-Prompt-Prefix", "a:10,b:20"),
+        ("X-Length-Hint", "40"),
+    )
+    options = [("Connection", name) for name, _ in headers]
+    more = [("Connection", "X-Mine, keep-alive"), ("X-Mine", "1")]
+    req = callers.decode_request(
+        "POST", "/x", (*headers, *options, *more), b"", 0.0
+    ).unwrap()
+    assert req.headers == headers
+
+
 def test_request_without_id_or_with_an_invalid_token_count_returns_an_err():
     assert callers.decode_request("GET", "/", (), b"", 0.0).is_err()
     headers = (("X-Request-Id", "r"), ("X-Token-Count", "many"))
