--- a/src/sesameport/adapters/caller_limits/connections.py
+++ b/src/sesameport/adapters/caller_limits/connections.py
@@ -1,8 +1,8 @@
-"""Accept connections up to a bound, and give only those with data to threads.
+"""Accept connections up to a bound, and give only those with requests to threads.
 
 cheroot gives each new connection to a thread, which then waits for its first byte. Here
-a silent connection waits without a thread unless there are few, and is closed first if
-there are too many.
+a connection waits without a thread until the head of a request is complete, unless
+there are few new ones, and is closed first if there are too many.
 """
 
 import contextlib
@@ -16,6 +16,7 @@
 from sesameport.adapters.caller_limits.bounds import BodyRefused
 from sesameport.adapters.caller_limits.memory_account import Holder
 from sesameport.adapters.caller_limits.open_heads import HeadReader
+from sesameport.adapters.caller_limits.partial_heads import PartialHead
 from sesameport.adapters.caller_limits.slow_readers import CallerWriter
 from sesameport.adapters.strict_http import StrictConnection, StrictRequest
 
@@ -72,6 +73,8 @@
         Whether the connection has been closed.
     head : Holder or None
         Memory of the head of the present request, if it is charged.
+    partial_head : PartialHead
+        What has arrived of the head of the next request while no thread reads it.
     """
 
     RequestHandlerClass = _Request
@@ -85,6 +88,7 @@
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
         self.wfile = CallerWriter(self)
+        self.partial_head = PartialHead(server.account, server.max_request_header_size)
         server.open_connections.add(self)
 
     def communicate(self) -> bool:
@@ -97,6 +101,29 @@
             self.has_served = True
             self.server.bodies.heads.release(self)
 
+    def receive_head(self) -> bool:
+        """Receive what has arrived of a head; return whether a thread should go on."""
+        is_ready = self.partial_head.receive(self.socket.fileno())
+        if is_ready:
+            self.pass_on()
+        return is_ready
+
+    def has_head(self) -> bool:
+        """Return whether a thread should go on with what was read ahead."""
+        data = bytes(self.rfile._read_buf[self.rfile._read_pos :])
+        self.rfile._read_buf, self.rfile._read_pos = b"", 0
+        is_ready = bool(data) and self.partial_head.add(data)
+        if is_ready:
+            self.pass_on()
+        return is_ready
+
+    def pass_on(self) -> None:
+        """Let a thread read what was received of a head."""
+        if self.partial_head.lacks_memory:
+            self.server.report(self.remote_addr, "memory")
+            self.cut_off("memory")
+        self.rfile._read_buf, self.rfile._read_pos = self.partial_head.take(), 0
+
     def cut_off(self, bound: str, how: int = socket.SHUT_RD) -> None:
         """Let the thread that reads or writes see the end of the connection."""
         self.closed_for = bound
@@ -112,6 +139,7 @@
             return
         self.is_closed = True
         self.server.open_connections.discard(self)
+        self.partial_head.take()
         try:
             super().close()
         except OSError as exc:
@@ -125,19 +153,23 @@
     return ranked[:CLOSED_AT_ONCE]
 
 
-class _OpenSelector(_ThreadsafeSelector):
-    """Leave out connections that were closed after the system named them as ready.
+class _HeadSelector(_ThreadsafeSelector):
+    """Name the connections whose next head is complete, and new ones of the server.
 
+    Connections that were closed after the system named them as ready are left out.
     Their descriptors may belong to connections that were accepted since then.
     """
 
     def select(self, timeout=None):
-        events = self._selector.select(timeout)
-        return (
-            (key.fd, key.data)
-            for key, _ in events
-            if not getattr(key.data, "is_closed", False)
-        )
+        return self._with_heads(self._selector.select(timeout))
+
+    def _with_heads(self, events):
+        for key, _ in events:
+            conn = key.data
+            if not isinstance(conn, BoundedConnection) or (
+                not conn.is_closed and conn.receive_head()
+            ):
+                yield key.fd, conn
 
 
 class ConnectionAcceptor(ConnectionManager):
@@ -151,7 +183,7 @@
     def __init__(self, server):
         super().__init__(server)
         self._selector.close()
-        self._selector = _OpenSelector()
+        self._selector = _HeadSelector()
         self._selector.register(
             server.socket.fileno(), selectors.EVENT_READ, data=server
         )
@@ -187,14 +219,43 @@
             server.error_log(f"accept failed: {exc!r}")
             time.sleep(ACCEPT_PAUSE_S)
             return None
-        if conn is None or self._has_spare_threads() or _is_readable(conn.socket):
+        if conn is None or self._has_spare_threads():
             return conn
+        if _is_readable(conn.socket) and conn.receive_head():
+            return conn
+        self._wait_for_head(conn)
+        return None
+
+    def put(self, conn) -> None:
+        """Keep a connection, or pass it on if its next request was read ahead."""
+        if conn.has_head():
+            self.server.process_conn(conn)
+        else:
+            self._wait_for_head(conn)
+
+    def _wait_for_head(self, conn) -> None:
         conn.last_used = time.time()
         self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, data=conn)
-        return None
+
+    def _expire(self, threshold) -> None:
+        """Refuse heads that take too long, and close connections that are idle."""
+        now, idle_s = time.monotonic(), self.server.timeout
+        for fd, conn in list(self._selector.connections):
+            if conn is self.server or not conn.partial_head.since:
+                continue
+            if now - conn.partial_head.since < idle_s:
+                # The time of a head counts from its first byte.
+                conn.last_used = max(conn.last_used, threshold)
+                continue
+            self._selector.unregister(fd)
+            self.server.report(conn.remote_addr, "head-time")
+            conn.cut_off("head-time")
+            conn.pass_on()
+            self.server.process_conn(conn)
+        super()._expire(threshold)
 
     def _has_spare_threads(self) -> bool:
-        """Return whether a connection may wait for its first byte on a thread.
+        """Return whether a connection may wait for its first request on a thread.
 
         That saves a turn of the selector while there are few connections.
         """
--- a/src/sesameport/adapters/caller_limits/listener.py
+++ b/src/sesameport/adapters/caller_limits/listener.py
@@ -189,6 +189,7 @@
             self._server.slow_readers,
             lambda now, size: self._supervisor.release_unread(now, size),
         )
+        self._server.account = account
         self._server.max_connections = bounds.max_connections
         self._server.report = report
         self._server.refuse = refuse
--- a/src/sesameport/adapters/caller_limits/supervisor.py
+++ b/src/sesameport/adapters/caller_limits/supervisor.py
@@ -139,8 +139,7 @@
     def _connections_with_data(self) -> list[BoundedConnection]:
         """Return the connections that may have unread bytes.
 
-        They have a thread or wait for one. All others are silent, as the first byte
-        gives them to a thread.
+        They have a thread or wait for one. What arrives on the others is read at once.
         """
         pool = self._server.requests
         found = [thread.conn for thread in list(pool._threads)]
