--- a/src/sesameport/entry/host_directory.py
+++ b/src/sesameport/entry/host_directory.py
@@ -54,6 +54,10 @@
         self._registrations: dict[str, StoredObject] = {}
         self._unreadable: list[str] = []
 
+    def host_count(self) -> int:
+        """Return the number of hosts in the last listing."""
+        return len(self._registrations)
+
     def join(self) -> bool:
         """Register this host and list the others; return whether both succeeded."""
         with self._lock:
--- a/src/sesameport/entry/host_registration.py
+++ b/src/sesameport/entry/host_registration.py
@@ -22,8 +22,9 @@
 """Time after a registration in which the store may forget it when it comes back from an
 older copy, seconds. Later ones are written again by the next cleanup at the latest."""
 
-REJOIN_SPREAD_S = 2.0
-"""Time over which hosts register again after that, seconds."""
+REJOIN_SPREAD_PER_HOST_S = 0.01
+"""Time per host over which hosts register again after that, seconds. They then share
+the store's calls evenly, and few hosts need not wait."""
 
 log = get_logger("host")
 
@@ -59,7 +60,8 @@
         self._eras += 1
         joined_at, now = self._joined_at, self._timers.now()
         if joined_at is not None and now < joined_at + RECENT_S:
-            rejoin_at = now + self._rng.uniform(0.0, REJOIN_SPREAD_S)
+            spread_s = REJOIN_SPREAD_PER_HOST_S * self._directory.host_count()
+            rejoin_at = now + self._rng.uniform(0.0, spread_s)
             self._timers.call_at("announce", rejoin_at, self._start_registration)
 
     def start(self) -> None:
